--- /dev/null
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -0,0 +1,231 @@
+package org.geraniumusher.http;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+
+import org.geraniumusher.model.Address;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Makes control calls, one connection each. A failed future means that nothing is known about the
+ * effect of the call. Thread-safe; never blocks.
+ */
+public final class HttpClient {
+    private final EventLoopGroup mGroup;
+
+    private HttpClient(EventLoopGroup group) {
+        mGroup = checkNotNull(group);
+    }
+
+    /** Returns a client that runs on {@code group}. */
+    public static HttpClient create(EventLoopGroup group) {
+        return new HttpClient(group);
+    }
+
+    /** Makes a call; fails the future on connection errors and when {@code timeout} passes. */
+    public CompletableFuture<HttpReply> call(Address address, HttpCall call, Duration timeout) {
+        CompletableFuture<HttpReply> future = new CompletableFuture<>();
+        ChannelFuture connecting =
+                open(
+                        address,
+                        timeout,
+                        channel ->
+                                channel.pipeline()
+                                        .addLast(
+                                                new ReadTimeoutHandler(
+                                                        timeout.toMillis(), TimeUnit.MILLISECONDS))
+                                        .addLast(new HttpClientCodec())
+                                        .addLast(
+                                                new HttpObjectAggregator(
+                                                        HttpServer.MAX_BODY_BYTES * 4))
+                                        .addLast(new ReplyHandler(future)));
+        sendWhenOpen(connecting, address, call, future::completeExceptionally);
+        return future;
+    }
+
+    /**
+     * Makes a call whose reply is lines. {@code onClosed} runs once, with the status of the reply,
+     * or 0 when there was none. Closing the returned handle ends the call.
+     */
+    public AutoCloseable lines(
+            Address address, HttpCall call, Consumer<String> onLine, Consumer<Integer> onClosed) {
+        Duration connectTimeout = Duration.ofSeconds(1);
+        ChannelFuture connecting =
+                open(
+                        address,
+                        connectTimeout,
+                        channel ->
+                                channel.pipeline()
+                                        .addLast(new HttpClientCodec())
+                                        .addLast(new LinesHandler(onLine, onClosed)));
+        sendWhenOpen(
+                connecting,
+                address,
+                call,
+                cause -> {
+                    if (connecting.channel().pipeline().get(LinesHandler.class) == null
+                            || !connecting.isSuccess()) {
+                        onClosed.accept(0);
+                    }
+                });
+        return () -> connecting.channel().close();
+    }
+
+    private ChannelFuture open(Address address, Duration timeout, Consumer<Channel> pipeline) {
+        ChannelHandler initializer =
+                new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        pipeline.accept(channel);
+                    }
+                };
+        return new Bootstrap()
+                .group(mGroup)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .handler(initializer)
+                .connect(address.host(), address.port());
+    }
+
+    private static void sendWhenOpen(
+            ChannelFuture connecting,
+            Address address,
+            HttpCall call,
+            Consumer<Throwable> onFailure) {
+        connecting.addListener(
+                (ChannelFuture opened) -> {
+                    if (!opened.isSuccess()) {
+                        onFailure.accept(opened.cause());
+                        return;
+                    }
+                    opened.channel()
+                            .writeAndFlush(toRequest(address, call))
+                            .addListener(
+                                    written -> {
+                                        if (!written.isSuccess()) {
+                                            onFailure.accept(written.cause());
+                                        }
+                                    });
+                });
+    }
+
+    private static DefaultFullHttpRequest toRequest(Address address, HttpCall call) {
+        ByteBuf body = Unpooled.wrappedBuffer(call.body());
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()), call.uri(), body);
+        call.headers().forEach(request.headers()::set);
+        request.headers().set(HttpHeaderNames.HOST, address.toString());
+        HttpUtil.setContentLength(request, call.body().length);
+        return request;
+    }
+
+    /** Completes a future with the whole reply. */
+    private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final CompletableFuture<HttpReply> mFuture;
+
+        ReplyHandler(CompletableFuture<HttpReply> future) {
+            mFuture = future;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            mFuture.complete(
+                    new HttpReply(
+                            response.status().code(), ByteBufUtil.getBytes(response.content())));
+            context.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mFuture.completeExceptionally(new IOException("connection closed before the reply"));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            mFuture.completeExceptionally(cause);
+            context.close();
+        }
+    }
+
+    /** Splits a reply into lines. */
+    private static final class LinesHandler extends SimpleChannelInboundHandler<HttpObject> {
+        private final Consumer<String> mOnLine;
+        private final Consumer<Integer> mOnClosed;
+        private final StringBuilder mPartial = new StringBuilder();
+        private int mStatus;
+
+        LinesHandler(Consumer<String> onLine, Consumer<Integer> onClosed) {
+            mOnLine = onLine;
+            mOnClosed = onClosed;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (part instanceof HttpResponse response) {
+                mStatus = response.status().code();
+            }
+            if (part instanceof HttpContent content && mStatus == 200) {
+                mPartial.append(content.content().toString(StandardCharsets.UTF_8));
+                takeLines();
+            }
+            if (part instanceof LastHttpContent) {
+                context.close();
+            }
+        }
+
+        private void takeLines() {
+            int end = mPartial.indexOf("\n");
+            while (end >= 0) {
+                String line = mPartial.substring(0, end);
+                mPartial.delete(0, end + 1);
+                mOnLine.accept(line);
+                end = mPartial.indexOf("\n");
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mOnClosed.accept(mStatus);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- a/decisions/src/main/java/org/geraniumusher/model/ShardState.java
+++ b/decisions/src/main/java/org/geraniumusher/model/ShardState.java
@@ -16,6 +16,7 @@
  * @param term fencing token of the coordinator; grows with each takeover
  * @param coordinator daemon that coordinates the shard
  * @param standbys daemons that prolong the coordinator's authority and may take over
+ * @param unfencedGroups groups of older versions that may still obtain authority
  * @param lastEpoch highest epoch given out
  */
 public record ShardState(
@@ -23,12 +24,17 @@
         long term,
         String coordinator,
         List<String> standbys,
+        List<List<String>> unfencedGroups,
         long lastEpoch,
         List<Slice> slices) {
     /** Checks that the slices cover the hash space in order. */
     public ShardState {
         checkArgument(!service.isBlank(), "shard without a service");
         standbys = ImmutableList.copyOf(standbys);
+        unfencedGroups =
+                unfencedGroups.stream()
+                        .map(ImmutableList::copyOf)
+                        .collect(ImmutableList.toImmutableList());
         slices = ImmutableList.copyOf(slices);
         checkArgument(!slices.isEmpty(), "shard of %s without slices", service);
         checkArgument(slices.get(0).first() == 0, "first slice of %s does not start at 0", service);
@@ -52,9 +58,10 @@
         long width = count == 1 ? 0 : Long.divideUnsigned(-1L, count) + 1;
         for (int i = 0; i < count; i++) {
             long last = i == count - 1 ? -1L : width * (i + 1) - 1;
-            slices.add(new Slice(width * i, last, "", 0, ""));
+            slices.add(new Slice(width * i, last, "", 0, "", ""));
         }
-        return new ShardState(service, 0, "", ImmutableList.of(), 0, slices.build());
+        return new ShardState(
+                service, 0, "", ImmutableList.of(), ImmutableList.of(), 0, slices.build());
     }
 
     /** Returns the index of the slice that holds {@code hash}; binary search. */
@@ -77,19 +84,33 @@
         return slices.get(indexOf(hash));
     }
 
-    /** Returns the daemons that may prolong the authority: coordinator and standbys. */
+    /** Returns the daemons that may renew grants: coordinator and standbys; empty at term 0. */
     @JsonIgnore
     public ImmutableList<String> group() {
-        return ImmutableList.<String>builder().add(coordinator).addAll(standbys).build();
+        return coordinator.isEmpty()
+                ? ImmutableList.of()
+                : ImmutableList.<String>builder().add(coordinator).addAll(standbys).build();
     }
 
     /** Returns a copy with other slices and a new highest epoch. */
     public ShardState withSlices(long newLastEpoch, List<Slice> newSlices) {
-        return new ShardState(service, term, coordinator, standbys, newLastEpoch, newSlices);
+        return new ShardState(
+                service, term, coordinator, standbys, unfencedGroups, newLastEpoch, newSlices);
     }
 
-    /** Returns a copy with the next term, held by another coordinator. */
+    /** Returns a copy without groups that have been fenced. */
+    public ShardState withUnfencedGroups(List<List<String>> groups) {
+        return new ShardState(service, term, coordinator, standbys, groups, lastEpoch, slices);
+    }
+
+    /** Returns a copy with the next term and another group; the present group is unfenced. */
     public ShardState takenOverBy(String newCoordinator, List<String> newStandbys) {
-        return new ShardState(service, term + 1, newCoordinator, newStandbys, lastEpoch, slices);
+        ImmutableList.Builder<List<String>> groups = ImmutableList.builder();
+        groups.addAll(unfencedGroups);
+        if (!group().isEmpty()) {
+            groups.add(group());
+        }
+        return new ShardState(
+                service, term + 1, newCoordinator, newStandbys, groups.build(), lastEpoch, slices);
     }
 }
