Add the path of a request through the daemon

Cause: a caller's request must reach the owner of its key with streaming bodies and backpressure, and an attempt may be repeated only when that is allowed.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumusher/caller/CallerServer.java
@@ -0,0 +1,80 @@
+package org.geraniumusher.caller;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flow.FlowControlHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+
+import org.geraniumusher.model.Address;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/** Listens for callers, or for daemons that forward requests. Thread-safe. */
+public final class CallerServer implements AutoCloseable {
+    private final Channel mChannel;
+
+    private CallerServer(Channel channel) {
+        mChannel = channel;
+    }
+
+    /** Binds a host and a port, where 0 means any free port; throws when it cannot. */
+    public static CallerServer bind(
+            EventLoopGroup group, String host, int port, CallerContext context) {
+        checkNotNull(context);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, 1_024)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childHandler(new Initializer(context));
+        return new CallerServer(bootstrap.bind(host, port).syncUninterruptibly().channel());
+    }
+
+    /** Returns the bound address. */
+    public Address address() {
+        InetSocketAddress local = (InetSocketAddress) mChannel.localAddress();
+        return new Address(local.getAddress().getHostAddress(), local.getPort());
+    }
+
+    /** Closes the listening socket; open connections stay. */
+    @Override
+    public void close() {
+        mChannel.close().syncUninterruptibly();
+    }
+
+    /** Builds the pipeline of a connection. */
+    private static final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final CallerContext mContext;
+
+        Initializer(CallerContext context) {
+            mContext = context;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            CallerContext.Limits limits = mContext.limits();
+            ResponseEncoder encoder = new ResponseEncoder();
+            channel.pipeline()
+                    .addLast(
+                            new IdleStateHandler(
+                                    0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS))
+                    .addLast(
+                            new StrictRequestDecoder(
+                                    limits.maxInitialLineBytes(), limits.maxHeaderBytes()))
+                    .addLast(encoder)
+                    .addLast(new FlowControlHandler())
+                    .addLast(new CallerConnection(mContext, encoder));
+        }
+    }
+}
