Add admission, server choice and retries as decision modules

Cause: a backend server that has just started must not get more than it can handle, a non-idempotent request must not run twice, and slow or overloaded servers must not spoil the latency of a service. Change: packages admission (ServerGate, SlowStart), choice (ChoiceStrategy, ServerView, StragglerDetector) and retry (RetryPolicy, RetryBudget, HedgePolicy). They read no clock and take time and random sources from outside.

--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/choice/ServerView.java
@@ -0,0 +1,136 @@
+package org.geraniumusher.choice;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.geraniumusher.admission.GateLoad;
+
+/**
+ * Holds what one daemon knows of one backend server of an unkeyed service.
+ *
+ * <p>Three sources, by rank: requests in flight through this daemon, which are exact; the load that
+ * the gateway daemon told with its last answer, which counts less with its age; and the load that
+ * the server reports, which is late or misleading and only breaks ties. Not thread-safe.
+ */
+public final class ServerView {
+    private static final double LATENCY_WEIGHT = 0.2;
+
+    /** An old answer says little: its part of the load halves in this time. */
+    private static final double LOAD_HALF_LIFE_NANOS = 100_000_000;
+
+    /** A server that was avoided for its latency is tried again as the estimate halves. */
+    private static final double LATENCY_HALF_LIFE_NANOS = 500_000_000;
+
+    private static final long REPORT_LIFE_NANOS = 1_000_000_000;
+
+    private final String mName;
+    private final int mSlots;
+    private int mUsableSlots;
+    private int mInFlight;
+    private int mOthers;
+    private long mLoadNanos;
+    private double mLatencyNanos;
+    private long mLatencyAtNanos;
+    private double mReportedLoad;
+    private long mReportedAtNanos;
+    private boolean mReported;
+    private double mWeight = 1;
+
+    private ServerView(String name, int slots, int usableSlots) {
+        mName = name;
+        mSlots = slots;
+        mUsableSlots = usableSlots;
+    }
+
+    /** Returns the view of a server that this daemon has not used yet. */
+    public static ServerView create(String name, int slots, int coldSlots) {
+        checkNotNull(name, "name");
+        checkArgument(slots >= 1, "bad slots of %s: %s", name, slots);
+        checkArgument(
+                coldSlots >= 1 && coldSlots <= slots, "bad coldSlots of %s: %s", name, coldSlots);
+        return new ServerView(name, slots, coldSlots);
+    }
+
+    /** Returns the name of the server. */
+    public String name() {
+        return mName;
+    }
+
+    /** Returns the requests in flight through this daemon. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /** Notes that a request was sent towards the server. */
+    public void sent() {
+        mInFlight++;
+    }
+
+    /** Takes an answer, with the load that the gateway daemon told. */
+    public void answered(long latencyNanos, GateLoad load, long nowNanos) {
+        checkArgument(latencyNanos >= 0, "bad latencyNanos: %s", latencyNanos);
+        ended();
+        double old = latencyNanos(nowNanos);
+        mLatencyNanos = old == 0 ? latencyNanos : old + (latencyNanos - old) * LATENCY_WEIGHT;
+        mLatencyAtNanos = nowNanos;
+        observe(load, nowNanos);
+    }
+
+    /** Takes a refusal by the gateway daemon, with its load. */
+    public void refused(GateLoad load, long nowNanos) {
+        ended();
+        observe(load, nowNanos);
+    }
+
+    /** Takes the end of a request without an answer. */
+    public void ended() {
+        checkArgument(mInFlight > 0, "no request in flight to %s", mName);
+        mInFlight--;
+    }
+
+    /** Takes a load figure from the server itself; larger means busier, the unit is its own. */
+    public void reported(double load, long nowNanos) {
+        checkArgument(load >= 0, "bad load of %s: %s", mName, load);
+        mReportedLoad = load;
+        mReportedAtNanos = nowNanos;
+        mReported = true;
+    }
+
+    /** Sets the share of its normal work that the server gets, between 0 and 1. */
+    void setWeight(double weight) {
+        checkArgument(weight > 0 && weight <= 1, "bad weight of %s: %s", mName, weight);
+        mWeight = weight;
+    }
+
+    double weight() {
+        return mWeight;
+    }
+
+    /** Estimates the share of the usable slots that would be in use after one more request. */
+    double utilisation(long nowNanos) {
+        double others = mOthers * halved(nowNanos - mLoadNanos, LOAD_HALF_LIFE_NANOS);
+        return (mInFlight + others + 1) / mUsableSlots;
+    }
+
+    /** Estimates the latency; 0 when unknown. */
+    double latencyNanos(long nowNanos) {
+        return mLatencyNanos * halved(nowNanos - mLatencyAtNanos, LATENCY_HALF_LIFE_NANOS);
+    }
+
+    /** Returns the server's own figure, or -1 when there is none of use. */
+    double reportedLoad(long nowNanos) {
+        boolean fresh = mReported && nowNanos - mReportedAtNanos <= REPORT_LIFE_NANOS;
+        return fresh ? mReportedLoad : -1;
+    }
+
+    private void observe(GateLoad load, long now) {
+        checkNotNull(load, "load");
+        mOthers = Math.max(0, load.running() + load.queued() - mInFlight);
+        mUsableSlots = Math.min(mSlots, load.usableSlots());
+        mLoadNanos = now;
+    }
+
+    private static double halved(long age, double halfLife) {
+        return Math.pow(0.5, Math.max(0, age) / halfLife);
+    }
+}
