Let gates, server choice and retries decide in the path of a request

Cause: the slots of a backend server must be kept over all daemons, and a retry must never repeat a request that may have run. Change: RequestDecider uses ServerGate for the servers of which this daemon is the gateway, ServerChooser and StragglerDetector for unkeyed services and RetryPolicy with a budget.

--- a/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
@@ -17,11 +17,13 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 
+import org.geraniumusher.admission.GateLoad;
 import org.geraniumusher.backend.UpstreamConnection;
 import org.geraniumusher.backend.UpstreamListener;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.routing.Dispatch;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -42,6 +44,7 @@
     private final ReplayBuffer mBody = new ReplayBuffer();
     private Attempt mAttempt;
     private ScheduledFuture<?> mDeadline;
+    private boolean mMayHaveRun;
     private boolean mResponseStarted;
     private boolean mEnded;
 
@@ -129,16 +132,16 @@
                             .schedule(this::onDeadline, left, TimeUnit.NANOSECONDS);
         }
         mAttempt = new Attempt(dispatch);
-        mContext.pool(mInbound.channel().eventLoop()).acquire(dispatch.address(), mAttempt);
+        mContext.pool(mInbound.channel().eventLoop()).acquire(dispatch.via().address(), mAttempt);
     }
 
     private void onDeadline() {
         if (mEnded || mResponseStarted) {
             return;
         }
-        boolean maySent = mAttempt != null && mAttempt.isConnected();
+        boolean mayHaveRun = mMayHaveRun || (mAttempt != null && mAttempt.isConnected());
         mContext.decisions().abandoned(mId);
-        sendRefusal(maySent ? ResultCode.TIMED_OUT : ResultCode.DEADLINE_UNREACHABLE, 0);
+        sendRefusal(mayHaveRun ? ResultCode.TIMED_OUT : ResultCode.DEADLINE_UNREACHABLE, 0);
     }
 
     private void sendRefusal(ResultCode code, long retryAfterMillis) {
@@ -169,11 +172,11 @@
     /** Is one attempt to get the request executed. */
     private final class Attempt implements UpstreamListener {
         private final Dispatch mDispatch;
-        private final long mStartNanos = mContext.clock().getAsLong();
         private UpstreamConnection mUpstream;
         private HttpResponse mHead;
         private ResultCode mNotRun;
         private boolean mUnknown;
+        private Optional<GateLoad> mLoad = Optional.empty();
 
         Attempt(Dispatch dispatch) {
             mDispatch = dispatch;
@@ -242,12 +245,18 @@
         public void onHead(HttpResponse response) {
             mHead = response;
             mNotRun = ResponseRelay.notRunCode(response).orElse(null);
-            mUnknown = mDispatch.viaGateway() && ResponseRelay.isUnknown(response);
+            mUnknown =
+                    mDispatch.via() instanceof Dispatch.Gateway
+                            && ResponseRelay.isUnknown(response);
             if (mNotRun == null && !mUnknown) {
                 mResponseStarted = true;
                 boolean keepAlive = mConnection.keepsAlive(mRequest);
                 boolean reusable = ResponseRelay.isReusable(response, isHead());
+                mLoad = ResponseRelay.takeLoad(response);
                 ResponseRelay.prepareResponse(response, mRequest, mDispatch, keepAlive);
+                if (mContext.forwarded()) {
+                    ResponseRelay.addLoad(response, mDispatch);
+                }
                 mHead = reusable ? response : null;
                 mConnection.expectResponseTo(mRequest);
                 mInbound.write(response);
@@ -297,9 +306,8 @@
         }
 
         private void finishResponse(HttpContent last) {
-            long latency = mContext.clock().getAsLong() - mStartNanos;
             boolean keepAlive = mBody.isComplete() && mConnection.keepsAlive(mRequest);
-            mContext.decisions().answered(mId, 0, latency);
+            mContext.decisions().answered(mId, mLoad);
             end();
             mInbound.writeAndFlush(last)
                     .addListener(
@@ -310,6 +318,7 @@
         private void reportNoResponse() {
             mAttempt = null;
             if (mUnknown) {
+                mMayHaveRun = true;
                 mContext.decisions().outcomeUnknown(mId, mBody.canReplay());
             } else {
                 mContext.decisions().notRun(mId, mNotRun, mBody.canReplay());
@@ -328,6 +337,7 @@
                 end();
                 mConnection.onExchangeEnded(false);
             } else {
+                mMayHaveRun = true;
                 mContext.decisions().outcomeUnknown(mId, mBody.canReplay());
             }
         }
--- a/daemon/src/main/java/org/geraniumusher/caller/RequestDecisions.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/RequestDecisions.java
@@ -1,9 +1,12 @@
 package org.geraniumusher.caller;
 
+import org.geraniumusher.admission.GateLoad;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.routing.Dispatch;
 import org.geraniumusher.routing.RequestHead;
 
+import java.util.Optional;
+
 /**
  * Takes the events of requests from the event loops to the thread that decides. Implementations are
  * thread-safe and do not block.
@@ -20,8 +23,12 @@
     /** Tells that the current attempt may have run and has no response. */
     void outcomeUnknown(long id, boolean canResend);
 
-    /** Tells that a response came to its end. */
-    void answered(long id, int status, long latencyNanos);
+    /**
+     * Tells that a response came to its end.
+     *
+     * @param load load that a gateway daemon told with the response
+     */
+    void answered(long id, Optional<GateLoad> load);
 
     /** Tells that the caller has left or the deadline has passed; nothing more is expected. */
     void abandoned(long id);
--- a/daemon/src/main/java/org/geraniumusher/caller/ResponseRelay.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/ResponseRelay.java
@@ -7,15 +7,22 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.geraniumusher.admission.GateLoad;
 import org.geraniumusher.http.HeaderNames;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.routing.Dispatch;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** Rewrites the heads of requests and responses that pass the daemon. Thread-safe. */
 final class ResponseRelay {
+    private static final Pattern LOAD = Pattern.compile("\\d{1,6} \\d{1,6} \\d{1,6} \\d{1,15}");
+
+    /** Status of a backend server that holds no valid grant for the key of a request. */
+    private static final int NOT_OWNER_STATUS = 421;
+
     private ResponseRelay() {}
 
     /** Returns the code of a response that says "not run", or empty. */
@@ -23,6 +30,9 @@
         if (!Outcome.NOT_RUN.text().equals(response.headers().get(HeaderNames.OUTCOME))) {
             return Optional.empty();
         }
+        if (response.status().code() == NOT_OWNER_STATUS) {
+            return Optional.of(ResultCode.NO_OWNER);
+        }
         int number =
                 response.headers()
                         .getInt(HeaderNames.RESULT, ResultCode.REFUSED_BY_SERVER.number());
@@ -66,6 +76,39 @@
                         keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
     }
 
+    /** Adds the load of the gate to a response for the daemon that forwarded the request. */
+    static void addLoad(HttpResponse response, Dispatch dispatch) {
+        if (dispatch.via() instanceof Dispatch.Direct direct) {
+            GateLoad load = direct.load();
+            response.headers()
+                    .set(
+                            HeaderNames.LOAD,
+                            load.running()
+                                    + " "
+                                    + load.queued()
+                                    + " "
+                                    + load.usableSlots()
+                                    + " "
+                                    + load.serviceNanos());
+        }
+    }
+
+    /** Takes the load of the gate out of a response of a gateway daemon. */
+    static Optional<GateLoad> takeLoad(HttpResponse response) {
+        String text = response.headers().get(HeaderNames.LOAD, "");
+        response.headers().remove(HeaderNames.LOAD);
+        if (!LOAD.matcher(text).matches()) {
+            return Optional.empty();
+        }
+        String[] parts = text.split(" ");
+        return Optional.of(
+                new GateLoad(
+                        Integer.parseInt(parts[0]),
+                        Integer.parseInt(parts[1]),
+                        Math.max(1, Integer.parseInt(parts[2])),
+                        Long.parseLong(parts[3])));
+    }
+
     /** Sets the header fields that a backend server or gateway daemon needs. */
     static void prepareRequest(HttpRequest request, Dispatch dispatch, long id, long leftMillis) {
         HeaderNames.removeHopByHop(request.headers());
@@ -80,7 +123,7 @@
                     .set(HeaderNames.HASH, String.format("%016x", dispatch.hash()))
                     .set(HeaderNames.EPOCH, dispatch.epoch());
         }
-        if (dispatch.viaGateway()) {
+        if (dispatch.via() instanceof Dispatch.Gateway) {
             request.headers()
                     .set(HeaderNames.SERVER, dispatch.server())
                     .set(HeaderNames.PRIORITY, dispatch.priority().name())
--- a/daemon/src/main/java/org/geraniumusher/http/HeaderNames.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HeaderNames.java
@@ -44,6 +44,9 @@
     /** Whether the request may run more than once. */
     public static final String IDEMPOTENT = PREFIX + "idempotent";
 
+    /** Load of a server's gate, told by the gateway daemon: running, queued, usable, nanos. */
+    public static final String LOAD = PREFIX + "load";
+
     private static final ImmutableSet<String> HOP_BY_HOP =
             ImmutableSet.of(
                     "connection",
--- a/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
+
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -35,6 +37,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -164,9 +167,14 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
+            response.headers()
+                    .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
             mFuture.complete(
                     new HttpReply(
-                            response.status().code(), ByteBufUtil.getBytes(response.content())));
+                            response.status().code(),
+                            headers.buildKeepingLast(),
+                            ByteBufUtil.getBytes(response.content())));
             context.close();
         }
 
--- a/daemon/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -147,6 +147,7 @@
                             HttpVersion.HTTP_1_1,
                             HttpResponseStatus.valueOf(reply.status()),
                             Unpooled.wrappedBuffer(reply.body()));
+            reply.headers().forEach(response.headers()::set);
             HttpUtil.setContentLength(response, reply.body().length);
             HttpUtil.setKeepAlive(response, mKeepAlive);
             var written = mContext.writeAndFlush(response);
@@ -155,6 +156,11 @@
             }
         }
 
+        @Override
+        public void drop() {
+            mContext.close();
+        }
+
         @Override
         public LineSink startLines() {
             DefaultHttpResponse response =
--- a/daemon/src/main/java/org/geraniumusher/http/Responder.java
+++ b/daemon/src/main/java/org/geraniumusher/http/Responder.java
@@ -5,6 +5,9 @@
     /** Sends a whole reply. */
     void reply(HttpReply reply);
 
+    /** Closes the connection without a reply. */
+    void drop();
+
     /** Starts a reply of lines that stays open until closed from either side. */
     LineSink startLines();
 
--- a/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
@@ -1,5 +1,6 @@
 package org.geraniumusher.routing;
 
+import org.geraniumusher.model.BackendServer;
 import org.geraniumusher.model.Route;
 
 /** Holds the state of one request between its arrival and its end. Not thread-safe. */
@@ -13,7 +14,12 @@
     private final boolean mIdempotent;
     private final Route.Priority mPriority;
     private int mAttempts;
-    private String mServer = "";
+    private boolean mMayHaveRun;
+    private boolean mCanResend = true;
+    private BackendServer mServer;
+    private long mEpoch;
+    private long mSentNanos;
+    private boolean mUnderWay;
 
     private PendingRequest(
             long id,
@@ -61,18 +67,15 @@
     }
 
     static PendingRequest ofForwarded(long id, long deadlineNanos, ForwardedRequest request) {
-        PendingRequest pending =
-                new PendingRequest(
-                        id,
-                        deadlineNanos,
-                        true,
-                        request.keyed(),
-                        request.service(),
-                        request.hash(),
-                        request.idempotent(),
-                        request.priority());
-        pending.mServer = request.server();
-        return pending;
+        return new PendingRequest(
+                id,
+                deadlineNanos,
+                true,
+                request.keyed(),
+                request.service(),
+                request.hash(),
+                request.idempotent(),
+                request.priority());
     }
 
     long id() {
@@ -112,13 +115,70 @@
         return mAttempts;
     }
 
-    /** Returns the backend server of the last attempt, or "". */
-    String server() {
-        return mServer;
+    /** Reports whether an earlier attempt may have run. */
+    boolean mayHaveRun() {
+        return mMayHaveRun;
+    }
+
+    /** Reports whether the body can be sent again. */
+    boolean canResend() {
+        return mCanResend;
     }
 
-    void beginAttempt(String server) {
+    /** Returns the name of the backend server of the last attempt, or "". */
+    String serverName() {
+        return mServer == null ? "" : mServer.name();
+    }
+
+    /** Returns the time at which the last attempt began. */
+    long sentNanos() {
+        return mSentNanos;
+    }
+
+    /** Begins an attempt that reaches no server, since the key has no owner. */
+    void beginAttemptWithoutServer() {
+        mAttempts++;
+        mServer = null;
+    }
+
+    void beginAttempt(long nowNanos, BackendServer server, long epoch) {
         mAttempts++;
         mServer = server;
+        mEpoch = epoch;
+        mSentNanos = nowNanos;
+        mUnderWay = true;
+    }
+
+    /** Ends the attempt; returns false when none is under way. */
+    boolean endAttempt() {
+        boolean ended = mUnderWay;
+        mUnderWay = false;
+        return ended;
+    }
+
+    void noteMayHaveRun() {
+        mMayHaveRun = true;
+    }
+
+    void noteCannotResend() {
+        mCanResend = false;
+    }
+
+    /** Returns the present attempt as an order for the event loop. */
+    Dispatch toDispatch(Dispatch.Via via) {
+        return new Dispatch(
+                mServer.name(),
+                via,
+                mService,
+                mKeyed,
+                mHash,
+                mEpoch,
+                mIdempotent,
+                mPriority,
+                mDeadlineNanos);
+    }
+
+    BackendServer server() {
+        return mServer;
     }
 }
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -3,35 +3,42 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Optional;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
+
 import org.agrona.collections.Long2ObjectHashMap;
+import org.geraniumusher.admission.Admission;
+import org.geraniumusher.admission.GateLoad;
+import org.geraniumusher.admission.WarmUp;
+import org.geraniumusher.choice.ChoiceStrategy;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.BackendServer;
 import org.geraniumusher.model.Configuration;
+import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.model.Service;
 import org.geraniumusher.model.ShardState;
 import org.geraniumusher.model.Slice;
+import org.geraniumusher.retry.Attempt;
+import org.geraniumusher.retry.Failure;
+import org.geraniumusher.retry.RetryVerdict;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
 
 /**
- * Decides where each request goes and whether an attempt is repeated.
+ * Decides where each request goes, when it gets a slot, and whether an attempt is repeated.
  *
- * <p>Invariants: a request has at most one attempt under way; a request that is not idempotent is
- * sent again only after an attempt that certainly did not run; a forwarded request goes only to the
- * server that it names. Not thread-safe: one thread owns it.
+ * <p>The daemon has two roles here: it is the entry of the requests of its callers, and the gateway
+ * of some backend servers for requests of its own and of other entries. Invariants: a request has
+ * at most one attempt under way; a request that is not idempotent is sent again only after attempts
+ * that certainly did not run; a forwarded request goes only to the server that it names and is not
+ * repeated here. Not thread-safe: one thread owns it.
  */
 public final class RequestDecider {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long FIRST_BACKOFF_NANOS = 10 * NANOS_PER_MILLI;
-    private static final long MAX_BACKOFF_NANOS = 80 * NANOS_PER_MILLI;
-
-    /** Bounds attempts of unkeyed requests; keyed ones wait for their owner until the deadline. */
-    private static final int MAX_UNKEYED_ATTEMPTS = 3;
 
     private final RequestOutputs mOutputs;
     private final SplittableRandom mRandom;
@@ -39,7 +46,8 @@
     private final PriorityQueue<Retry> mRetries =
             new PriorityQueue<>(Comparator.comparingLong(Retry::atNanos));
     private final Map<String, ShardState> mShards = new HashMap<>();
-    private final Map<String, ImmutableList<BackendServer>> mServers = new HashMap<>();
+    private final Map<String, ServiceView> mServices = new HashMap<>();
+    private final GateSet mGates = new GateSet(WarmUp.BY_WORK);
     private Configuration mConfiguration = Configuration.of();
     private RouteTable mRoutes = RouteTable.of(mConfiguration);
     private GatewayTable mGateways = server -> Optional.empty();
@@ -49,19 +57,22 @@
         mRandom = new SplittableRandom(seed);
     }
 
-    /** Returns a decider without configuration, which refuses every request. */
+    /**
+     * Returns a decider without configuration, which refuses every request. The seed must differ
+     * between daemons, so that they do not choose the same servers.
+     */
     public static RequestDecider create(RequestOutputs outputs, long seed) {
         return new RequestDecider(outputs, seed);
     }
 
     /** Replaces the configuration. */
-    public void onConfiguration(Configuration configuration) {
+    public void onConfiguration(long nowNanos, Configuration configuration) {
         mConfiguration = configuration;
         mRoutes = RouteTable.of(configuration);
-        mServers.clear();
         for (Service service : configuration.services()) {
-            mServers.put(service.name(), configuration.serversOf(service));
+            serviceView(service.name()).setServers(configuration.serversOf(service));
         }
+        carryOut(nowNanos, mGates.onConfiguration(nowNanos, configuration));
     }
 
     /** Replaces the state of a shard. */
@@ -74,6 +85,11 @@
         mGateways = checkNotNull(gateways);
     }
 
+    /** Notes that a backend server has been restarted. */
+    public void onNewIncarnation(long nowNanos, String server) {
+        carryOut(nowNanos, mGates.newIncarnation(nowNanos, server));
+    }
+
     /** Takes a request of a caller. */
     public void onArrival(long nowNanos, long id, RequestHead head) {
         RouteMatch match = mRoutes.match(head);
@@ -92,15 +108,16 @@
 
     /** Takes a request that another daemon forwarded to this one as the gateway of its server. */
     public void onForwarded(long nowNanos, long id, ForwardedRequest request) {
-        long deadline = nowNanos + request.leftMillis() * NANOS_PER_MILLI;
         Optional<BackendServer> server = mConfiguration.backendServer(request.server());
         if (server.isEmpty()) {
             mOutputs.refuse(id, ResultCode.NO_BACKEND_SERVER, 0);
             return;
         }
+        long deadline = nowNanos + request.leftMillis() * NANOS_PER_MILLI;
         PendingRequest pending = PendingRequest.ofForwarded(id, deadline, request);
         mPending.put(id, pending);
-        send(pending, server.get(), server.get().address(), false, request.epoch());
+        pending.beginAttempt(nowNanos, server.get(), request.epoch());
+        submit(nowNanos, pending);
     }
 
     /** Takes the end of an attempt that certainly did not run. */
@@ -109,17 +126,13 @@
         if (pending == null) {
             return;
         }
-        long at = nowNanos + backoffNanos(pending.attempts());
-        boolean retry =
-                canResend
-                        && !pending.isForwarded()
-                        && at < pending.deadlineNanos()
-                        && (pending.isKeyed() || pending.attempts() < MAX_UNKEYED_ATTEMPTS);
-        if (retry) {
-            mRetries.add(new Retry(at, id));
-        } else {
-            refuse(pending, code);
+        if (!canResend) {
+            pending.noteCannotResend();
         }
+        if (mGates.contains(id)) {
+            carryOut(nowNanos, endAtGate(nowNanos, id, code));
+        }
+        failed(nowNanos, pending, toFailure(code, pending), 0);
     }
 
     /** Takes the end of an attempt that may have run. */
@@ -128,29 +141,45 @@
         if (pending == null) {
             return;
         }
-        boolean retry =
-                canResend
-                        && !pending.isForwarded()
-                        && pending.isIdempotent()
-                        && pending.attempts() < MAX_UNKEYED_ATTEMPTS;
-        if (retry) {
-            mRetries.add(new Retry(nowNanos + backoffNanos(pending.attempts()), id));
-        } else {
-            refuse(pending, ResultCode.OUTCOME_UNKNOWN);
+        if (!canResend) {
+            pending.noteCannotResend();
         }
+        carryOut(nowNanos, mGates.connectionLost(nowNanos, id, Outcome.UNKNOWN));
+        failed(nowNanos, pending, Failure.CONNECTION_LOST, 0);
     }
 
-    /** Takes the end of a request that was answered. */
-    public void onAnswered(long id) {
-        mPending.remove(id);
+    /**
+     * Takes the end of a request that was answered.
+     *
+     * @param load load that the gateway daemon told with the answer, if it was another daemon
+     */
+    public void onAnswered(long nowNanos, long id, Optional<GateLoad> load) {
+        PendingRequest pending = mPending.remove(id);
+        if (pending == null) {
+            return;
+        }
+        Optional<GateLoad> known = mGates.contains(id) ? Optional.of(mGates.loadOf(id)) : load;
+        carryOut(nowNanos, mGates.finished(nowNanos, id, Outcome.RAN));
+        if (!pending.isForwarded()) {
+            long latency = Math.max(0, nowNanos - pending.sentNanos());
+            serviceView(pending.service())
+                    .answered(nowNanos, id, pending.serverName(), latency, known);
+        }
     }
 
     /** Takes the end of a request whose caller has left or whose deadline has passed. */
-    public void onAbandoned(long id) {
-        mPending.remove(id);
+    public void onAbandoned(long nowNanos, long id) {
+        PendingRequest pending = mPending.remove(id);
+        if (pending == null) {
+            return;
+        }
+        carryOut(nowNanos, mGates.abandoned(nowNanos, id));
+        if (!pending.isForwarded() && pending.endAttempt()) {
+            serviceView(pending.service()).failed(id, pending.serverName());
+        }
     }
 
-    /** Begins the attempts that are due. */
+    /** Begins the attempts that are due and moves the queues on. Call it every few milliseconds. */
     public void onTick(long nowNanos) {
         while (!mRetries.isEmpty() && mRetries.peek().atNanos() <= nowNanos) {
             PendingRequest pending = mPending.get(mRetries.poll().id());
@@ -158,15 +187,18 @@
                 attempt(nowNanos, pending);
             }
         }
+        carryOut(nowNanos, mGates.tick(nowNanos));
+        mServices.values().forEach(service -> service.tick(nowNanos));
     }
 
-    /** Returns the time of the next due attempt, or {@link Long#MAX_VALUE}. */
-    public long nextDueNanos() {
-        return mRetries.isEmpty() ? Long.MAX_VALUE : mRetries.peek().atNanos();
+    private ServiceView serviceView(String name) {
+        return mServices.computeIfAbsent(
+                name, n -> new ServiceView(ChoiceStrategy.TWO_CHOICES_LATENCY, mRandom.split()));
     }
 
     private void begin(long nowNanos, PendingRequest pending) {
         mPending.put(pending.id(), pending);
+        serviceView(pending.service()).retries().requestArrived();
         attempt(nowNanos, pending);
     }
 
@@ -175,11 +207,12 @@
             attemptAtOwner(nowNanos, pending);
             return;
         }
-        Optional<BackendServer> server = chooseServer(pending);
+        Optional<BackendServer> server =
+                serviceView(pending.service()).choose(nowNanos, pending.serverName());
         if (server.isEmpty()) {
-            refuse(pending, ResultCode.NO_BACKEND_SERVER);
+            refuse(pending, ResultCode.NO_BACKEND_SERVER, 0);
         } else {
-            sendThroughGateway(pending, server.get(), 0);
+            attemptAt(nowNanos, pending, server.get(), 0);
         }
     }
 
@@ -191,61 +224,120 @@
                         ? Optional.empty()
                         : mConfiguration.backendServer(slice.owner());
         if (owner.isPresent()) {
-            sendThroughGateway(pending, owner.get(), slice.epoch());
+            attemptAt(nowNanos, pending, owner.get(), slice.epoch());
         } else {
-            pending.beginAttempt("");
-            onNotRun(nowNanos, pending.id(), ResultCode.NO_OWNER, true);
+            pending.beginAttemptWithoutServer();
+            failed(nowNanos, pending, Failure.NOT_OWNER, 0);
         }
     }
 
-    private Optional<BackendServer> chooseServer(PendingRequest pending) {
-        ImmutableList<BackendServer> servers =
-                mServers.getOrDefault(pending.service(), ImmutableList.of());
-        return servers.isEmpty()
-                ? Optional.empty()
-                : Optional.of(servers.get(mRandom.nextInt(servers.size())));
+    private void attemptAt(
+            long nowNanos, PendingRequest pending, BackendServer server, long epoch) {
+        pending.beginAttempt(nowNanos, server, epoch);
+        serviceView(pending.service()).sent(nowNanos, pending.id(), server.name());
+        Optional<Address> gateway = mGateways.gatewayOf(server);
+        if (gateway.isPresent()) {
+            Dispatch dispatch = pending.toDispatch(new Dispatch.Gateway(gateway.get()));
+            mOutputs.dispatch(pending.id(), dispatch);
+        } else {
+            submit(nowNanos, pending);
+        }
     }
 
-    private void sendThroughGateway(PendingRequest pending, BackendServer server, long epoch) {
-        Optional<Address> gateway = mGateways.gatewayOf(server);
-        send(
-                pending,
-                server,
-                gateway.orElse(server.address()),
-                gateway.isPresent(),
-                epoch);
-    }
-
-    private void send(
-            PendingRequest pending,
-            BackendServer server,
-            Address address,
-            boolean viaGateway,
-            long epoch) {
-        pending.beginAttempt(server.name());
-        mOutputs.dispatch(
-                pending.id(),
-                new Dispatch(
-                        server.name(),
-                        address,
-                        viaGateway,
-                        pending.service(),
-                        pending.isKeyed(),
-                        pending.hash(),
-                        epoch,
-                        pending.isIdempotent(),
+    private void submit(long nowNanos, PendingRequest pending) {
+        carryOut(
+                nowNanos,
+                mGates.submit(
+                        nowNanos,
+                        pending.server(),
+                        pending.id(),
                         pending.priority(),
                         pending.deadlineNanos()));
     }
 
-    private void refuse(PendingRequest pending, ResultCode code) {
-        mPending.remove(pending.id());
-        mOutputs.refuse(pending.id(), code, 0);
+    private ImmutableList<Admission> endAtGate(long nowNanos, long id, ResultCode code) {
+        return switch (code) {
+            case REFUSED_BY_SERVER -> mGates.refusedByServer(nowNanos, id);
+            case CONNECT_FAILED -> mGates.connectionLost(nowNanos, id, Outcome.NOT_RUN);
+            default -> mGates.finished(nowNanos, id, Outcome.NOT_RUN);
+        };
     }
 
-    private static long backoffNanos(int attempts) {
-        int doublings = Math.min(Math.max(0, attempts - 1), 3);
-        return Math.min(MAX_BACKOFF_NANOS, FIRST_BACKOFF_NANOS << doublings);
+    private void carryOut(long nowNanos, ImmutableList<Admission> verdicts) {
+        for (Admission verdict : verdicts) {
+            PendingRequest pending = mPending.get(verdict.id());
+            if (pending == null) {
+                continue;
+            }
+            if (verdict instanceof Admission.Dispatch) {
+                Address address = pending.server().address();
+                GateLoad load = mGates.loadOf(pending.id());
+                mOutputs.dispatch(
+                        pending.id(), pending.toDispatch(new Dispatch.Direct(address, load)));
+            } else if (verdict instanceof Admission.Refused refused) {
+                mGates.refused(pending.id());
+                failed(
+                        nowNanos,
+                        pending,
+                        toFailure(refused.code(), pending),
+                        refused.retryAfterMillis());
+            }
+        }
+    }
+
+    private void failed(
+            long nowNanos, PendingRequest pending, Failure failure, long retryAfterMillis) {
+        if (pending.isForwarded()) {
+            refuse(pending, failure.code(), retryAfterMillis);
+            return;
+        }
+        ServiceView service = serviceView(pending.service());
+        if (pending.endAttempt()) {
+            service.failed(pending.id(), pending.serverName());
+        }
+        RetryVerdict verdict =
+                service.retries()
+                        .failed(
+                                new Attempt(
+                                        pending.isIdempotent(),
+                                        pending.attempts(),
+                                        pending.mayHaveRun(),
+                                        pending.deadlineNanos()),
+                                failure,
+                                nowNanos);
+        if (!failure.certainlyNotRun()) {
+            pending.noteMayHaveRun();
+        }
+        if (verdict instanceof RetryVerdict.Resend resend && pending.canResend()) {
+            mRetries.add(new Retry(nowNanos + resend.delayNanos(), pending.id()));
+        } else {
+            refuse(
+                    pending,
+                    pending.mayHaveRun() ? ResultCode.OUTCOME_UNKNOWN : failure.code(),
+                    retryAfterMillis);
+        }
+    }
+
+    /**
+     * A keyed request waits for a new owner or a new gateway daemon when the one it was sent to
+     * cannot be reached, as a lost server or daemon is replaced within its deadline.
+     */
+    private static Failure toFailure(ResultCode code, PendingRequest pending) {
+        return switch (code) {
+            case OVERLOADED -> Failure.GATE_FULL;
+            case DEADLINE_UNREACHABLE -> Failure.GATE_TOO_LATE;
+            case REFUSED_BY_SERVER -> Failure.REFUSED_BY_SERVER;
+            case CONNECT_FAILED ->
+                    pending.isKeyed() && !pending.isForwarded()
+                            ? Failure.NOT_OWNER
+                            : Failure.CONNECT_FAILED;
+            default -> Failure.NOT_OWNER;
+        };
+    }
+
+    private void refuse(PendingRequest pending, ResultCode code, long retryAfterMillis) {
+        mPending.remove(pending.id());
+        mOutputs.refuse(pending.id(), code, retryAfterMillis);
     }
 
     private record Retry(long atNanos, long id) {}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
@@ -0,0 +1,101 @@
+package org.geraniumusher.routing;
+
+import com.google.common.collect.ImmutableList;
+
+import org.geraniumusher.admission.GateLoad;
+import org.geraniumusher.choice.ChoiceStrategy;
+import org.geraniumusher.choice.ServerChooser;
+import org.geraniumusher.choice.ServerView;
+import org.geraniumusher.choice.StragglerDetector;
+import org.geraniumusher.model.BackendServer;
+import org.geraniumusher.retry.RetryBudget;
+import org.geraniumusher.retry.RetryMode;
+import org.geraniumusher.retry.RetryPolicy;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Holds what this daemon, as the entry of requests, knows of one service. Not thread-safe. */
+final class ServiceView {
+    private final ServerChooser mChooser;
+    private final RetryPolicy mRetries = RetryPolicy.create(RetryMode.BUDGET, RetryBudget.create());
+    private final StragglerDetector mStragglers = StragglerDetector.create();
+    private final Map<String, ServerView> mViews = new HashMap<>();
+    private ImmutableList<ServerView> mCandidates = ImmutableList.of();
+    private Map<String, BackendServer> mServers = Map.of();
+    private long mNextEvaluationNanos;
+
+    ServiceView(ChoiceStrategy strategy, SplittableRandom random) {
+        mChooser = ServerChooser.create(strategy, random);
+    }
+
+    /** Replaces the servers; those that stay keep their state. */
+    void setServers(ImmutableList<BackendServer> servers) {
+        Map<String, BackendServer> byName = new HashMap<>();
+        ImmutableList.Builder<ServerView> candidates = ImmutableList.builder();
+        for (BackendServer server : servers) {
+            byName.put(server.name(), server);
+            candidates.add(
+                    mViews.computeIfAbsent(
+                            server.name(),
+                            name -> ServerView.create(name, server.slots(), server.coldSlots())));
+        }
+        mServers = byName;
+        mCandidates = candidates.build();
+        mStragglers.setServers(ImmutableList.copyOf(byName.keySet()));
+    }
+
+    /** Chooses a server, another one than that of the last attempt where there is one. */
+    Optional<BackendServer> choose(long nowNanos, String lastServer) {
+        ImmutableList<ServerView> others =
+                mCandidates.stream()
+                        .filter(view -> !view.name().equals(lastServer))
+                        .collect(ImmutableList.toImmutableList());
+        return mChooser.choose(others.isEmpty() ? mCandidates : others, nowNanos)
+                .map(view -> mServers.get(view.name()));
+    }
+
+    RetryPolicy retries() {
+        return mRetries;
+    }
+
+    void sent(long nowNanos, long id, String server) {
+        ServerView view = mViews.get(server);
+        if (view != null) {
+            view.sent();
+            mStragglers.started(server, id, nowNanos);
+        }
+    }
+
+    void answered(
+            long nowNanos, long id, String server, long latencyNanos, Optional<GateLoad> load) {
+        ServerView view = mViews.get(server);
+        if (view == null) {
+            return;
+        }
+        mStragglers.answered(server, id, nowNanos);
+        if (load.isPresent()) {
+            view.answered(latencyNanos, load.get(), nowNanos);
+        } else {
+            view.ended();
+        }
+    }
+
+    void failed(long id, String server) {
+        ServerView view = mViews.get(server);
+        if (view != null) {
+            view.ended();
+            mStragglers.abandoned(server, id);
+        }
+    }
+
+    void tick(long nowNanos) {
+        if (nowNanos - mNextEvaluationNanos >= 0) {
+            mNextEvaluationNanos = nowNanos + StragglerDetector.EVALUATION_NANOS;
+            mStragglers.evaluate(nowNanos);
+            mChooser.reweigh(mCandidates, mStragglers::weight);
+        }
+    }
+}
