--- /dev/null
+++ b/daemon/src/main/java/org/geraniumusher/operator/ObjectCheck.java
@@ -0,0 +1,69 @@
+package org.geraniumusher.operator;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.geraniumusher.model.ConfigObject;
+import org.geraniumusher.model.Configuration;
+import org.geraniumusher.model.Kind;
+import org.geraniumusher.model.Service;
+import org.geraniumusher.platform.Json;
+import org.geraniumusher.platform.StoredObject;
+
+import java.util.Optional;
+
+/** Checks objects before they are written. Thread-safe. */
+final class ObjectCheck {
+    private ObjectCheck() {}
+
+    /**
+     * Returns the object with every default filled in; throws {@link IllegalArgumentException} with
+     * the field and the reason when it is not valid.
+     */
+    static StoredObject checked(StoredObject object, Configuration inForce) {
+        checkArgument(
+                object.writer() != null && !object.writer().isBlank(), "object without a writer");
+        checkArgument(object.spec() != null, "object without a spec");
+        checkArgument(object.version() >= 0, "bad version: %s", object.version());
+        ConfigObject value = parse(kind(object.kind()), object.spec());
+        checkArgument(
+                value.name().equals(object.name()),
+                "name %s in the spec of %s",
+                value.name(),
+                object.name());
+        if (value instanceof Service service) {
+            checkSlices(service, inForce.service(service.name()));
+        }
+        return new StoredObject(
+                object.kind(),
+                object.name(),
+                object.version(),
+                object.writer(),
+                Json.toTree(value));
+    }
+
+    static Kind kind(String path) {
+        return Kind.ofPath(path)
+                .orElseThrow(() -> new IllegalArgumentException("unknown kind: " + path));
+    }
+
+    private static ConfigObject parse(Kind kind, JsonNode spec) {
+        try {
+            return Json.fromTree(spec, kind.type());
+        } catch (NullPointerException e) {
+            // The records dereference required fields before they name them.
+            throw new IllegalArgumentException("a required field of " + kind.path() + " is absent");
+        }
+    }
+
+    private static void checkSlices(Service service, Optional<Service> present) {
+        present.ifPresent(
+                old ->
+                        checkArgument(
+                                old.slices().equals(service.slices()),
+                                "slices of service %s is fixed at %s",
+                                service.name(),
+                                old.slices()));
+    }
+}
