Add the runner of ownership decisions and kept-open control connections

Cause: the coordinator polls each backend server four times a second, which a connection per call makes dear. Change: HttpClient keeps idle connections; OwnershipRunner carries out the commands of the decisions against the object API and the backend servers.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
@@ -0,0 +1,283 @@
+package org.geraniumusher.daemon;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.geraniumusher.backend.BackendProtocol;
+import org.geraniumusher.backend.GrantClient;
+import org.geraniumusher.model.BackendServer;
+import org.geraniumusher.model.Configuration;
+import org.geraniumusher.model.Service;
+import org.geraniumusher.model.ShardState;
+import org.geraniumusher.ownership.AuthorityAck;
+import org.geraniumusher.ownership.AuthorityRequest;
+import org.geraniumusher.ownership.LiveMember;
+import org.geraniumusher.ownership.MemberId;
+import org.geraniumusher.ownership.OwnershipCommand;
+import org.geraniumusher.ownership.ServerRole;
+import org.geraniumusher.ownership.ShardMember;
+import org.geraniumusher.ownership.VersionedState;
+import org.geraniumusher.platform.Json;
+import org.geraniumusher.platform.ObjectApi;
+import org.geraniumusher.platform.ReadResult;
+import org.geraniumusher.platform.StoredObject;
+import org.geraniumusher.platform.WriteResult;
+
+/**
+ * Runs a {@link ShardMember} for each keyed service and carries out its commands.
+ *
+ * <p>Confined to the thread of the duty control; answers of the store and of backend servers come
+ * back to it through its ring.
+ */
+final class OwnershipRunner {
+    /** Kind of the objects that hold the state of a shard. */
+    static final String SHARD_KIND = "shard-state";
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final LiveMember mSelf;
+    private final LongSupplier mClock;
+    private final Ports mPorts;
+    private final ObjectApi mApi;
+    private final GrantClient mGrants;
+    private final Map<String, ShardMember> mMembers = new HashMap<>();
+    private final Map<String, Long> mPublished = new HashMap<>();
+    private final Map<String, Long> mIncarnations = new HashMap<>();
+    private ImmutableList<LiveMember> mLive;
+    private Configuration mConfiguration = Configuration.of();
+
+    OwnershipRunner(
+            LiveMember self, LongSupplier clock, Ports ports, ObjectApi api, GrantClient grants) {
+        mSelf = checkNotNull(self);
+        mClock = checkNotNull(clock);
+        mPorts = checkNotNull(ports);
+        mApi = checkNotNull(api);
+        mGrants = checkNotNull(grants);
+        mLive = ImmutableList.of(self);
+    }
+
+    /** Creates members for new keyed services and tells all of them their servers. */
+    void onConfiguration(Configuration configuration) {
+        mConfiguration = configuration;
+        Set<String> keyed = new HashSet<>();
+        for (Service service : configuration.services()) {
+            if (service.keyed()) {
+                keyed.add(service.name());
+                ShardMember member = mMembers.computeIfAbsent(service.name(), n -> create(service));
+                run(service.name(), m -> m.onServersChanged(now(), roles(service)));
+                checkNotNull(member);
+            }
+        }
+        mMembers.keySet().retainAll(keyed);
+    }
+
+    /** Tells the members which daemons are alive. */
+    void onMembers(Collection<LiveMember> live) {
+        mLive = ImmutableList.copyOf(live);
+        runAll(member -> member.onMembers(now(), mLive));
+    }
+
+    /** Tells the members that a run of a daemon has certainly ended. */
+    void onMemberGone(MemberId id) {
+        runAll(member -> member.onMemberGone(now(), id));
+    }
+
+    /** Takes a state from the store or another daemon. */
+    void onState(long version, ShardState state) {
+        run(state.service(), m -> m.onState(now(), new VersionedState(version, state)));
+    }
+
+    void onAuthorityRequest(AuthorityRequest request) {
+        run(request.service(), m -> m.onAuthorityRequest(now(), request));
+    }
+
+    void onAuthorityAck(AuthorityAck ack) {
+        run(ack.service(), m -> m.onAuthorityAck(now(), ack));
+    }
+
+    void onTick() {
+        runAll(member -> member.onTick(now()));
+    }
+
+    /** Returns the members by service. */
+    Map<String, ShardMember> members() {
+        return mMembers;
+    }
+
+    private long now() {
+        return mClock.getAsLong();
+    }
+
+    private ShardMember create(Service service) {
+        ShardMember member =
+                ShardMember.builder(service.name(), mSelf)
+                        .initialSlices(service.slices())
+                        .build();
+        carryOut(service.name(), member.onMembers(now(), mLive));
+        return member;
+    }
+
+    private List<ServerRole> roles(Service service) {
+        Set<String> serving = new HashSet<>();
+        mConfiguration.serversOf(service).forEach(server -> serving.add(server.name()));
+        ImmutableList.Builder<ServerRole> roles = ImmutableList.builder();
+        for (BackendServer server : mConfiguration.backendServers()) {
+            boolean selected =
+                    service.selector().matches(mConfiguration.effectiveLabels(server));
+            if (selected) {
+                boolean isServing = serving.contains(server.name());
+                roles.add(new ServerRole(server.name(), server.fenced(), isServing));
+            }
+        }
+        return roles.build();
+    }
+
+    private void runAll(Function<ShardMember, ImmutableList<OwnershipCommand>> event) {
+        ImmutableList.copyOf(mMembers.keySet()).forEach(service -> run(service, event));
+    }
+
+    private void run(
+            String service, Function<ShardMember, ImmutableList<OwnershipCommand>> event) {
+        ShardMember member = mMembers.get(service);
+        if (member == null) {
+            return;
+        }
+        carryOut(service, event.apply(member));
+        publish(service, member);
+    }
+
+    private void publish(String service, ShardMember member) {
+        Optional<VersionedState> known = member.known();
+        if (known.isPresent()
+                && known.get().version() > mPublished.getOrDefault(service, 0L)) {
+            mPublished.put(service, known.get().version());
+            mPorts.onShardKnown(known.get());
+        }
+    }
+
+    private void carryOut(String service, List<OwnershipCommand> commands) {
+        for (OwnershipCommand command : commands) {
+            if (command instanceof OwnershipCommand.WriteState write) {
+                write(write);
+            } else if (command instanceof OwnershipCommand.ReadState) {
+                read(service);
+            } else if (command instanceof OwnershipCommand.SendAuthorityRequest send) {
+                mPorts.send(send.request());
+            } else if (command instanceof OwnershipCommand.SendAuthorityAck send) {
+                mPorts.send(send.ack());
+            } else if (command instanceof OwnershipCommand.PollServer poll) {
+                poll(service, poll.server());
+            } else if (command instanceof OwnershipCommand.SendGrant send) {
+                grant(service, send);
+            } else if (command instanceof OwnershipCommand.LogDecision decision) {
+                LOG.atInfo().log("%s", decision.text());
+            }
+        }
+    }
+
+    private void write(OwnershipCommand.WriteState write) {
+        String service = write.service();
+        mApi.put(
+                        SHARD_KIND,
+                        service,
+                        write.expectedVersion(),
+                        mSelf.id().toString(),
+                        Json.toTree(write.state()))
+                .thenAccept(result -> mPorts.run(() -> onWritten(service, result)));
+    }
+
+    private void onWritten(String service, WriteResult result) {
+        if (result instanceof WriteResult.Written written) {
+            run(service, m -> m.onWriteWritten(now(), written.version()));
+        } else if (result instanceof WriteResult.Unknown) {
+            run(service, m -> m.onWriteUnknown(now()));
+        } else {
+            if (result instanceof WriteResult.Refused refused) {
+                LOG.atWarning().log(
+                        "ownership: the store refused a state. service=%s reason=%s",
+                        service, refused.reason());
+            }
+            run(service, m -> m.onWriteConflict(now()));
+        }
+    }
+
+    private void read(String service) {
+        mApi.get(SHARD_KIND, service)
+                .thenAccept(result -> mPorts.run(() -> onRead(service, result)));
+    }
+
+    private void onRead(String service, ReadResult result) {
+        if (!(result instanceof ReadResult.Found found)) {
+            run(service, m -> m.onReadUnavailable(now()));
+        } else if (found.objects().isEmpty()) {
+            run(service, m -> m.onReadAbsent(now()));
+        } else {
+            StoredObject object = found.objects().get(0);
+            ShardState state = Json.fromTree(object.spec(), ShardState.class);
+            run(service, m -> m.onReadState(now(), new VersionedState(object.version(), state)));
+        }
+    }
+
+    private void poll(String service, String name) {
+        Optional<BackendServer> server = mConfiguration.backendServer(name);
+        if (server.isPresent()) {
+            mGrants.poll(server.get().address())
+                    .thenAccept(status -> mPorts.run(() -> onStatus(service, name, status)));
+        }
+    }
+
+    private void grant(String service, OwnershipCommand.SendGrant send) {
+        Optional<BackendServer> server = mConfiguration.backendServer(send.server());
+        if (server.isPresent()) {
+            mGrants.grant(server.get().address(), send.grant())
+                    .thenAccept(status -> mPorts.run(() -> onAcks(service, send.server(), status)));
+        }
+    }
+
+    private void onStatus(String service, String server, BackendProtocol.Status status) {
+        onAcks(service, server, status);
+        run(
+                service,
+                m ->
+                        m.onServerStatus(
+                                now(), server, status.incarnation(), status.readingNanos()));
+        Long before = mIncarnations.put(server, status.incarnation());
+        if (before != null && before != status.incarnation()) {
+            mPorts.onNewIncarnation(server);
+        }
+    }
+
+    private void onAcks(String service, String server, BackendProtocol.Status status) {
+        status.acks().stream()
+                .filter(ack -> ack.service().equals(service))
+                .forEach(ack -> run(service, m -> m.onGrantAck(now(), server, ack)));
+    }
+
+    /** Connects the runner with the rest of the daemon. */
+    interface Ports {
+        /** Runs a task on the thread of the duty control. */
+        void run(Runnable task);
+
+        /** Sends a request for authority to another daemon. */
+        void send(AuthorityRequest request);
+
+        /** Sends an answer to another daemon. */
+        void send(AuthorityAck ack);
+
+        /** Takes a state that is new to this daemon. */
+        void onShardKnown(VersionedState state);
+
+        /** Takes the restart of a backend server. */
+        void onNewIncarnation(String server);
+    }
+}
--- a/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -30,7 +30,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.ScheduledFuture;
 
 import org.geraniumusher.model.Address;
 
@@ -38,16 +38,26 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
- * Makes control calls, one connection each. A failed future means that nothing is known about the
- * effect of the call. Thread-safe; never blocks.
+ * Makes control calls on connections that are kept open. A failed future means that nothing is
+ * known about the effect of the call. Thread-safe; never blocks.
  */
 public final class HttpClient {
+    private static final int MAX_IDLE_PER_ADDRESS = 4;
+
     private final EventLoopGroup mGroup;
+    private final Map<Address, Queue<ReplyHandler>> mIdle = new ConcurrentHashMap<>();
 
     private HttpClient(EventLoopGroup group) {
         mGroup = checkNotNull(group);
@@ -61,24 +71,51 @@
     /** Makes a call; fails the future on connection errors and when {@code timeout} passes. */
     public CompletableFuture<HttpReply> call(Address address, HttpCall call, Duration timeout) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
+        Optional<ReplyHandler> idle = takeIdle(address);
+        if (idle.isPresent()) {
+            idle.get().send(address, call, timeout, future);
+            return future;
+        }
+        ReplyHandler handler = new ReplyHandler(this::putIdle);
         ChannelFuture connecting =
                 open(
                         address,
                         timeout,
                         channel ->
                                 channel.pipeline()
-                                        .addLast(
-                                                new ReadTimeoutHandler(
-                                                        timeout.toMillis(), TimeUnit.MILLISECONDS))
                                         .addLast(new HttpClientCodec())
                                         .addLast(
                                                 new HttpObjectAggregator(
                                                         HttpServer.MAX_BODY_BYTES * 4))
-                                        .addLast(new ReplyHandler(future)));
-        sendWhenOpen(connecting, address, call, future::completeExceptionally);
+                                        .addLast(handler));
+        connecting.addListener(
+                (ChannelFuture opened) -> {
+                    if (opened.isSuccess()) {
+                        handler.send(address, call, timeout, future);
+                    } else {
+                        future.completeExceptionally(opened.cause());
+                    }
+                });
         return future;
     }
 
+    private Optional<ReplyHandler> takeIdle(Address address) {
+        Queue<ReplyHandler> idle = mIdle.get(address);
+        ReplyHandler handler = idle == null ? null : idle.poll();
+        while (handler != null && !handler.isActive()) {
+            handler = idle.poll();
+        }
+        return Optional.ofNullable(handler);
+    }
+
+    private void putIdle(Address address, ReplyHandler handler) {
+        Queue<ReplyHandler> idle =
+                mIdle.computeIfAbsent(address, a -> new ArrayBlockingQueue<>(MAX_IDLE_PER_ADDRESS));
+        if (!idle.offer(handler)) {
+            handler.close();
+        }
+    }
+
     /**
      * Makes a call whose reply is lines. {@code onClosed} runs once, with the status of the reply,
      * or 0 when there was none. Closing the returned handle ends the call.
@@ -157,12 +194,60 @@
         return request;
     }
 
-    /** Completes a future with the whole reply. */
+    /**
+     * Makes the calls of one connection, one at a time. The fields are confined to the event loop
+     * of the channel.
+     */
     private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final CompletableFuture<HttpReply> mFuture;
+        private final BiConsumer<Address, ReplyHandler> mWhenIdle;
+        private volatile Channel mChannel;
+        private Address mAddress;
+        private CompletableFuture<HttpReply> mFuture;
+        private ScheduledFuture<?> mTimeout;
+
+        ReplyHandler(BiConsumer<Address, ReplyHandler> whenIdle) {
+            mWhenIdle = whenIdle;
+        }
 
-        ReplyHandler(CompletableFuture<HttpReply> future) {
+        boolean isActive() {
+            return mChannel.isActive();
+        }
+
+        void close() {
+            mChannel.close();
+        }
+
+        void send(
+                Address address,
+                HttpCall call,
+                Duration timeout,
+                CompletableFuture<HttpReply> future) {
+            mChannel.eventLoop().execute(() -> sendNow(address, call, timeout, future));
+        }
+
+        private void sendNow(
+                Address address,
+                HttpCall call,
+                Duration timeout,
+                CompletableFuture<HttpReply> future) {
+            if (!mChannel.isActive()) {
+                future.completeExceptionally(new IOException("connection was closed while idle"));
+                return;
+            }
+            mAddress = address;
             mFuture = future;
+            mTimeout =
+                    mChannel.eventLoop()
+                            .schedule(
+                                    () -> fail(new TimeoutException("no reply")),
+                                    timeout.toMillis(),
+                                    TimeUnit.MILLISECONDS);
+            mChannel.writeAndFlush(toRequest(address, call));
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            mChannel = context.channel();
         }
 
         @Override
@@ -170,23 +255,43 @@
             ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
             response.headers()
                     .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
-            mFuture.complete(
+            HttpReply reply =
                     new HttpReply(
                             response.status().code(),
                             headers.buildKeepingLast(),
-                            ByteBufUtil.getBytes(response.content())));
-            context.close();
+                            ByteBufUtil.getBytes(response.content()));
+            CompletableFuture<HttpReply> future = mFuture;
+            if (future == null || !HttpUtil.isKeepAlive(response)) {
+                context.close();
+            }
+            if (future != null) {
+                mFuture = null;
+                mTimeout.cancel(false);
+                if (HttpUtil.isKeepAlive(response)) {
+                    mWhenIdle.accept(mAddress, this);
+                }
+                future.complete(reply);
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            mFuture.completeExceptionally(new IOException("connection closed before the reply"));
+            fail(new IOException("connection closed before the reply"));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            mFuture.completeExceptionally(cause);
-            context.close();
+            fail(cause);
+        }
+
+        private void fail(Throwable cause) {
+            mChannel.close();
+            CompletableFuture<HttpReply> future = mFuture;
+            mFuture = null;
+            if (future != null) {
+                mTimeout.cancel(false);
+                future.completeExceptionally(cause);
+            }
         }
     }
 
