--- /dev/null
+++ b/decisions/src/test/java/org/geraniumusher/ownership/OwnershipHistoryTest.java
@@ -0,0 +1,103 @@
+package org.geraniumusher.ownership;
+
+import static org.geraniumusher.ownership.Simulation.MILLIS;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Guards against two owners of a key, lost assignments and slices that stay without an owner, in
+ * random histories of faults.
+ */
+class OwnershipHistoryTest {
+    private static final long FAULTY_MILLIS = 12_000;
+    private static final long CALM_BOUND_MILLIS = 6_000;
+
+    @Property(tries = 150, shrinking = ShrinkingMode.OFF)
+    void history_anyFaults_oneOwnerAndRecovery(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed, 4, 4);
+        Random random = simulation.random();
+        simulation.runUntil("first owners", 5_000 * MILLIS, simulation::isFullyServed);
+        simulation.disorder(
+                random.nextDouble() * 0.2,
+                (long) (random.nextDouble() * 1_500 * MILLIS),
+                random.nextDouble() * 0.3);
+        for (long at = 0; at < FAULTY_MILLIS; at += 200) {
+            simulation.after(at * MILLIS, () -> randomFault(simulation));
+        }
+        simulation.runFor(FAULTY_MILLIS * MILLIS);
+        heal(simulation);
+        simulation.runUntil("recovery", CALM_BOUND_MILLIS * MILLIS, simulation::isFullyServed);
+    }
+
+    private static void randomFault(Simulation simulation) {
+        Random random = simulation.random();
+        List<SimulatedMember> members = simulation.members();
+        List<SimulatedServer> servers = simulation.servers();
+        SimulatedMember member = members.get(random.nextInt(members.size()));
+        SimulatedServer server = servers.get(random.nextInt(servers.size()));
+        long while1 = (long) (random.nextDouble() * 2_000 * MILLIS);
+        switch (random.nextInt(9)) {
+            case 0 -> {
+                member.pause();
+                simulation.after(while1, member::resume);
+            }
+            case 1 -> crash(simulation, member, while1);
+            case 2 -> {
+                server.freeze();
+                simulation.after(while1, server::thaw);
+            }
+            case 3 -> server.restart();
+            case 4 -> {
+                server.crash();
+                simulation.after(while1, server::restart);
+            }
+            case 5 -> {
+                simulation.store().setUp(false);
+                simulation.after(while1, () -> simulation.store().setUp(true));
+            }
+            case 6 -> simulation.setRole(new ServerRole(server.name(), true, random.nextBoolean()));
+            default -> simulation.announceMembers();
+        }
+    }
+
+    private static void crash(Simulation simulation, SimulatedMember member, long downNanos) {
+        if (!member.isUp()) {
+            return;
+        }
+        MemberId id = member.live().id();
+        member.crash();
+        simulation.after(
+                (long) (simulation.random().nextDouble() * 3_000 * MILLIS),
+                () -> simulation.reportGone(id));
+        simulation.after(
+                downNanos,
+                () -> {
+                    member.restart();
+                    simulation.announceMembers();
+                });
+    }
+
+    private static void heal(Simulation simulation) {
+        simulation.disorder(0, 0, 0);
+        simulation.store().setUp(true);
+        for (SimulatedServer server : simulation.servers()) {
+            server.thaw();
+            simulation.setRole(new ServerRole(server.name(), true, true));
+            if (!server.isUp()) {
+                server.restart();
+            }
+        }
+        for (SimulatedMember member : simulation.members()) {
+            member.resume();
+            if (!member.isUp()) {
+                member.restart();
+            }
+        }
+        simulation.announceMembers();
+    }
+}
