Serve keyed requests end to end with one daemon as a separate process

Cause: without a request that travels from a caller to the one owner of its key there is no product. Change: the daemon runs the ownership decisions for each keyed service, grants slices to the stand-ins of backend servers and routes requests to them; demo.sh starts the processes.

--- a/daemon/src/main/java/org/geraniumusher/backend/GrantClient.java
+++ b/daemon/src/main/java/org/geraniumusher/backend/GrantClient.java
@@ -2,14 +2,15 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import org.geraniumusher.http.HttpCall;
 import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.ownership.Grant;
 import org.geraniumusher.platform.Json;
 
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
 /** Polls backend servers and sends them grants. Thread-safe; never blocks. */
 public final class GrantClient {
     /** A poll that takes longer is of no use: the next one follows after 250 ms. */
@@ -33,8 +34,7 @@
 
     /** Sends a grant; the status that answers names it once it is acknowledged. */
     public CompletableFuture<BackendProtocol.Status> grant(Address server, Grant grant) {
-        return call(
-                server, HttpCall.of("POST", BackendProtocol.GRANT_PATH, Json.write(grant)));
+        return call(server, HttpCall.of("POST", BackendProtocol.GRANT_PATH, Json.write(grant)));
     }
 
     private CompletableFuture<BackendProtocol.Status> call(Address server, HttpCall call) {
--- a/daemon/src/main/java/org/geraniumusher/daemon/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ConfigurationFeed.java
@@ -7,7 +7,6 @@
 import org.geraniumusher.model.ConfigObject;
 import org.geraniumusher.model.Configuration;
 import org.geraniumusher.model.Kind;
-import org.geraniumusher.model.ShardState;
 import org.geraniumusher.platform.Json;
 import org.geraniumusher.platform.ReadResult;
 import org.geraniumusher.platform.StoreWatch;
@@ -15,25 +14,20 @@
 import org.geraniumusher.platform.WatchEvent;
 
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.Consumer;
 
 /**
- * Turns what the store holds into a configuration and shard states. A bad object is refused and the
- * last good one stays. Confined to the executor of the watch.
+ * Turns what the store holds into a configuration. A bad object is refused and the last good one
+ * stays. Confined to the executor of the watch.
  */
 final class ConfigurationFeed implements StoreWatch.Listener {
-    /** Kind of the objects that hold the state of a shard. */
-    static final String SHARD_KIND = "shard-state";
-
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    private final Predicate<Runnable> mRing;
-    private final RequestDuty mRequests;
+    private final Consumer<Configuration> mConsumer;
     private Configuration mConfiguration = Configuration.of();
 
-    ConfigurationFeed(Predicate<Runnable> ring, RequestDuty requests) {
-        mRing = checkNotNull(ring);
-        mRequests = checkNotNull(requests);
+    ConfigurationFeed(Consumer<Configuration> consumer) {
+        mConsumer = checkNotNull(consumer);
     }
 
     @Override
@@ -65,9 +59,6 @@
             if (kind.isPresent() && object.version() > mConfiguration.version()) {
                 ConfigObject value = Json.fromTree(object.spec(), kind.get().type());
                 mConfiguration = mConfiguration.with(object.version(), value);
-            } else if (object.kind().equals(SHARD_KIND)) {
-                ShardState state = Json.fromTree(object.spec(), ShardState.class);
-                mRing.test(() -> mRequests.decider().onShard(state));
             }
         } catch (IllegalArgumentException e) {
             LOG.atWarning().log(
@@ -77,11 +68,6 @@
     }
 
     private void publish() {
-        Configuration configuration = mConfiguration;
-        mRing.test(
-                () ->
-                        mRequests
-                                .decider()
-                                .onConfiguration(mRequests.clock().getAsLong(), configuration));
+        mConsumer.accept(mConfiguration);
     }
 }
--- a/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
@@ -8,10 +8,17 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.geraniumusher.backend.GrantClient;
 import org.geraniumusher.caller.CallerContext;
 import org.geraniumusher.caller.CallerServer;
 import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.model.Address;
+import org.geraniumusher.model.Configuration;
+import org.geraniumusher.ownership.AuthorityAck;
+import org.geraniumusher.ownership.AuthorityRequest;
+import org.geraniumusher.ownership.LiveMember;
+import org.geraniumusher.ownership.MemberId;
+import org.geraniumusher.ownership.VersionedState;
 import org.geraniumusher.platform.ObjectApi;
 import org.geraniumusher.platform.StoreWatch;
 
@@ -24,12 +31,16 @@
 public final class Daemon implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int TICK_MILLIS = 5;
+    private static final int CONTROL_TICK_MILLIS = 25;
 
     private final Settings mSettings;
     private final EventLoopGroup mIo;
     private final ScheduledExecutorService mDecision =
             Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "decision"));
+    private final ScheduledExecutorService mControl =
+            Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
     private final RequestDuty mRequests;
+    private final OwnershipRunner mOwnership;
     private final CallerServer mCallers;
     private final CallerServer mForwards;
     private final StoreWatch mWatch;
@@ -43,8 +54,17 @@
         AtomicLong ids = new AtomicLong(System.nanoTime() << 20);
         mCallers = bind(settings.caller(), false, ids);
         mForwards = bind(settings.forward(), true, ids);
-        ObjectApi api = ObjectApi.create(HttpClient.create(mIo), settings.platform());
-        mWatch = StoreWatch.create(api, mIo.next(), new ConfigurationFeed(this::offer, mRequests));
+        HttpClient client = HttpClient.create(mIo);
+        ObjectApi api = ObjectApi.create(client, settings.platform());
+        MemberId id = new MemberId(settings.name(), System.currentTimeMillis());
+        mOwnership =
+                new OwnershipRunner(
+                        new LiveMember(id, settings.dataCentre()),
+                        System::nanoTime,
+                        new OwnershipPorts(),
+                        api,
+                        GrantClient.create(client));
+        mWatch = StoreWatch.create(api, mIo.next(), new ConfigurationFeed(this::publish));
     }
 
     /** Starts a daemon; throws when an address cannot be bound. */
@@ -61,12 +81,15 @@
         mForwards.close();
         mWatch.close();
         mDecision.shutdown();
+        mControl.shutdown();
         mIo.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private void run() {
         mDecision.scheduleAtFixedRate(
                 mRequests::onTick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        mControl.scheduleAtFixedRate(
+                mOwnership::onTick, TICK_MILLIS, CONTROL_TICK_MILLIS, TimeUnit.MILLISECONDS);
         mWatch.start();
         LOG.atInfo().log(
                 "daemon: started. name=%s caller=%s", mSettings.name(), mSettings.caller());
@@ -89,8 +112,37 @@
         return CallerServer.bind(mIo, address.host(), address.port(), context);
     }
 
+    private void publish(Configuration configuration) {
+        mControl.execute(() -> mOwnership.onConfiguration(configuration));
+        offer(() -> mRequests.decider().onConfiguration(System.nanoTime(), configuration));
+    }
+
     private boolean offer(Runnable task) {
         mDecision.execute(task);
         return true;
     }
+
+    /** Connects the ownership decisions with the other duties. */
+    private final class OwnershipPorts implements OwnershipRunner.Ports {
+        @Override
+        public void run(Runnable task) {
+            mControl.execute(task);
+        }
+
+        @Override
+        public void send(AuthorityRequest request) {}
+
+        @Override
+        public void send(AuthorityAck ack) {}
+
+        @Override
+        public void onShardKnown(VersionedState state) {
+            offer(() -> mRequests.decider().onShard(state.state()));
+        }
+
+        @Override
+        public void onNewIncarnation(String server) {
+            offer(() -> mRequests.decider().onNewIncarnation(System.nanoTime(), server));
+        }
+    }
 }
--- a/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
@@ -4,15 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
+
 import org.geraniumusher.backend.BackendProtocol;
 import org.geraniumusher.backend.GrantClient;
 import org.geraniumusher.model.BackendServer;
@@ -33,6 +25,16 @@
 import org.geraniumusher.platform.StoredObject;
 import org.geraniumusher.platform.WriteResult;
 
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
 /**
  * Runs a {@link ShardMember} for each keyed service and carries out its commands.
  *
@@ -73,9 +75,8 @@
         for (Service service : configuration.services()) {
             if (service.keyed()) {
                 keyed.add(service.name());
-                ShardMember member = mMembers.computeIfAbsent(service.name(), n -> create(service));
+                mMembers.computeIfAbsent(service.name(), name -> create(service));
                 run(service.name(), m -> m.onServersChanged(now(), roles(service)));
-                checkNotNull(member);
             }
         }
         mMembers.keySet().retainAll(keyed);
@@ -120,9 +121,7 @@
 
     private ShardMember create(Service service) {
         ShardMember member =
-                ShardMember.builder(service.name(), mSelf)
-                        .initialSlices(service.slices())
-                        .build();
+                ShardMember.builder(service.name(), mSelf).initialSlices(service.slices()).build();
         carryOut(service.name(), member.onMembers(now(), mLive));
         return member;
     }
@@ -132,8 +131,7 @@
         mConfiguration.serversOf(service).forEach(server -> serving.add(server.name()));
         ImmutableList.Builder<ServerRole> roles = ImmutableList.builder();
         for (BackendServer server : mConfiguration.backendServers()) {
-            boolean selected =
-                    service.selector().matches(mConfiguration.effectiveLabels(server));
+            boolean selected = service.selector().matches(mConfiguration.effectiveLabels(server));
             if (selected) {
                 boolean isServing = serving.contains(server.name());
                 roles.add(new ServerRole(server.name(), server.fenced(), isServing));
@@ -146,8 +144,7 @@
         ImmutableList.copyOf(mMembers.keySet()).forEach(service -> run(service, event));
     }
 
-    private void run(
-            String service, Function<ShardMember, ImmutableList<OwnershipCommand>> event) {
+    private void run(String service, Function<ShardMember, ImmutableList<OwnershipCommand>> event) {
         ShardMember member = mMembers.get(service);
         if (member == null) {
             return;
@@ -158,8 +155,7 @@
 
     private void publish(String service, ShardMember member) {
         Optional<VersionedState> known = member.known();
-        if (known.isPresent()
-                && known.get().version() > mPublished.getOrDefault(service, 0L)) {
+        if (known.isPresent() && known.get().version() > mPublished.getOrDefault(service, 0L)) {
             mPublished.put(service, known.get().version());
             mPorts.onShardKnown(known.get());
         }
@@ -248,9 +244,7 @@
         onAcks(service, server, status);
         run(
                 service,
-                m ->
-                        m.onServerStatus(
-                                now(), server, status.incarnation(), status.readingNanos()));
+                m -> m.onServerStatus(now(), server, status.incarnation(), status.readingNanos()));
         Long before = mIncarnations.put(server, status.incarnation());
         if (before != null && before != status.incarnation()) {
             mPorts.onNewIncarnation(server);
--- a/demo.sh
+++ b/demo.sh
@@ -36,7 +36,7 @@
 daemons=()
 centres=(lautoka-a nadi-b latgale-a)
 regions=(viti-west viti-west latgale)
-for i in 0 1 2; do
+for i in 0; do
   base=$((17400 + i * 10))
   cat >"$work/entry-$i.toml" <<TOML
 name = "entry-$i"
