--- a/daemon/src/main/java/org/geraniumusher/operator/ObjectCheck.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/ObjectCheck.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
 
 import org.geraniumusher.model.ConfigObject;
 import org.geraniumusher.model.Configuration;
@@ -14,14 +15,14 @@
 import java.util.Optional;
 
 /** Checks objects before they are written. Thread-safe. */
-final class ObjectCheck {
+public final class ObjectCheck {
     private ObjectCheck() {}
 
     /**
      * Returns the object with every default filled in; throws {@link IllegalArgumentException} with
      * the field and the reason when it is not valid.
      */
-    static StoredObject checked(StoredObject object, Configuration inForce) {
+    public static StoredObject checked(StoredObject object, Configuration inForce) {
         checkArgument(
                 object.writer() != null && !object.writer().isBlank(), "object without a writer");
         checkArgument(object.spec() != null, "object without a spec");
@@ -49,12 +50,19 @@
     }
 
     private static ConfigObject parse(Kind kind, JsonNode spec) {
-        try {
-            return Json.fromTree(spec, kind.type());
-        } catch (NullPointerException e) {
-            // The records dereference required fields before they name them.
-            throw new IllegalArgumentException("a required field of " + kind.path() + " is absent");
+        for (String field : requiredFields(kind)) {
+            checkArgument(spec.path(field).isTextual(), "%s without %s", kind.path(), field);
         }
+        return Json.fromTree(spec, kind.type());
+    }
+
+    private static ImmutableList<String> requiredFields(Kind kind) {
+        return switch (kind) {
+            case DATA_CENTRE -> ImmutableList.of("name", "region");
+            case BACKEND_SERVER -> ImmutableList.of("name", "address", "dataCentre");
+            case SERVICE -> ImmutableList.of("name", "selector");
+            case ROUTE -> ImmutableList.of("name", "service");
+        };
     }
 
     private static void checkSlices(Service service, Optional<Service> present) {
--- a/daemon/src/test/java/org/geraniumusher/operator/OperatorServerTest.java
+++ b/daemon/src/test/java/org/geraniumusher/operator/OperatorServerTest.java
@@ -84,7 +84,9 @@
         assertThat(error(put(0, "", "viti-west")).message()).contains("without a writer");
         assertThat(error(putSpec("service", "catalogue", catalogue(3))).message())
                 .contains("fixed at 2");
-        assertThat(error(putSpec("data-centre", "nadi-b", "{}")).code())
+        assertThat(error(putSpec("data-centre", "nadi-b", "{}")).message())
+                .contains("data-centre without name");
+        assertThat(error(put(0, "", "viti-west")).code())
                 .isEqualTo(ResultCode.INVALID_OBJECT.number());
         assertThat(error(putSpec("data-centre", "other", dataCentre("viti-west"))).message())
                 .contains("name nadi-b in the spec of other");
--- a/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
+++ b/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
@@ -42,7 +42,9 @@
     /** The platform does not answer. */
     PLATFORM_UNAVAILABLE(404, 503, Outcome.UNKNOWN, "The platform does not answer."),
     /** Not every daemon has the version yet. */
-    NOT_IN_FORCE(405, 504, Outcome.RAN, "Some daemons do not have the version in force yet.");
+    NOT_IN_FORCE(405, 504, Outcome.RAN, "Some daemons do not have the version in force yet."),
+    /** The command-line tool reached no daemon. */
+    NO_DAEMON(406, 503, Outcome.UNKNOWN, "No daemon answers on its operator port.");
 
     private final int mNumber;
     private final int mHttpStatus;
