Refuse object names that do not fit into a path

Cause: ObjectApi puts names into paths unescaped, so a name such as a?b would have reached another object or none.

--- a/daemon/src/main/java/org/geraniumusher/operator/ObjectCheck.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/ObjectCheck.java
@@ -13,9 +13,13 @@
 import org.geraniumusher.platform.StoredObject;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** Checks objects before they are written. Thread-safe. */
 public final class ObjectCheck {
+    // Names are parts of paths of the object API, which does not escape them.
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
     private ObjectCheck() {}
 
     /**
@@ -26,6 +30,7 @@
         checkArgument(
                 object.writer() != null && !object.writer().isBlank(), "object without a writer");
         checkArgument(object.spec() != null, "object without a spec");
+        name(object.name());
         checkArgument(object.version() >= 0, "bad version: %s", object.version());
         ConfigObject value = parse(kind(object.kind()), object.spec());
         checkArgument(
@@ -49,6 +54,11 @@
                 .orElseThrow(() -> new IllegalArgumentException("unknown kind: " + path));
     }
 
+    static String name(String text) {
+        checkArgument(NAME.matcher(text).matches(), "bad name: %s", text);
+        return text;
+    }
+
     private static ConfigObject parse(Kind kind, JsonNode spec) {
         for (String field : requiredFields(kind)) {
             checkArgument(spec.path(field).isTextual(), "%s without %s", kind.path(), field);
--- a/daemon/src/main/java/org/geraniumusher/operator/ObjectEndpoint.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/ObjectEndpoint.java
@@ -43,7 +43,7 @@
 
     private CompletableFuture<HttpReply> get(HttpCall call) {
         Kind kind = ObjectCheck.kind(QueryParameters.required(call, "kind"));
-        String name = QueryParameters.required(call, "name");
+        String name = ObjectCheck.name(QueryParameters.required(call, "name"));
         return mWriter.get(kind, name).thenApply(result -> toOneReply(result, kind, name));
     }
 
@@ -111,7 +111,7 @@
 
     private CompletableFuture<HttpReply> delete(HttpCall call) {
         Kind kind = ObjectCheck.kind(QueryParameters.required(call, "kind"));
-        String name = QueryParameters.required(call, "name");
+        String name = ObjectCheck.name(QueryParameters.required(call, "name"));
         long expected = QueryParameters.requiredNumber(call, "version");
         String writer = QueryParameters.required(call, "writer");
         StoredObject object = new StoredObject(kind.path(), name, expected, writer, null);
--- a/daemon/src/main/java/org/geraniumusher/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/OperatorServer.java
@@ -16,6 +16,7 @@
 import org.geraniumusher.model.ResultCode;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -73,9 +74,10 @@
                 .whenComplete(
                         (reply, error) -> {
                             if (error != null) {
-                                LOGGER.atSevere().withCause(error).log(
-                                        "operator: no answer method=%s path=%s",
-                                        call.method(), call.path());
+                                LOGGER.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(error)
+                                        .log(
+                                                "operator: no answer method=%s path=%s",
+                                                call.method(), call.path());
                             }
                             responder.reply(error == null ? reply : HttpReply.of(500, ""));
                         });
--- a/daemon/src/test/java/org/geraniumusher/operator/OperatorServerTest.java
+++ b/daemon/src/test/java/org/geraniumusher/operator/OperatorServerTest.java
@@ -90,6 +90,9 @@
                 .isEqualTo(ResultCode.INVALID_OBJECT.number());
         assertThat(error(putSpec("data-centre", "other", dataCentre("viti-west"))).message())
                 .contains("name nadi-b in the spec of other");
+        assertThat(error(putSpec("data-centre", "a?b", dataCentre("west"))).message())
+                .contains("bad name: a?b");
+        assertThat(get("/admin/objects?kind=data-centre&name=a%3Fb").status()).isEqualTo(400);
     }
 
     @Test
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 
+import org.geraniumusher.burn.BurnRates;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.platform.Json;
 import org.junit.jupiter.api.AfterEach;
@@ -192,6 +193,29 @@
         assertThat(run("get", DC, "nadi-b")).isEqualTo(ExitCode.of(ResultCode.NOT_FOUND));
     }
 
+    @Test
+    void apply_wait_endsWhenInForceOrSaysWhere() throws IOException {
+        String file = file("a.json", "{\"kind\":\"data-centre\"," + NADI.substring(1));
+        assertThat(run("apply", "-f", file, "--wait")).isEqualTo(45);
+        assertThat(err()).contains("in force at 0 of 1 daemons, missing at entry-1");
+
+        mPolls.add(() -> mDaemon.setVersionInForce(1));
+        assertThat(run("apply", "-f", file, "--wait")).isEqualTo(0);
+    }
+
+    @Test
+    void reportBurn_html_printsTableAndWritesPage() throws IOException {
+        BurnRates rates = BurnRates.create("entry-1", 1);
+        rates.record("orders", 50, 100, 1_700_000_000_000L);
+        mDaemon.setBurn(rates.report(ImmutableMap.of("orders", 0.9), 1_700_000_000_000L));
+        Path page = mDirectory.resolve("burn.html");
+
+        assertThat(run("report", "burn", "--html", page.toString())).isEqualTo(0);
+
+        assertThat(out()).containsMatch("orders +0.9 +5.00 +5.00 +100 +50 +no");
+        assertThat(Files.readString(page)).contains("orders</td>");
+    }
+
     private void addRaces(int count) {
         for (int i = 1; i <= count; i++) {
             String region = "north" + i;
