Read from callers and backend servers in a task of its own

Cause: a POST of 9 kB or more stalled until its deadline in about one of three tries. Netty's FlowControlHandler lost a read that a write listener made while the handler delivered a message; a trace of reads and messages showed six parts queued after a read that had been passed on. Ruled out: the replay buffer, the backend server, the size of the socket buffers. Change: both sides ask for the next message in a task of the event loop, at most once at a time. Result: RequestPathTest.post_largeBody failed with 504 before and passes now; bodies of 1 kB to 1 MB all answered with 200 in a trial with seven sizes, of which three failed before.

--- a/daemon/src/main/java/org/geraniumusher/backend/UpstreamConnection.java
+++ b/daemon/src/main/java/org/geraniumusher/backend/UpstreamConnection.java
@@ -25,6 +25,7 @@
     private final UpstreamPool mPool;
     private Channel mChannel;
     private UpstreamListener mListener;
+    private boolean mReadPending;
 
     UpstreamConnection(UpstreamPool pool) {
         mPool = pool;
@@ -40,9 +41,15 @@
         mChannel.flush();
     }
 
-    /** Asks for the next part of the response. */
+    /**
+     * Asks for the next part of the response, at most once until it comes. The read is a task of
+     * its own, because FlowControlHandler loses a read that is made while it delivers a message.
+     */
     public void read() {
-        mChannel.read();
+        if (!mReadPending) {
+            mReadPending = true;
+            mChannel.eventLoop().execute(mChannel::read);
+        }
     }
 
     /** Returns the connection to the pool; the response must have been read to its end. */
@@ -50,7 +57,7 @@
         checkState(mListener != null, "connection is not in use");
         mListener = null;
         mPool.release(this);
-        mChannel.read();
+        read();
     }
 
     /** Closes the connection; the listener is not called any more. */
@@ -76,6 +83,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        mReadPending = false;
         UpstreamListener listener = mListener;
         if (listener == null) {
             ReferenceCountUtil.release(message);
@@ -92,7 +100,7 @@
             fail(response.decoderResult().cause());
         } else if (response.status().code() / 100 == 1
                 && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            mChannel.read();
+            read();
         } else {
             listener.onHead(response);
         }
--- a/daemon/src/main/java/org/geraniumusher/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/CallerConnection.java
@@ -21,8 +21,9 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private final CallerContext mContext;
     private final ResponseEncoder mEncoder;
+    private ChannelHandlerContext mInbound;
     private Exchange mExchange;
-    private boolean mAccepted;
+    private boolean mReadPending;
 
     CallerConnection(CallerContext context, ResponseEncoder encoder) {
         mContext = context;
@@ -47,13 +48,22 @@
         mExchange = null;
         mContext.onExchangeEnded();
         if (keepAlive) {
-            mInbound.read();
+            readNext();
         } else {
             mInbound.close();
         }
     }
 
-    private ChannelHandlerContext mInbound;
+    /**
+     * Asks for the next message, at most once until it comes. The read is a task of its own,
+     * because FlowControlHandler loses a read that is made while it delivers a message.
+     */
+    void readNext() {
+        if (!mReadPending) {
+            mReadPending = true;
+            mInbound.channel().eventLoop().execute(mInbound::read);
+        }
+    }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
@@ -62,9 +72,8 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        mAccepted = mContext.addConnection();
-        if (mAccepted) {
-            context.read();
+        if (mContext.addConnection()) {
+            readNext();
         } else {
             context.close();
         }
@@ -83,6 +92,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        mReadPending = false;
         if (message instanceof HttpRequest request) {
             onRequest(context, request);
         } else if (message instanceof HttpContent content) {
@@ -112,7 +122,7 @@
             context.close();
         } else if (mExchange == null) {
             content.release();
-            context.read();
+            readNext();
         } else {
             mExchange.onContent(content);
         }
--- a/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
@@ -66,7 +66,7 @@
             mInbound.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        mInbound.read();
+        mConnection.readNext();
         boolean accepted =
                 mContext.decisions()
                         .arrived(
@@ -201,7 +201,7 @@
                 written.addListener(
                         done -> {
                             if (done.isSuccess() && isCurrent()) {
-                                mInbound.read();
+                                mConnection.readNext();
                             }
                         });
             }
@@ -219,7 +219,7 @@
             upstream.flush();
             upstream.read();
             if (!mBody.isComplete()) {
-                mInbound.read();
+                mConnection.readNext();
             }
         }
 
