--- /dev/null
+++ b/daemon/src/main/java/org/geraniumusher/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the daemon: its threads, settings and wiring. */
+package org.geraniumusher.daemon;
