Wait for a live previous owner that still runs requests on the slice

A planned move released the slice after the lapse even though the previous owner had a request running on it. The lapse now counts only when the previous owner was lost, is unfenced or has accepted a grant without the slice. Fenced groups are dropped from the state after the lapse of grants alone: a later coordinator counts its own lapse from a later time.

--- a/decisions/src/main/java/org/geraniumusher/ownership/Fences.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/Fences.java
@@ -101,7 +101,7 @@
     /** Returns the listed groups from which no valid grant can remain. */
     ImmutableList<List<String>> lapsedGroups(long nowNanos) {
         for (Fence fence : mFences.descendingMap().values()) {
-            if (fence.isLapsed(nowNanos, OwnershipTimes.lapseNanos(false))) {
+            if (fence.isLapsed(nowNanos, OwnershipTimes.lapseNanos(true))) {
                 return fence.mFormerGroups;
             }
         }
--- a/decisions/src/main/java/org/geraniumusher/ownership/Releases.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/Releases.java
@@ -28,6 +28,9 @@
     private final Set<Long> mReleased = new HashSet<>();
     private final Set<Long> mStopping = new HashSet<>();
 
+    /** Epochs of slices whose previous owner was silent for too long at some time. */
+    private final Set<Long> mLost = new HashSet<>();
+
     /** Time at which a pending move became known, by first hash of the slice. */
     private final Map<Long, Warming> mWarming = new HashMap<>();
 
@@ -55,6 +58,7 @@
         mAssigned.keySet().retainAll(moving);
         mReleased.retainAll(moving);
         mStopping.retainAll(moving);
+        mLost.retainAll(moving);
         mWarming.keySet().retainAll(warming);
     }
 
@@ -67,8 +71,12 @@
     }
 
     private boolean hasLapsed(long nowNanos, Slice slice) {
-        long lapse = OwnershipTimes.lapseNanos(mServers.isFenced(slice.previous()));
-        return mFences.isLapsed(nowNanos, mAssigned.get(slice.epoch()), lapse);
+        boolean fenced = mServers.isFenced(slice.previous());
+        long version = mAssigned.get(slice.epoch());
+        return mFences.isLapsed(nowNanos, version, OwnershipTimes.lapseNanos(fenced))
+                && (!fenced
+                        || mLost.contains(slice.epoch())
+                        || mServers.get(slice.previous()).hasAccepted(version));
     }
 
     private boolean hasStopped(Slice slice) {
@@ -76,7 +84,7 @@
         OptionalLong unused = mFences.unusedSince(version);
         return unused.isPresent()
                 && mServers.isFenced(slice.previous())
-                && mServers.get(slice.previous()).hasAccepted(version, unused.getAsLong());
+                && mServers.get(slice.previous()).hasAcceptedSince(version, unused.getAsLong());
     }
 
     /** Returns the server whose next poll should not wait for its turn, once per step of a move. */
@@ -84,6 +92,9 @@
         if (slice.previous().isEmpty() || mReleased.contains(slice.epoch())) {
             return Optional.empty();
         }
+        if (mServers.isLost(nowNanos, slice.previous())) {
+            mLost.add(slice.epoch());
+        }
         if (isReleased(nowNanos, slice)) {
             mReleased.add(slice.epoch());
             return Optional.of(slice.owner());
--- a/decisions/src/main/java/org/geraniumusher/ownership/Servers.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/Servers.java
@@ -154,12 +154,14 @@
             }
         }
 
-        /**
-         * Reports whether the server has accepted a grant of {@code version} or a later one that
-         * was sent after {@code sinceNanos}.
-         */
-        boolean hasAccepted(long version, long sinceNanos) {
-            return mAckVersion >= version && mAckBasisNanos > sinceNanos;
+        /** Reports whether the server has accepted a grant of {@code version} or a later one. */
+        boolean hasAccepted(long version) {
+            return mAckVersion >= version;
+        }
+
+        /** Reports whether it has accepted such a grant that was sent after {@code sinceNanos}. */
+        boolean hasAcceptedSince(long version, long sinceNanos) {
+            return hasAccepted(version) && mAckBasisNanos > sinceNanos;
         }
     }
 }
--- a/decisions/src/test/java/org/geraniumusher/ownership/OwnershipHistoryTest.java
+++ b/decisions/src/test/java/org/geraniumusher/ownership/OwnershipHistoryTest.java
@@ -6,6 +6,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 
+import org.geraniumusher.model.Slice;
+
 import java.util.List;
 import java.util.Random;
 
@@ -28,39 +30,63 @@
                 random.nextDouble() * 0.3);
         for (long at = 0; at < FAULTY_MILLIS; at += 200) {
             simulation.after(at * MILLIS, () -> randomFault(simulation));
+            simulation.after(at * MILLIS, () -> randomRequest(simulation));
         }
         simulation.runFor(FAULTY_MILLIS * MILLIS);
         heal(simulation);
         simulation.runUntil("recovery", CALM_BOUND_MILLIS * MILLIS, simulation::isFullyServed);
     }
 
+    /** Runs a request at an owner, which defers the acknowledgement of a release meanwhile. */
+    private static void randomRequest(Simulation simulation) {
+        Random random = simulation.random();
+        Slice slice = simulation.slices().get(random.nextInt(simulation.slices().size()));
+        SimulatedServer server = simulation.server(slice.owner());
+        GrantHolder holder = server.holder();
+        long hash = slice.first();
+        long now = server.reading(simulation.now());
+        if (!holder.onRequestStart(now, Simulation.SERVICE, hash, slice.epoch()).isAdmitted()) {
+            return;
+        }
+        SimulatedMember coordinator = simulation.coordinator();
+        simulation.after(
+                (long) (random.nextDouble() * 500 * MILLIS),
+                () ->
+                        holder.onRequestEnd(Simulation.SERVICE, hash)
+                                .ifPresent(a -> simulation.acknowledge(coordinator, server, a)));
+    }
+
     private static void randomFault(Simulation simulation) {
         Random random = simulation.random();
         List<SimulatedMember> members = simulation.members();
         List<SimulatedServer> servers = simulation.servers();
         SimulatedMember member = members.get(random.nextInt(members.size()));
         SimulatedServer server = servers.get(random.nextInt(servers.size()));
-        long while1 = (long) (random.nextDouble() * 2_000 * MILLIS);
-        switch (random.nextInt(9)) {
+        long lasting = (long) (random.nextDouble() * 2_000 * MILLIS);
+        switch (random.nextInt(10)) {
             case 0 -> {
                 member.pause();
-                simulation.after(while1, member::resume);
+                simulation.after(lasting, member::resume);
             }
-            case 1 -> crash(simulation, member, while1);
+            case 1 -> crash(simulation, member, lasting);
             case 2 -> {
                 server.freeze();
-                simulation.after(while1, server::thaw);
+                simulation.after(lasting, server::thaw);
             }
             case 3 -> server.restart();
             case 4 -> {
                 server.crash();
-                simulation.after(while1, server::restart);
+                simulation.after(lasting, server::restart);
             }
             case 5 -> {
                 simulation.store().setUp(false);
-                simulation.after(while1, () -> simulation.store().setUp(true));
+                simulation.after(lasting, () -> simulation.store().setUp(true));
+            }
+            case 6 -> {
+                member.isolate(true);
+                simulation.after(lasting, () -> member.isolate(false));
             }
-            case 6 -> simulation.setRole(new ServerRole(server.name(), true, random.nextBoolean()));
+            case 7 -> simulation.setRole(new ServerRole(server.name(), true, random.nextBoolean()));
             default -> simulation.announceMembers();
         }
     }
@@ -94,6 +120,7 @@
         }
         for (SimulatedMember member : simulation.members()) {
             member.resume();
+            member.isolate(false);
             if (!member.isUp()) {
                 member.restart();
             }
--- a/decisions/src/test/java/org/geraniumusher/ownership/SimulatedMember.java
+++ b/decisions/src/test/java/org/geraniumusher/ownership/SimulatedMember.java
@@ -19,6 +19,7 @@
     private long mVersion;
     private boolean mUp;
     private boolean mPaused;
+    private boolean mIsolated;
 
     SimulatedMember(Simulation simulation, String name, String dataCentre, SimulatedClock clock) {
         mSimulation = simulation;
@@ -48,8 +49,13 @@
         return mUp;
     }
 
-    boolean isPaused() {
-        return mPaused;
+    /** Cuts the member off from other members and the store, but not from the servers. */
+    void isolate(boolean isolated) {
+        mIsolated = isolated;
+    }
+
+    boolean isIsolated() {
+        return mIsolated;
     }
 
     void start(long incarnation) {
--- a/decisions/src/test/java/org/geraniumusher/ownership/Simulation.java
+++ b/decisions/src/test/java/org/geraniumusher/ownership/Simulation.java
@@ -150,6 +150,12 @@
         }
     }
 
+    private void transmitBetween(SimulatedMember from, SimulatedMember to, Runnable delivery) {
+        if (!from.isIsolated() && !to.isIsolated()) {
+            transmit(delivery);
+        }
+    }
+
     void runFor(long nanos) {
         long end = mNow + nanos;
         while (!mEvents.isEmpty() && mEvents.peek().atNanos() <= end) {
@@ -192,10 +198,6 @@
         return owner != null && owner.admits(mNow, slice.first(), slice.epoch());
     }
 
-    boolean isFullyOwnedBy(List<String> names) {
-        return isFullyServed() && slices().stream().allMatch(s -> names.contains(s.owner()));
-    }
-
     private void checkOwners() {
         for (Slice slice : slices()) {
             String owner = "";
@@ -221,10 +223,14 @@
     void execute(SimulatedMember member, OwnershipCommand command) {
         if (command instanceof OwnershipCommand.SendAuthorityRequest send) {
             SimulatedMember to = mMembers.get(send.request().to().name());
-            transmit(() -> to.receive((m, now) -> m.onAuthorityRequest(now, send.request())));
+            transmitBetween(
+                    member,
+                    to,
+                    () -> to.receive((m, now) -> m.onAuthorityRequest(now, send.request())));
         } else if (command instanceof OwnershipCommand.SendAuthorityAck send) {
             SimulatedMember to = mMembers.get(send.ack().to().name());
-            transmit(() -> to.receive((m, now) -> m.onAuthorityAck(now, send.ack())));
+            transmitBetween(
+                    member, to, () -> to.receive((m, now) -> m.onAuthorityAck(now, send.ack())));
         } else if (command instanceof OwnershipCommand.PollServer poll) {
             SimulatedServer server = mServers.get(poll.server());
             transmit(() -> server.receive(() -> status(member, server)));
@@ -261,7 +267,7 @@
 
     private void read(SimulatedMember member) {
         Optional<VersionedState> state = mStore.state();
-        if (!mStore.isUp()) {
+        if (!mStore.isUp() || member.isIsolated()) {
             answer(member, STORE_TIMEOUT_NANOS, ShardMember::onReadUnavailable);
         } else if (state.isEmpty()) {
             answer(member, MILLIS, ShardMember::onReadAbsent);
@@ -271,7 +277,7 @@
     }
 
     private void write(SimulatedMember member, OwnershipCommand.WriteState write) {
-        if (!mStore.isUp()) {
+        if (!mStore.isUp() || member.isIsolated()) {
             answer(member, STORE_TIMEOUT_NANOS, ShardMember::onWriteUnknown);
             return;
         }
