Count cancelled requests as lower bounds and back off repeated sendings

Cause: hedges cancel the requests that run long, so the gate, the view and the straggler detector lost the evidence against the slow server; a refused request without retry budget was sent again without any delay until its deadline. Change: the age of a cancelled request counts when it is above the estimate; the second and later resends wait 10 ms, doubling to 80 ms. A test for each.

--- a/decisions/src/main/java/org/geraniumusher/admission/ServerGate.java
+++ b/decisions/src/main/java/org/geraniumusher/admission/ServerGate.java
@@ -79,13 +79,18 @@
         return verdicts.build();
     }
 
-    /** Takes the end of a running request; latency is the time since its dispatch. */
+    /**
+     * Takes the end of a running request; latency is the time since its dispatch. That of a request
+     * that was cancelled or lost is only a lower bound, and counts only when it is long.
+     */
     public ImmutableList<Admission> finished(
             long id, Outcome outcome, long latencyNanos, long nowNanos) {
         checkNotNull(outcome, "outcome");
         checkArgument(latencyNanos >= 0, "bad latencyNanos: %s", latencyNanos);
         mSlowStart.advance(mRunning.size(), nowNanos);
-        if (mRunning.remove(id) && outcome != Outcome.NOT_RUN) {
+        boolean known = mRunning.remove(id);
+        boolean bound = outcome == Outcome.UNKNOWN && latencyNanos > mServiceNanos;
+        if (known && (outcome == Outcome.RAN || bound)) {
             recordLatency(latencyNanos, nowNanos);
         }
         return tick(nowNanos);
--- a/decisions/src/main/java/org/geraniumusher/choice/ServerView.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/ServerView.java
@@ -66,13 +66,21 @@
         mInFlight++;
     }
 
+    /** Takes the end of a request by cancellation, whose age is a lower bound of its latency. */
+    public void cancelled(long ageNanos, long nowNanos) {
+        checkArgument(ageNanos >= 0, "bad ageNanos: %s", ageNanos);
+        ended();
+        double old = latencyNanos(nowNanos);
+        if (old > 0 && ageNanos > old) {
+            recordLatency(ageNanos, nowNanos);
+        }
+    }
+
     /** Takes an answer, with the load that the gateway daemon told. */
     public void answered(long latencyNanos, GateLoad load, long nowNanos) {
         checkArgument(latencyNanos >= 0, "bad latencyNanos: %s", latencyNanos);
         ended();
-        double old = latencyNanos(nowNanos);
-        mLatencyNanos = old == 0 ? latencyNanos : old + (latencyNanos - old) * LATENCY_WEIGHT;
-        mLatencyAtNanos = nowNanos;
+        recordLatency(latencyNanos, nowNanos);
         observe(load, nowNanos);
     }
 
@@ -123,6 +131,12 @@
         return fresh ? mReportedLoad : -1;
     }
 
+    private void recordLatency(long latency, long now) {
+        double old = latencyNanos(now);
+        mLatencyNanos = old == 0 ? latency : old + (latency - old) * LATENCY_WEIGHT;
+        mLatencyAtNanos = now;
+    }
+
     private void observe(GateLoad load, long now) {
         checkNotNull(load, "load");
         mOthers = Math.max(0, load.running() + load.queued() - mInFlight);
--- a/decisions/src/main/java/org/geraniumusher/choice/StragglerDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/StragglerDetector.java
@@ -37,6 +37,7 @@
     private static final long NO_VALUE = Long.MIN_VALUE;
 
     private final Map<String, Server> mServers = new LinkedHashMap<>();
+    private double mNormalNanos;
 
     private StragglerDetector() {}
 
@@ -68,8 +69,20 @@
         }
     }
 
-    /** Forgets a request that ended without an answer of the server. */
-    public void abandoned(String server, long id) {
+    /**
+     * Takes the cancellation of a request. Its age is a lower bound of its latency, so it counts
+     * only when longer than normal; otherwise hedges would hide the slow server that causes them.
+     */
+    public void cancelled(String server, long id, long nowNanos) {
+        Server state = mServers.get(server);
+        long start = state == null ? NO_VALUE : state.mPending.remove(id);
+        if (start != NO_VALUE && mNormalNanos > 0 && nowNanos - start > mNormalNanos) {
+            state.add(nowNanos - start);
+        }
+    }
+
+    /** Forgets a request that never ran. */
+    public void refused(String server, long id) {
         Server state = mServers.get(server);
         if (state != null) {
             state.mPending.remove(id);
@@ -79,6 +92,7 @@
     /** Finds the stragglers anew. */
     public void evaluate(long nowNanos) {
         double normal = normalNanos();
+        mNormalNanos = normal;
         if (normal == 0) {
             return;
         }
--- a/decisions/src/main/java/org/geraniumusher/retry/RetryPolicy.java
+++ b/decisions/src/main/java/org/geraniumusher/retry/RetryPolicy.java
@@ -10,12 +10,12 @@
  * <p>Invariants: a non-idempotent request is sent again only when none of its attempts can have
  * run; nothing is sent again past its deadline; what the answer to the caller says about execution
  * covers all attempts. Waiting for a new owner is not paid from the budget, since a planned move
- * must lose no request, but it backs off. Not thread-safe.
+ * must lose no request. Repeated attempts back off. Not thread-safe.
  */
 public final class RetryPolicy {
     private static final int MAX_SENT = 3;
-    private static final long OWNER_DELAY_NANOS = 10_000_000;
-    private static final int OWNER_MAX_DOUBLINGS = 3;
+    private static final long DELAY_NANOS = 10_000_000;
+    private static final int MAX_DOUBLINGS = 3;
 
     private final RetryMode mMode;
     private final RetryBudget mBudget;
@@ -43,7 +43,7 @@
         if (mayHaveRun && !attempt.idempotent()) {
             return giveUp;
         }
-        long delay = failure == Failure.NOT_OWNER ? ownerDelay(attempt.sent()) : 0;
+        long delay = delayNanos(attempt.sent(), failure);
         if (attempt.deadlineNanos() - nowNanos <= delay || !permits(attempt, failure)) {
             return giveUp;
         }
@@ -58,7 +58,9 @@
         return !limited && mMode.permits(mBudget);
     }
 
-    private static long ownerDelay(int sent) {
-        return OWNER_DELAY_NANOS << Math.min(sent - 1, OWNER_MAX_DOUBLINGS);
+    /** Returns 10 ms, doubling to 80 ms; none before another server is tried for the first time. */
+    private static long delayNanos(int sent, Failure failure) {
+        int delays = failure == Failure.NOT_OWNER ? sent : sent - 1;
+        return delays == 0 ? 0 : DELAY_NANOS << Math.min(delays - 1, MAX_DOUBLINGS);
     }
 }
--- a/decisions/src/test/java/org/geraniumusher/choice/StragglerDetectorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/choice/StragglerDetectorTest.java
@@ -109,11 +109,22 @@
     }
 
     @Test
-    void abandoned_pendingRequest_doesNotCount() {
+    void cancelled_lateRequests_countWithTheirAge() {
+        run(400, Set.of(), 0);
+        for (int i = 0; i < 9; i++) {
+            mDetector.started("s1", ++mId, mNow - 25 * MILLI);
+            mDetector.cancelled("s1", mId, mNow);
+        }
+        mDetector.evaluate(mNow);
+        assertThat(mDetector.isStraggler("s1")).isTrue();
+    }
+
+    @Test
+    void refused_pendingRequest_doesNotCount() {
         run(400, Set.of(), 0);
         for (int i = 0; i < 9; i++) {
             mDetector.started("s1", ++mId, mNow);
-            mDetector.abandoned("s1", mId);
+            mDetector.refused("s1", mId);
         }
         mNow += 40 * MILLI;
         mDetector.evaluate(mNow);
--- a/decisions/src/test/java/org/geraniumusher/retry/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/geraniumusher/retry/RetryPolicyTest.java
@@ -96,6 +96,15 @@
         }
     }
 
+    @Test
+    void failed_secondRefusal_backsOff() {
+        RetryPolicy policy = policy(RetryMode.UNLIMITED);
+        assertThat(policy.failed(attempt(true, 1, false), Failure.GATE_FULL, 0))
+                .isEqualTo(new Resend(0));
+        assertThat(policy.failed(attempt(true, 3, false), Failure.GATE_FULL, 0))
+                .isEqualTo(new Resend(20 * MILLI));
+    }
+
     @Test
     void deposit_longQuiet_burstIsLimited() {
         RetryBudget budget = RetryBudget.create(0.1, 5);
