--- /dev/null
+++ b/experiments/src/main/java/org/geraniumusher/experiments/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the decision modules with fake servers on a paused clock. */
+package org.geraniumusher.experiments;
