Probe stragglers with single idempotent requests only

Cause: with 4 of 13 servers slowed ten times the probes by weight were drawn twice per choice and queued at the slow servers; a slow server of 2 usable slots serves 36 requests/s and got 70. Change: a straggler is taken only as the first draw, for an idempotent request, when none is in flight to it through this daemon and its gateway told a utilisation of at most one half.

--- a/decisions/src/main/java/org/geraniumusher/choice/ChoiceContext.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/ChoiceContext.java
@@ -7,4 +7,4 @@
  *
  * @param turn number of choices made before
  */
-record ChoiceContext(int turn, long nowNanos, RandomGenerator random) {}
+record ChoiceContext(int turn, boolean idempotent, long nowNanos, RandomGenerator random) {}
--- a/decisions/src/main/java/org/geraniumusher/choice/ChoiceStrategy.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/ChoiceStrategy.java
@@ -50,24 +50,24 @@
      * The one of two random servers that would probably answer first, by load per usable slot and
      * latency. Two random ones, not the best of all, because daemons that share a stale figure
      * would all choose the same best server. A straggler is taken only with its weight as chance,
-     * and then at once, so that its return is noticed.
+     * as the first one, for an idempotent request, which a hedge can rescue, and while it is idle
+     * as far as is known; then it is taken at once, so that its return is noticed.
      */
     TWO_CHOICES_LATENCY {
         @Override
         ServerView choose(List<ServerView> servers, ChoiceContext context) {
-            ServerView first = weighted(servers, null, context.random());
-            if (first.weight() < 1) {
+            ServerView first = any(servers, context.random());
+            if (first.weight() < 1 && isProbe(first, context)) {
                 return first;
             }
-            ServerView second = weighted(servers, first, context.random());
-            if (second.weight() < 1) {
-                return second;
-            }
+            first = first.weight() < 1 ? normal(servers, first, context.random()) : first;
+            ServerView second = normal(servers, first, context.random());
             return better(first, second, context.nowNanos());
         }
     };
 
     private static final int MAX_DRAWS = 16;
+    private static final double MAX_PROBED_UTILISATION = 0.5;
     private static final double TIE = 1e-9;
 
     /** Returns one of {@code servers}, which are not empty. */
@@ -90,15 +90,23 @@
         return server;
     }
 
-    private static ServerView weighted(
+    /** Returns a random server other than {@code first} that is no straggler, if one is found. */
+    private static ServerView normal(
             List<ServerView> servers, ServerView first, RandomGenerator random) {
         ServerView server = other(servers, first, random);
-        for (int i = 0; i < MAX_DRAWS && random.nextDouble() >= server.weight(); i++) {
+        for (int i = 0; i < MAX_DRAWS && server.weight() < 1; i++) {
             server = other(servers, first, random);
         }
         return server;
     }
 
+    private static boolean isProbe(ServerView straggler, ChoiceContext context) {
+        return context.idempotent()
+                && straggler.inFlight() == 0
+                && straggler.utilisation(context.nowNanos()) <= MAX_PROBED_UTILISATION
+                && context.random().nextDouble() < straggler.weight();
+    }
+
     private static ServerView better(ServerView a, ServerView b, long now) {
         double costOfA = cost(a, b, now);
         double costOfB = cost(b, a, now);
--- a/decisions/src/main/java/org/geraniumusher/choice/ServerChooser.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/ServerChooser.java
@@ -31,11 +31,12 @@
     }
 
     /** Returns one of {@code servers}, or nothing when there is none. */
-    public Optional<ServerView> choose(List<ServerView> servers, long nowNanos) {
+    public Optional<ServerView> choose(
+            List<ServerView> servers, boolean idempotent, long nowNanos) {
         if (servers.isEmpty()) {
             return Optional.empty();
         }
-        ChoiceContext context = new ChoiceContext(mTurn++, nowNanos, mRandom);
+        ChoiceContext context = new ChoiceContext(mTurn++, idempotent, nowNanos, mRandom);
         return Optional.of(mStrategy.choose(servers, context));
     }
 
--- a/decisions/src/test/java/org/geraniumusher/choice/ChoiceStrategyTest.java
+++ b/decisions/src/test/java/org/geraniumusher/choice/ChoiceStrategyTest.java
@@ -41,7 +41,7 @@
         Map<String, Integer> counts = new HashMap<>();
         ServerChooser chooser = ServerChooser.create(strategy, new SplittableRandom(7));
         for (int i = 0; i < TRIES; i++) {
-            counts.merge(chooser.choose(servers, now).orElseThrow().name(), 1, Integer::sum);
+            counts.merge(chooser.choose(servers, true, now).orElseThrow().name(), 1, Integer::sum);
         }
         return counts;
     }
@@ -75,7 +75,7 @@
                     ServerChooser.create(
                             ChoiceStrategy.TWO_CHOICES_LATENCY, new SplittableRandom(daemon));
             for (int i = 0; i < 12; i++) {
-                ServerView server = chooser.choose(servers, 10 * MILLI).orElseThrow();
+                ServerView server = chooser.choose(servers, true, 10 * MILLI).orElseThrow();
                 server.sent();
                 first.merge(server.name(), 1, Integer::sum);
             }
@@ -104,7 +104,7 @@
         ServerChooser chooser =
                 ServerChooser.create(ChoiceStrategy.TWO_CHOICES_LATENCY, new SplittableRandom(1));
         for (int i = 0; i < 8; i++) {
-            chooser.choose(servers, 0).orElseThrow().sent();
+            chooser.choose(servers, true, 0).orElseThrow().sent();
         }
         assertThat(servers.get(0).inFlight()).isEqualTo(2);
     }
@@ -146,4 +146,17 @@
         assertThat(chosen).isAtLeast(TRIES / 200);
         assertThat(chosen).isAtMost(TRIES / 30);
     }
+
+    @Test
+    void choose_busyStragglerOrOrder_notProbed() {
+        List<ServerView> servers = servers(6);
+        ServerChooser chooser =
+                ServerChooser.create(ChoiceStrategy.TWO_CHOICES_LATENCY, new SplittableRandom(1));
+        chooser.reweigh(servers, name -> name.equals("s0") ? 0.5 : 1);
+        for (int i = 0; i < TRIES; i++) {
+            assertThat(chooser.choose(servers, false, 0).orElseThrow().name()).isNotEqualTo("s0");
+        }
+        answer(servers.get(0), 2, 2, 60);
+        assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
+    }
 }
--- a/experiments/src/main/java/org/geraniumusher/experiments/SimDaemon.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/SimDaemon.java
@@ -145,7 +145,7 @@
             candidates = new ArrayList<>(candidates);
             candidates.remove(mViews.get(last));
         }
-        return mChooser.choose(candidates, mEvents.nowNanos());
+        return mChooser.choose(candidates, call.idempotent(), mEvents.nowNanos());
     }
 
     private void hedge(Call call) {
