Let the gate warm up a tenth more slowly than the server

Cause: the gate counts a request as work from dispatch to the end it hears of, longer than the server does, so it granted the third slot before the server bore it: 3 running against 2 bearable on the return of a data centre. Change: only nine tenths of the running time count as work.

--- a/decisions/src/main/java/org/geraniumusher/admission/SlowStart.java
+++ b/decisions/src/main/java/org/geraniumusher/admission/SlowStart.java
@@ -24,6 +24,12 @@
     /** A cold server recovers when its load falls; a slow one doesn't within this time. */
     private static final long COLD_RECOVERY_NANOS = 500_000_000L;
 
+    /**
+     * The gate sees a request as running while it is still on its way; counting less keeps the gate
+     * from believing in more warmth than the server has.
+     */
+    private static final double WORK_SHARE = 0.9;
+
     private static final long FAST_RETURN_NANOS = 1_000_000_000L;
 
     private final WarmUp mWarmUp;
@@ -80,7 +86,7 @@
     public void advance(int running, long nowNanos) {
         checkArgument(running >= 0, "bad running: %s", running);
         long elapsed = Math.max(0, nowNanos - mLastNanos);
-        double share = Math.min(1, (double) mRunning / mColdSlots);
+        double share = WORK_SHARE * Math.min(1, (double) mRunning / mColdSlots);
         double rate = mFastReturn ? Math.max(1, (double) mWarmUpNanos / FAST_RETURN_NANOS) : 1;
         mWorkedNanos = Math.min(mWarmUpNanos, mWorkedNanos + elapsed * share * rate);
         if (mTakenOver && nowNanos - mTakenOverUntilNanos >= 0) {
