--- a/experiments/src/main/java/org/geraniumusher/experiments/PolicyTable.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/PolicyTable.java
@@ -62,7 +62,7 @@
                 size.keyed() ? "keyed" : "not keyed");
         printHeader(size);
         for (Measure measure : Measure.values()) {
-            printRow(measure, runs);
+            printRow(measure, size, runs);
         }
         System.out.println();
     }
@@ -96,7 +96,9 @@
     }
 
     private static void printRow(
-            Measure measure, Map<Policy, List<Future<Map<Scenario, RunResults>>>> runs)
+            Measure measure,
+            ServiceSize size,
+            Map<Policy, List<Future<Map<Scenario, RunResults>>>> runs)
             throws InterruptedException, ExecutionException {
         StringBuilder row = new StringBuilder();
         for (List<Future<Map<Scenario, RunResults>>> seeds : runs.values()) {
@@ -106,15 +108,15 @@
             }
             Summary summary = Summary.of(figures);
             if (row.length() == 0) {
-                row.append(start(measure, summary));
+                row.append(start(measure, size, summary));
             }
             row.append(' ').append(format(measure.digits(), summary)).append(" |");
         }
         System.out.println(row);
     }
 
-    private static String start(Measure measure, Summary router) {
-        OptionalDouble goal = measure.goal();
+    private static String start(Measure measure, ServiceSize size, Summary router) {
+        OptionalDouble goal = measure.goal(size);
         if (goal.isEmpty()) {
             return "| " + measure.title() + " | | |";
         }
