Feed the straggler detector with the time at the server

Cause: the latency seen by a daemon contains the gateway's queue. Change: answers carry the time since dispatch, and ages of open requests count only while the gateway's queue is empty.

--- a/decisions/src/main/java/org/geraniumusher/choice/StragglerDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/StragglerDetector.java
@@ -17,9 +17,10 @@
  *
  * <p>A server's figure is the median of its last latencies, where a request in flight counts with
  * its age once that exceeds the median of the peers: a server ten times slower shows before its
- * answers arrive. Medians, because one answer of a heavy tail must not mark a server. Invariant: at
- * most a third of the servers are stragglers at a time, the slowest ones. Call {@link #evaluate}
- * every {@code EVALUATION_NANOS}. Not thread-safe.
+ * answers arrive. Ages include the wait in the gateway's queue, so they count only while that queue
+ * is empty: an overloaded server is no straggler. Medians, because one answer of a heavy tail must
+ * not mark a server. Invariant: at most a third of the servers are stragglers at a time, the
+ * slowest ones. Call {@link #evaluate} every {@code EVALUATION_NANOS}. Not thread-safe.
  */
 public final class StragglerDetector {
     /** Time between evaluations; detection takes two to four of them. */
@@ -60,12 +61,16 @@
         }
     }
 
-    /** Takes the answer to a request. */
-    public void answered(String server, long id, long nowNanos) {
+    /**
+     * Takes the answer to a request: its time at the server, without the queue of the gateway, and
+     * the requests that waited there.
+     */
+    public void answered(String server, long id, long serviceNanos, int queued) {
+        checkArgument(serviceNanos >= 0, "bad serviceNanos: %s", serviceNanos);
         Server state = mServers.get(server);
-        long start = state == null ? NO_VALUE : state.mPending.remove(id);
-        if (start != NO_VALUE) {
-            state.add(nowNanos - start);
+        if (state != null && state.mPending.remove(id) != NO_VALUE) {
+            state.add(serviceNanos);
+            state.mQueued = queued;
         }
     }
 
@@ -76,7 +81,10 @@
     public void cancelled(String server, long id, long nowNanos) {
         Server state = mServers.get(server);
         long start = state == null ? NO_VALUE : state.mPending.remove(id);
-        if (start != NO_VALUE && mNormalNanos > 0 && nowNanos - start > mNormalNanos) {
+        if (start != NO_VALUE
+                && state.mQueued == 0
+                && mNormalNanos > 0
+                && nowNanos - start > mNormalNanos) {
             state.add(nowNanos - start);
         }
     }
@@ -156,6 +164,7 @@
         private boolean mStraggler;
         private int mSinceMarked;
         private double mFigure;
+        private int mQueued;
 
         private void add(long latency) {
             mLatencies[mNext] = latency;
@@ -197,7 +206,7 @@
             double[] late =
                     mPending.values().stream()
                             .mapToDouble(start -> now - start)
-                            .filter(age -> age > normal)
+                            .filter(age -> mQueued == 0 && age > normal)
                             .toArray();
             int answers = Math.min(mCount, Math.max(0, WINDOW - late.length));
             double[] values = Arrays.copyOf(late, late.length + answers);
--- a/decisions/src/test/java/org/geraniumusher/choice/StragglerDetectorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/choice/StragglerDetectorTest.java
@@ -29,7 +29,7 @@
 
     private void answer(String server, long millis) {
         mDetector.started(server, ++mId, mNow - millis * MILLI);
-        mDetector.answered(server, mId, mNow);
+        mDetector.answered(server, mId, millis * MILLI, 0);
     }
 
     /** Runs for {@code millis} with an answer of each server every 20 ms. */
@@ -119,6 +119,19 @@
         assertThat(mDetector.isStraggler("s1")).isTrue();
     }
 
+    @Test
+    void evaluate_requestsWaitInQueue_notMarked() {
+        run(400, Set.of(), 0);
+        mDetector.started("s1", ++mId, mNow);
+        mDetector.answered("s1", mId, 6 * MILLI, 20);
+        for (int i = 0; i < 9; i++) {
+            mDetector.started("s1", ++mId, mNow);
+        }
+        mNow += 40 * MILLI;
+        mDetector.evaluate(mNow);
+        assertThat(mDetector.isStraggler("s1")).isFalse();
+    }
+
     @Test
     void refused_pendingRequest_doesNotCount() {
         run(400, Set.of(), 0);
--- a/experiments/src/main/java/org/geraniumusher/experiments/SimDaemon.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/SimDaemon.java
@@ -84,14 +84,14 @@
         }
     }
 
-    void answered(Copy copy, GateLoad load) {
+    void answered(Copy copy, long serviceNanos, GateLoad load) {
         if (!copy.isOpen()) {
             return;
         }
         copy.close();
         long now = mEvents.nowNanos();
         mViews.get(copy.server()).answered(now - copy.sentNanos(), load, now);
-        mDetector.answered(name(copy), copy.id(), now);
+        mDetector.answered(name(copy), copy.id(), serviceNanos, load.queued());
         Call call = copy.call();
         long handled = call.arrivalNanos() + mRun.deployment().clientNanos();
         mHedges.answered(now - handled, now);
--- a/experiments/src/main/java/org/geraniumusher/experiments/SimGateway.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/SimGateway.java
@@ -142,8 +142,9 @@
 
         private void onEnded() {
             finish(Outcome.RAN);
+            long service = mEvents.nowNanos() - mSentNanos;
             GateLoad load = mGate.load();
-            answer(mId, copy -> copy.origin().answered(copy, load));
+            answer(mId, copy -> copy.origin().answered(copy, service, load));
         }
 
         private void onLost() {
