Measure the load of an unannounced cold server after the first second

Cause: the load at the moment a server turns cold without a sign can't be bounded by any router; the figure hid whether the detection works. Change: a row for the largest load from one second after the change on.

--- a/experiments/src/main/java/org/geraniumusher/experiments/ClusterRun.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/ClusterRun.java
@@ -129,6 +129,12 @@
         mServers.get(server).turnCold();
     }
 
+    /** Measures the load of cold servers from now on apart from the load until now. */
+    void startLateExcess() {
+        mServers.forEach(server -> mResults.coldExcess(server.takeLargestExcess()));
+        mResults.startLateExcess();
+    }
+
     void departDataCentre() {
         setServing(false);
         spreadOver(LEAVE_NANOS, this::moveAway);
--- a/experiments/src/main/java/org/geraniumusher/experiments/Measure.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/Measure.java
@@ -32,6 +32,7 @@
     CUT("cut through it, requests", Double.MIN_VALUE, 0, m -> leaving(m).cut()),
     COLD("cold load / bearable, return", 1, 2, m -> leaving(m).coldExcess()),
     COLD_SUDDEN("cold load / bearable, unannounced", 1, 2, m -> cold(m).coldExcess()),
+    COLD_LATE("cold load / bearable, unannounced, after 1 s", 1, 2, m -> cold(m).lateExcess()),
     COLD_P99(
             "p99, unannounced cold / steady",
             0,
--- a/experiments/src/main/java/org/geraniumusher/experiments/RunResults.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/RunResults.java
@@ -25,6 +25,7 @@
     private final Histogram mLatencies = new Histogram(HIGHEST_MICROS, DIGITS);
     private final List<Double> mImbalances = new ArrayList<>();
     private double mColdExcess;
+    private double mLateExcess;
     private long mSent;
     private long mCalls;
     private long mInTime;
@@ -79,6 +80,11 @@
     /** Takes the largest ratio of running to bearable requests at a cold server. */
     void coldExcess(double ratio) {
         mColdExcess = Math.max(mColdExcess, ratio);
+        mLateExcess = Math.max(mLateExcess, ratio);
+    }
+
+    void startLateExcess() {
+        mLateExcess = 0;
     }
 
     double percentileMillis(double percentile) {
@@ -100,6 +106,10 @@
         return mColdExcess;
     }
 
+    double lateExcess() {
+        return mLateExcess;
+    }
+
     double sentPerCall() {
         return (double) mSent / mCalls;
     }
--- a/experiments/src/main/java/org/geraniumusher/experiments/Scenario.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/Scenario.java
@@ -58,6 +58,7 @@
         @Override
         void script(ClusterRun run) {
             run.events().at(START, () -> run.turnCold(0));
+            run.events().at(START + SECOND, run::startLateExcess);
         }
     },
     /** Callers ask for 1.5 times the capacity. */
