Call a latency step sustained after 400 ms

Cause: slow moments of 300 ms made a server cold for the ten seconds of its slow start; for keyed services that refused requests which the server could have run. Change: a step must last 400 ms instead of 100 ms; shorter ones are left to the straggler detector.

--- a/decisions/src/main/java/org/geraniumusher/admission/LatencyStep.java
+++ b/decisions/src/main/java/org/geraniumusher/admission/LatencyStep.java
@@ -16,7 +16,7 @@
     private static final double START_SHARE = 0.4;
     private static final double FREEZE_SHARE = 0.3;
     private static final double END_SHARE = 0.25;
-    private static final long SUSTAINED_NANOS = 100_000_000;
+    private static final long SUSTAINED_NANOS = 400_000_000;
     private static final long ACCEPT_NANOS = 5_000_000_000L;
 
     private int mSamples;
