Spread states between simulated daemons and test authority times

The random histories failed about once in 500: after the last crash each daemon knew another old version whose group had a live member, and all waited for it. Nothing in the simulation spread states to daemons outside the group, which dissemination does in the daemon. The simulation now lets a random daemon tell another its state every 100 ms.

--- a/decisions/src/test/java/org/geraniumusher/ownership/ReleasesTest.java
+++ b/decisions/src/test/java/org/geraniumusher/ownership/ReleasesTest.java
@@ -87,6 +87,18 @@
         assertThat(mReleases.isReleased(lapsed, mSlice)).isTrue();
     }
 
+    @Test
+    void isReleased_unfencedServerAcknowledges_onlyAfterLeases() {
+        learnMove();
+        mServers.setRoles(0, List.of(new ServerRole("s0", false, true)));
+        mFences.acknowledge(1, D2, 9);
+        mFences.acknowledge(1, D3, 9);
+        acknowledgeRelease(2);
+        long lapsed = 1 + OwnershipTimes.lapseNanos(false);
+        assertThat(mReleases.isReleased(lapsed - 1, mSlice)).isFalse();
+        assertThat(mReleases.isReleased(lapsed, mSlice)).isTrue();
+    }
+
     @Test
     void isReleased_noMajority_never() {
         learnMove();
--- a/decisions/src/test/java/org/geraniumusher/ownership/ShardMemberTest.java
+++ b/decisions/src/test/java/org/geraniumusher/ownership/ShardMemberTest.java
@@ -318,6 +318,53 @@
                 .ack();
     }
 
+    /** Returns a coordinator of a group of two at version 1, with its requests sent at time 1. */
+    private static ShardMember coordinatorOfTwo() {
+        ShardMember member = started(D1);
+        ShardState state =
+                ShardState.create("catalogue", 4)
+                        .takenOverBy(D1.id().toString(), List.of(D2.id().toString()));
+        member.onState(1, new VersionedState(1, state));
+        return member;
+    }
+
+    private static void acknowledge(ShardMember member, long now, long sentNanos) {
+        member.onAuthorityAck(
+                now,
+                new AuthorityAck(
+                        "catalogue", D2.id(), D1.id(), 1, sentNanos, true, 1, Optional.empty()));
+    }
+
+    @Test
+    void onAuthorityAck_late_authorityCountsFromRequest() {
+        ShardMember member = coordinatorOfTwo();
+        assertThat(member.hasAuthority(1)).isFalse();
+        acknowledge(member, 400 * MILLIS, 1);
+        assertThat(member.hasAuthority(1_000 * MILLIS)).isTrue();
+        assertThat(member.hasAuthority(1_000 * MILLIS + 1)).isFalse();
+    }
+
+    @Test
+    void onTick_afterPause_authorityDroppedAndOldAnswersIgnored() {
+        ShardMember member = coordinatorOfTwo();
+        acknowledge(member, 2, 1);
+        member.onTick(3);
+        long woken = 4 + OwnershipTimes.PAUSE_NANOS;
+        assertThat(member.hasAuthority(woken)).isTrue();
+        acknowledge(member, woken, 2);
+        assertThat(member.hasAuthority(woken)).isFalse();
+        acknowledge(member, woken + 1, woken);
+        assertThat(member.hasAuthority(woken + 1)).isTrue();
+    }
+
+    @Test
+    void onAuthorityRequest_higherVersion_authorityForLowerOneEnds() {
+        ShardMember member = coordinatorOfTwo();
+        acknowledge(member, 2, 1);
+        assertThat(answer(member, D1.id(), 2).acknowledged()).isTrue();
+        assertThat(member.hasAuthority(3)).isFalse();
+    }
+
     @Test
     void onState_lowerVersion_ignored() {
         ShardMember member = started(D1);
--- a/decisions/src/test/java/org/geraniumusher/ownership/Simulation.java
+++ b/decisions/src/test/java/org/geraniumusher/ownership/Simulation.java
@@ -21,6 +21,7 @@
     static final String SERVICE = "catalogue";
     static final long MILLIS = 1_000_000;
     private static final long TICK_NANOS = 20 * MILLIS;
+    private static final long GOSSIP_NANOS = 100 * MILLIS;
     private static final long STORE_TIMEOUT_NANOS = 200 * MILLIS;
 
     private final Random mRandom;
@@ -54,6 +55,25 @@
             member.start(1);
         }
         announceMembers();
+        after(GOSSIP_NANOS, this::gossip);
+    }
+
+    /** Lets one daemon tell another the state it knows, as dissemination does. */
+    private void gossip() {
+        List<SimulatedMember> members = members();
+        SimulatedMember from = members.get(mRandom.nextInt(members.size()));
+        SimulatedMember to = members.get(mRandom.nextInt(members.size()));
+        if (from.isUp()) {
+            from.member()
+                    .known()
+                    .ifPresent(
+                            state ->
+                                    transmitBetween(
+                                            from,
+                                            to,
+                                            () -> to.receive((m, now) -> m.onState(now, state))));
+        }
+        after(GOSSIP_NANOS, this::gossip);
     }
 
     private SimulatedClock randomClock() {
