Pull the list of members a second time after joining

Cause: when 47 daemons started at once, gossip alone did not make all of them known to each other within 20 probe periods for some seeds of the cluster property, because each update is sent a bounded number of times.

Change: a daemon pulls a second list from another member ten periods after the first. The size bound of an update counts a shared host once, so more updates fit into a datagram. A wait for a version now includes suspected members, and a forged refutation cannot overflow the counter.

--- a/decisions/src/main/java/org/geraniumusher/dissemination/Disseminator.java
+++ b/decisions/src/main/java/org/geraniumusher/dissemination/Disseminator.java
@@ -71,7 +71,8 @@
     private final ShardReplica mShards = new ShardReplica();
     private final VersionsInForce mInForce = new VersionsInForce();
     private ImmutableList.Builder<SyncCommand> mOut = ImmutableList.builder();
-    private Rendezvous mLive;
+    private Rendezvous mAlive;
+    private ImmutableList<Member> mLive;
     private Optional<Long> mPulledNanos = Optional.empty();
     private int mShardCursor;
     private long mWatched = -1;
@@ -88,7 +89,8 @@
 
     private Disseminator(Member self) {
         mSelf = self;
-        mLive = Rendezvous.of(ImmutableList.of(self));
+        mLive = ImmutableList.of(self);
+        mAlive = Rendezvous.of(mLive);
     }
 
     /** Returns a disseminator that has nothing yet. */
@@ -119,7 +121,7 @@
     /** Reports whether this daemon watches the store for its region. */
     public boolean isFeeder() {
         Set<String> dataCentres = dataCentresOfRegion();
-        return mLive.feeders(regionOf(mSelf.dataCentre()), dataCentres).contains(mSelf);
+        return mAlive.feeders(regionOf(mSelf.dataCentre()), dataCentres).contains(mSelf);
     }
 
     /** Returns the versions for the next datagrams; of many shards, other ones at each call. */
@@ -131,10 +133,16 @@
         return new Versions(mConfiguration.version(), named, shardVersions());
     }
 
-    /** Takes the members that are alive. */
-    public void onMembers(Rendezvous live) {
+    /**
+     * Takes the members.
+     *
+     * @param alive members held alive, which get the tasks of feeders and relays
+     * @param live members held alive or suspected, whose versions a wait includes
+     */
+    public void onMembers(Rendezvous alive, ImmutableList<Member> live) {
+        mAlive = checkNotNull(alive);
         mLive = checkNotNull(live);
-        mInForce.retain(live.members());
+        mInForce.retain(live);
     }
 
     /** Takes the versions on a message, and pulls when the sender is ahead. */
@@ -235,7 +243,7 @@
     /** Returns the live daemons that are not known to have a version in force. */
     public ImmutableList<Member> lagging(long version) {
         mInForce.report(mSelf, allVersions());
-        return mInForce.lagging(version, mLive.members());
+        return mInForce.lagging(version, mLive);
     }
 
     /** Ends the questions about a version. */
@@ -360,10 +368,10 @@
         if (origin != Origin.PEER) {
             Collection<String> dataCentres =
                     origin == Origin.STORE ? dataCentresOfRegion() : liveDataCentres();
-            dataCentres.forEach(name -> mLive.relay(name).ifPresent(targets::add));
+            dataCentres.forEach(name -> mAlive.relay(name).ifPresent(targets::add));
         }
-        if (mLive.relay(mSelf.dataCentre()).filter(mSelf::equals).isPresent()) {
-            targets.addAll(mLive.membersOf(mSelf.dataCentre()));
+        if (mAlive.relay(mSelf.dataCentre()).filter(mSelf::equals).isPresent()) {
+            targets.addAll(mAlive.membersOf(mSelf.dataCentre()));
         }
         targets.remove(mSelf);
         targets.remove(from);
@@ -374,7 +382,7 @@
 
     private Set<String> liveDataCentres() {
         Set<String> names = new LinkedHashSet<>();
-        mLive.members().forEach(member -> names.add(member.dataCentre()));
+        mAlive.members().forEach(member -> names.add(member.dataCentre()));
         return names;
     }
 
--- a/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
@@ -50,8 +50,14 @@
     /** Probes made for others that may wait for an answer at the same time. */
     private static final int MAX_RELAYED = 256;
 
-    /** Periods after which a list of members that did not arrive is asked for again. */
-    private static final int MEMBERS_TIMEOUT_PERIODS = 10;
+    /**
+     * Lists of members pulled after joining, each from another daemon. The second brings those who
+     * joined at the same time, when the first daemon asked did not know them yet.
+     */
+    private static final int MEMBERS_PULLS = 2;
+
+    /** Periods between two requests for a list of members. */
+    private static final int MEMBERS_REQUEST_PERIODS = 10;
 
     private static final int SEED_TRIES = 8;
 
@@ -64,7 +70,7 @@
     private Optional<Outstanding> mProbe = Optional.empty();
     private ImmutableList.Builder<MembershipCommand> mOut = ImmutableList.builder();
     private boolean mStarted;
-    private boolean mNeedsMembers = true;
+    private int mMembersWanted = MEMBERS_PULLS;
     private Optional<Long> mMembersAskedNanos = Optional.empty();
     private long mNextPeriodNanos;
     private long mLastTickNanos;
@@ -108,6 +114,16 @@
         return alive.build();
     }
 
+    /** Returns the members that are held alive or suspected, with this one unless it leaves. */
+    public ImmutableList<Member> live() {
+        ImmutableList.Builder<Member> live = ImmutableList.builder();
+        if (mSelf.state() == MemberState.ALIVE) {
+            live.add(mSelf.member());
+        }
+        mTable.live().forEach(update -> live.add(update.member()));
+        return live.build();
+    }
+
     /** Returns what is believed about a daemon, or empty when it is not known. */
     public Optional<MemberUpdate> find(String name) {
         return name.equals(mSelf.name()) ? Optional.of(mSelf) : mTable.find(name);
@@ -150,7 +166,7 @@
         } else if (message instanceof MembersRequest) {
             send(message.sender(), new MembersReply(mSelf, mTable.live()));
         } else {
-            mNeedsMembers = false;
+            mMembersWanted = Math.max(0, mMembersWanted - 1);
         }
         return takeCommands();
     }
@@ -210,14 +226,14 @@
             mOut.add(
                     new Send(relayed.requester(), new ProbeAck(mSelf, relayed.sequence(), answer)));
         }
-        if (mNeedsMembers && !isMembersRequestOpen(nowNanos)) {
+        if (mMembersWanted > 0 && !hasAskedLately(nowNanos)) {
             mMembersAskedNanos = Optional.of(nowNanos);
             send(ack.sender(), new MembersRequest(mSelf));
         }
     }
 
-    private boolean isMembersRequestOpen(long nowNanos) {
-        long timeout = MEMBERS_TIMEOUT_PERIODS * mSettings.probePeriodNanos();
+    private boolean hasAskedLately(long nowNanos) {
+        long timeout = MEMBERS_REQUEST_PERIODS * mSettings.probePeriodNanos();
         return mMembersAskedNanos.filter(asked -> nowNanos - asked < timeout).isPresent();
     }
 
@@ -372,11 +388,15 @@
     private void refute(MemberUpdate update) {
         boolean aboutThisRun = isSameMember(update, mSelf);
         boolean doubted = update.state() == MemberState.SUSPECT || !update.state().isLive();
-        boolean current = update.refutation() >= mSelf.refutation();
+        boolean current =
+                update.refutation() >= mSelf.refutation()
+                        && update.refutation() < MemberUpdate.MAX_REFUTATION;
         if (!aboutThisRun || !doubted || !current || mSelf.state() == MemberState.LEFT) {
             return;
         }
-        mNeedsMembers |= update.state() == MemberState.DEAD;
+        if (update.state() == MemberState.DEAD) {
+            mMembersWanted = MEMBERS_PULLS;
+        }
         mSelf = mSelf.refuting(update.refutation());
         mQueue.add(mSelf);
     }
--- a/decisions/src/main/java/org/geraniumusher/membership/Member.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/Member.java
@@ -43,12 +43,13 @@
         checkHost(operatorAddress);
     }
 
-    /** Returns an upper bound of the encoded size, in bytes. */
+    /** Returns an upper bound of the encoded size; a host is encoded once. */
     int maxWireBytes() {
+        String host = peerAddress.host();
         int bytes = FIXED_WIRE_BYTES + Utf8.encodedLength(name) + Utf8.encodedLength(dataCentre);
-        bytes += peerAddress.host().length();
-        bytes += forwardAddress.host().length();
-        return bytes + operatorAddress.host().length();
+        bytes += host.length();
+        bytes += forwardAddress.host().equals(host) ? 0 : forwardAddress.host().length();
+        return bytes + (operatorAddress.host().equals(host) ? 0 : operatorAddress.host().length());
     }
 
     private static void checkName(String name, String what) {
--- a/decisions/src/main/java/org/geraniumusher/membership/MemberUpdate.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/MemberUpdate.java
@@ -13,6 +13,9 @@
  * @param refutation number of suspicions that the member has refuted in this incarnation
  */
 public record MemberUpdate(Member member, int refutation, MemberState state) {
+    /** Highest refutation; a forged update cannot make the counter overflow. */
+    static final int MAX_REFUTATION = Integer.MAX_VALUE;
+
     /** Refuses a negative refutation. */
     public MemberUpdate {
         checkNotNull(member, "member");
--- a/decisions/src/test/java/org/geraniumusher/dissemination/DisseminatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dissemination/DisseminatorTest.java
@@ -124,7 +124,7 @@
         Disseminator daemon = mDaemons.get(members.get(0));
         daemon.onVersions(0, members.get(1), mDaemons.get(members.get(1)).versions());
         Member restarted = member(1, 99);
-        daemon.onMembers(Rendezvous.of(ImmutableList.of(members.get(0), restarted)));
+        setMembers(daemon, ImmutableList.of(members.get(0), restarted));
         assertThat(daemon.lagging(0)).containsExactly(restarted);
     }
 
@@ -178,15 +178,18 @@
         for (int i = 0; i < count; i++) {
             members.add(member(i, 1));
         }
-        Rendezvous live = Rendezvous.of(members);
         for (Member member : members) {
             Disseminator daemon = Disseminator.create(member);
-            daemon.onMembers(live);
+            setMembers(daemon, members);
             mDaemons.put(member, daemon);
         }
         return members;
     }
 
+    private static void setMembers(Disseminator daemon, List<Member> members) {
+        daemon.onMembers(Rendezvous.of(members), ImmutableList.copyOf(members));
+    }
+
     private static Member member(int index, long incarnation) {
         Address address = new Address("127.0.0.1", 10_000 + index);
         return new Member("d" + index, incarnation, "dc" + index % 3, address, address, address);
--- a/decisions/src/test/java/org/geraniumusher/membership/FailureDetectionTest.java
+++ b/decisions/src/test/java/org/geraniumusher/membership/FailureDetectionTest.java
@@ -25,7 +25,7 @@
      */
     private static final int DETECTION_PERIODS = 30;
 
-    @Property(tries = 40)
+    @Property(tries = 60)
     void stop_randomLoss_deadEverywhereWithinBound(
             @ForAll @IntRange(min = 11, max = 50) int members,
             @ForAll long seed,
