Pull the list of members when a peer knows far more

Cause: with 1,000 daemons started at 100 a second on loopback, the second pull came too early for those that started first.

Change: acknowledgements carry the number of live members; a daemon that knows at least 2% fewer pulls the list, at most every ten periods. This replaces the fixed second pull.

--- a/daemon/src/main/java/org/geraniumusher/peer/MemberCodec.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/MemberCodec.java
@@ -34,6 +34,7 @@
         } else if (message instanceof ProbeAck ack) {
             envelope.getProbeAckBuilder()
                     .setSequence(ack.sequence())
+                    .setLiveCount(ack.liveCount())
                     .addAllUpdates(encode(ack.updates()));
         } else if (message instanceof ProbeRequest request) {
             envelope.getProbeRequestBuilder()
@@ -62,7 +63,11 @@
                         decode(probe.getUpdatesList()));
             case PROBE_ACK:
                 PeerProto.ProbeAck ack = envelope.getProbeAck();
-                return new ProbeAck(sender, ack.getSequence(), decode(ack.getUpdatesList()));
+                return new ProbeAck(
+                        sender,
+                        ack.getSequence(),
+                        ack.getLiveCount(),
+                        decode(ack.getUpdatesList()));
             case PROBE_REQUEST:
                 PeerProto.ProbeRequest request = envelope.getProbeRequest();
                 return new ProbeRequest(
--- a/daemon/src/test/java/org/geraniumusher/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/org/geraniumusher/peer/PeerCodecTest.java
@@ -50,7 +50,7 @@
         for (MembershipMessage message :
                 List.of(
                         new MembershipMessage.Probe(UPDATE, 7, "d2", updates),
-                        new MembershipMessage.ProbeAck(UPDATE, 8, updates),
+                        new MembershipMessage.ProbeAck(UPDATE, 8, 5, updates),
                         new MembershipMessage.ProbeRequest(UPDATE, 9, seed, updates),
                         new MembershipMessage.MembersRequest(UPDATE),
                         new MembershipMessage.MembersReply(UPDATE, updates))) {
@@ -118,7 +118,7 @@
         FailureDetector detector = FailureDetector.create(longest(0), DetectorSettings.DEFAULT, 1);
         for (int i = 1; i < 40; i++) {
             MemberUpdate sender = new MemberUpdate(longest(i), 1 << 30, MemberState.ALIVE);
-            detector.onMessage(0, new MembershipMessage.ProbeAck(sender, 1, ImmutableList.of()));
+            detector.onMessage(0, new MembershipMessage.ProbeAck(sender, 1, 0, ImmutableList.of()));
         }
         int sent = 0;
         for (long now = 0; now < 20_000_000_000L; now += 50_000_000L) {
--- a/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
@@ -51,10 +51,10 @@
     private static final int MAX_RELAYED = 256;
 
     /**
-     * Lists of members pulled after joining, each from another daemon. The second brings those who
-     * joined at the same time, when the first daemon asked did not know them yet.
+     * Part of the members that may be missing before the list is pulled, as a divisor. Gossip alone
+     * is slow when many daemons start together, because it carries a few updates a datagram.
      */
-    private static final int MEMBERS_PULLS = 2;
+    private static final int MISSING_DIVISOR = 50;
 
     /** Periods between two requests for a list of members. */
     private static final int MEMBERS_REQUEST_PERIODS = 10;
@@ -70,7 +70,7 @@
     private Optional<Outstanding> mProbe = Optional.empty();
     private ImmutableList.Builder<MembershipCommand> mOut = ImmutableList.builder();
     private boolean mStarted;
-    private int mMembersWanted = MEMBERS_PULLS;
+    private boolean mNeedsMembers = true;
     private Optional<Long> mMembersAskedNanos = Optional.empty();
     private long mNextPeriodNanos;
     private long mLastTickNanos;
@@ -166,7 +166,7 @@
         } else if (message instanceof MembersRequest) {
             send(message.sender(), new MembersReply(mSelf, mTable.live()));
         } else {
-            mMembersWanted = Math.max(0, mMembersWanted - 1);
+            mNeedsMembers = false;
         }
         return takeCommands();
     }
@@ -210,9 +210,7 @@
 
     private void onProbe(Probe probe) {
         if (probe.target().equals(mSelf.name())) {
-            send(
-                    probe.sender(),
-                    new ProbeAck(mSelf, probe.sequence(), updatesFor(probe.sender().name())));
+            send(probe.sender(), ack(probe.sequence(), updatesFor(probe.sender().name())));
         }
     }
 
@@ -223,15 +221,23 @@
         Relayed relayed = mRelayed.remove(ack.sequence());
         if (relayed != null) {
             ImmutableList<MemberUpdate> answer = ImmutableList.of(ack.sender());
-            mOut.add(
-                    new Send(relayed.requester(), new ProbeAck(mSelf, relayed.sequence(), answer)));
+            mOut.add(new Send(relayed.requester(), ack(relayed.sequence(), answer)));
         }
-        if (mMembersWanted > 0 && !hasAskedLately(nowNanos)) {
+        if ((mNeedsMembers || isFarBehind(ack)) && !hasAskedLately(nowNanos)) {
             mMembersAskedNanos = Optional.of(nowNanos);
             send(ack.sender(), new MembersRequest(mSelf));
         }
     }
 
+    private boolean isFarBehind(ProbeAck ack) {
+        int known = mTable.liveCount();
+        return ack.liveCount() - known > known / MISSING_DIVISOR;
+    }
+
+    private ProbeAck ack(long sequence, ImmutableList<MemberUpdate> updates) {
+        return new ProbeAck(mSelf, sequence, mTable.liveCount(), updates);
+    }
+
     private boolean hasAskedLately(long nowNanos) {
         long timeout = MEMBERS_REQUEST_PERIODS * mSettings.probePeriodNanos();
         return mMembersAskedNanos.filter(asked -> nowNanos - asked < timeout).isPresent();
@@ -394,9 +400,7 @@
         if (!aboutThisRun || !doubted || !current || mSelf.state() == MemberState.LEFT) {
             return;
         }
-        if (update.state() == MemberState.DEAD) {
-            mMembersWanted = MEMBERS_PULLS;
-        }
+        mNeedsMembers |= update.state() == MemberState.DEAD;
         mSelf = mSelf.refuting(update.refutation());
         mQueue.add(mSelf);
     }
--- a/decisions/src/main/java/org/geraniumusher/membership/MembershipMessage.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/MembershipMessage.java
@@ -36,8 +36,11 @@
      * Answers a probe, or passes on the answer to a probe made for the receiver.
      *
      * @param sequence number of the probe or of the probe request
+     * @param liveCount number of members that the sender holds alive or suspects; a receiver that
+     *     knows far fewer pulls the list
      */
-    record ProbeAck(MemberUpdate sender, long sequence, ImmutableList<MemberUpdate> updates)
+    record ProbeAck(
+            MemberUpdate sender, long sequence, int liveCount, ImmutableList<MemberUpdate> updates)
             implements MembershipMessage {
         /** Refuses nulls. */
         public ProbeAck {
@@ -58,7 +61,7 @@
         }
     }
 
-    /** Asks for all members; sent by a daemon that joins or was declared dead. */
+    /** Asks for all members; sent by a daemon that joins, was declared dead or knows too few. */
     record MembersRequest(MemberUpdate sender) implements MembershipMessage {
         /** Refuses nulls. */
         public MembersRequest {
--- a/decisions/src/test/java/org/geraniumusher/membership/FailureDetectorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/membership/FailureDetectorTest.java
@@ -88,7 +88,8 @@
         Probe probe = probes(mDetector.onTick(0)).get(0);
         mDetector.onTick(200 * MILLIS);
         Member helper = probe.target().equals("d1") ? THIRD : OTHER;
-        ProbeAck ack = new ProbeAck(MemberUpdate.of(helper), probe.sequence(), ImmutableList.of());
+        ProbeAck ack =
+                new ProbeAck(MemberUpdate.of(helper), probe.sequence(), 0, ImmutableList.of());
         mDetector.onMessage(300 * MILLIS, ack);
         assertThat(states(mDetector.onTick(500 * MILLIS))).isEmpty();
     }
@@ -126,7 +127,7 @@
     }
 
     private List<MembershipCommand> hear(MemberUpdate sender, ImmutableList<MemberUpdate> others) {
-        return mDetector.onMessage(0, new ProbeAck(sender, 0, others));
+        return mDetector.onMessage(0, new ProbeAck(sender, 0, 0, others));
     }
 
     private MemberState stateOf(Member member) {
