--- a/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
@@ -17,11 +17,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 
-import org.geraniumusher.admission.GateLoad;
 import org.geraniumusher.backend.UpstreamConnection;
 import org.geraniumusher.backend.UpstreamListener;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.routing.Dispatch;
+import org.geraniumusher.routing.GatewayReport;
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -173,10 +173,11 @@
     private final class Attempt implements UpstreamListener {
         private final Dispatch mDispatch;
         private UpstreamConnection mUpstream;
+        private long mConnectedNanos;
         private HttpResponse mHead;
         private ResultCode mNotRun;
         private boolean mUnknown;
-        private Optional<GateLoad> mLoad = Optional.empty();
+        private Optional<GatewayReport> mReport = Optional.empty();
 
         Attempt(Dispatch dispatch) {
             mDispatch = dispatch;
@@ -214,6 +215,7 @@
                 return;
             }
             mUpstream = upstream;
+            mConnectedNanos = mContext.clock().getAsLong();
             upstream.write(outgoingHead());
             mBody.copies().forEach(upstream::write);
             upstream.flush();
@@ -252,10 +254,11 @@
                 mResponseStarted = true;
                 boolean keepAlive = mConnection.keepsAlive(mRequest);
                 boolean reusable = ResponseRelay.isReusable(response, isHead());
-                mLoad = ResponseRelay.takeLoad(response);
+                mReport = ResponseRelay.takeReport(response);
                 ResponseRelay.prepareResponse(response, mRequest, mDispatch, keepAlive);
                 if (mContext.forwarded()) {
-                    ResponseRelay.addLoad(response, mDispatch);
+                    long serviceNanos = mContext.clock().getAsLong() - mConnectedNanos;
+                    ResponseRelay.addReport(response, mDispatch, serviceNanos);
                 }
                 mHead = reusable ? response : null;
                 mConnection.expectResponseTo(mRequest);
@@ -307,7 +310,7 @@
 
         private void finishResponse(HttpContent last) {
             boolean keepAlive = mBody.isComplete() && mConnection.keepsAlive(mRequest);
-            mContext.decisions().answered(mId, mLoad);
+            mContext.decisions().answered(mId, mReport);
             end();
             mInbound.writeAndFlush(last)
                     .addListener(
--- a/daemon/src/main/java/org/geraniumusher/caller/RequestDecisions.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/RequestDecisions.java
@@ -1,8 +1,8 @@
 package org.geraniumusher.caller;
 
-import org.geraniumusher.admission.GateLoad;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.routing.Dispatch;
+import org.geraniumusher.routing.GatewayReport;
 import org.geraniumusher.routing.RequestHead;
 
 import java.util.Optional;
@@ -26,9 +26,9 @@
     /**
      * Tells that a response came to its end.
      *
-     * @param load load that a gateway daemon told with the response
+     * @param report what a gateway daemon told with the response
      */
-    void answered(long id, Optional<GateLoad> load);
+    void answered(long id, Optional<GatewayReport> report);
 
     /** Tells that the caller has left or the deadline has passed; nothing more is expected. */
     void abandoned(long id);
--- a/daemon/src/main/java/org/geraniumusher/caller/ResponseRelay.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/ResponseRelay.java
@@ -12,13 +12,14 @@
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.routing.Dispatch;
+import org.geraniumusher.routing.GatewayReport;
 
 import java.util.Optional;
 import java.util.regex.Pattern;
 
 /** Rewrites the heads of requests and responses that pass the daemon. Thread-safe. */
 final class ResponseRelay {
-    private static final Pattern LOAD = Pattern.compile("\\d{1,6} \\d{1,6} \\d{1,6} \\d{1,15}");
+    private static final Pattern LOAD = Pattern.compile("(\\d{1,6} ){3}\\d{1,15} \\d{1,15}");
 
     /** Status of a backend server that holds no valid grant for the key of a request. */
     private static final int NOT_OWNER_STATUS = 421;
@@ -76,37 +77,37 @@
                         keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
     }
 
-    /** Adds the load of the gate to a response for the daemon that forwarded the request. */
-    static void addLoad(HttpResponse response, Dispatch dispatch) {
+    /** Adds the gateway's report to a response for the daemon that forwarded the request. */
+    static void addReport(HttpResponse response, Dispatch dispatch, long serviceNanos) {
         if (dispatch.via() instanceof Dispatch.Direct direct) {
             GateLoad load = direct.load();
-            response.headers()
-                    .set(
-                            HeaderNames.LOAD,
-                            load.running()
-                                    + " "
-                                    + load.queued()
-                                    + " "
-                                    + load.usableSlots()
-                                    + " "
-                                    + load.serviceNanos());
+            String text =
+                    String.format(
+                            "%d %d %d %d %d",
+                            load.running(),
+                            load.queued(),
+                            load.usableSlots(),
+                            load.serviceNanos(),
+                            serviceNanos);
+            response.headers().set(HeaderNames.LOAD, text);
         }
     }
 
-    /** Takes the load of the gate out of a response of a gateway daemon. */
-    static Optional<GateLoad> takeLoad(HttpResponse response) {
+    /** Takes the gateway's report out of a response. */
+    static Optional<GatewayReport> takeReport(HttpResponse response) {
         String text = response.headers().get(HeaderNames.LOAD, "");
         response.headers().remove(HeaderNames.LOAD);
         if (!LOAD.matcher(text).matches()) {
             return Optional.empty();
         }
         String[] parts = text.split(" ");
-        return Optional.of(
+        GateLoad load =
                 new GateLoad(
                         Integer.parseInt(parts[0]),
                         Integer.parseInt(parts[1]),
                         Math.max(1, Integer.parseInt(parts[2])),
-                        Long.parseLong(parts[3])));
+                        Long.parseLong(parts[3]));
+        return Optional.of(new GatewayReport(load, Long.parseLong(parts[4])));
     }
 
     /** Sets the header fields that a backend server or gateway daemon needs. */
--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -339,7 +339,7 @@
     private void onLiveChanged() {
         ImmutableList<Member> alive = mDetector.alive();
         Rendezvous live = Rendezvous.of(alive);
-        mDisseminator.onMembers(live);
+        mDisseminator.onMembers(live, mDetector.live());
         ImmutableList.Builder<LiveMember> members = ImmutableList.builder();
         alive.forEach(member -> members.add(toLiveMember(member)));
         if (mLeaving) {
--- a/daemon/src/main/java/org/geraniumusher/daemon/RequestDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/RequestDuty.java
@@ -3,13 +3,13 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.agrona.collections.Long2ObjectHashMap;
-import org.geraniumusher.admission.GateLoad;
 import org.geraniumusher.caller.RequestDecisions;
 import org.geraniumusher.http.HeaderNames;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.model.Route;
 import org.geraniumusher.routing.Dispatch;
 import org.geraniumusher.routing.ForwardedRequest;
+import org.geraniumusher.routing.GatewayReport;
 import org.geraniumusher.routing.RequestDecider;
 import org.geraniumusher.routing.RequestHead;
 import org.geraniumusher.routing.RequestOutputs;
@@ -71,11 +71,11 @@
     }
 
     @Override
-    public void answered(long id, Optional<GateLoad> load) {
+    public void answered(long id, Optional<GatewayReport> report) {
         hand(
                 () -> {
                     mPorts.remove(id);
-                    mDecider.onAnswered(mClock.getAsLong(), id, load);
+                    mDecider.onAnswered(mClock.getAsLong(), id, report);
                 });
     }
 
--- a/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
@@ -50,8 +50,14 @@
     /** Probes made for others that may wait for an answer at the same time. */
     private static final int MAX_RELAYED = 256;
 
-    /** Periods after which a list of members that did not arrive is asked for again. */
-    private static final int MEMBERS_TIMEOUT_PERIODS = 10;
+    /**
+     * Part of the members that may be missing before the list is pulled, as a divisor. Gossip alone
+     * is slow when many daemons start together, because it carries a few updates a datagram.
+     */
+    private static final int MISSING_DIVISOR = 50;
+
+    /** Periods between two requests for a list of members. */
+    private static final int MEMBERS_REQUEST_PERIODS = 10;
 
     private static final int SEED_TRIES = 8;
 
@@ -113,6 +119,16 @@
         return ImmutableList.<MemberUpdate>builder().add(mSelf).addAll(mTable.all()).build();
     }
 
+    /** Returns the members that are held alive or suspected, with this one unless it leaves. */
+    public ImmutableList<Member> live() {
+        ImmutableList.Builder<Member> live = ImmutableList.builder();
+        if (mSelf.state() == MemberState.ALIVE) {
+            live.add(mSelf.member());
+        }
+        mTable.live().forEach(update -> live.add(update.member()));
+        return live.build();
+    }
+
     /** Returns what is believed about a daemon, or empty when it is not known. */
     public Optional<MemberUpdate> find(String name) {
         return name.equals(mSelf.name()) ? Optional.of(mSelf) : mTable.find(name);
@@ -199,9 +215,7 @@
 
     private void onProbe(Probe probe) {
         if (probe.target().equals(mSelf.name())) {
-            send(
-                    probe.sender(),
-                    new ProbeAck(mSelf, probe.sequence(), updatesFor(probe.sender().name())));
+            send(probe.sender(), ack(probe.sequence(), updatesFor(probe.sender().name())));
         }
     }
 
@@ -212,17 +226,25 @@
         Relayed relayed = mRelayed.remove(ack.sequence());
         if (relayed != null) {
             ImmutableList<MemberUpdate> answer = ImmutableList.of(ack.sender());
-            mOut.add(
-                    new Send(relayed.requester(), new ProbeAck(mSelf, relayed.sequence(), answer)));
+            mOut.add(new Send(relayed.requester(), ack(relayed.sequence(), answer)));
         }
-        if (mNeedsMembers && !isMembersRequestOpen(nowNanos)) {
+        if ((mNeedsMembers || isFarBehind(ack)) && !hasAskedLately(nowNanos)) {
             mMembersAskedNanos = Optional.of(nowNanos);
             send(ack.sender(), new MembersRequest(mSelf));
         }
     }
 
-    private boolean isMembersRequestOpen(long nowNanos) {
-        long timeout = MEMBERS_TIMEOUT_PERIODS * mSettings.probePeriodNanos();
+    private boolean isFarBehind(ProbeAck ack) {
+        int known = mTable.liveCount();
+        return ack.liveCount() - known > known / MISSING_DIVISOR;
+    }
+
+    private ProbeAck ack(long sequence, ImmutableList<MemberUpdate> updates) {
+        return new ProbeAck(mSelf, sequence, mTable.liveCount(), updates);
+    }
+
+    private boolean hasAskedLately(long nowNanos) {
+        long timeout = MEMBERS_REQUEST_PERIODS * mSettings.probePeriodNanos();
         return mMembersAskedNanos.filter(asked -> nowNanos - asked < timeout).isPresent();
     }
 
@@ -377,7 +399,9 @@
     private void refute(MemberUpdate update) {
         boolean aboutThisRun = isSameMember(update, mSelf);
         boolean doubted = update.state() == MemberState.SUSPECT || !update.state().isLive();
-        boolean current = update.refutation() >= mSelf.refutation();
+        boolean current =
+                update.refutation() >= mSelf.refutation()
+                        && update.refutation() < MemberUpdate.MAX_REFUTATION;
         if (!aboutThisRun || !doubted || !current || mSelf.state() == MemberState.LEFT) {
             return;
         }
--- a/decisions/src/main/java/org/geraniumusher/routing/GateSet.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/GateSet.java
@@ -79,6 +79,13 @@
         return mEntries.containsKey(id);
     }
 
+    /** Returns what an entry daemon learns from the answer to a running request. */
+    GatewayReport reportOf(long nowNanos, long id) {
+        Entry entry = mEntries.get(id);
+        return new GatewayReport(
+                entry.mGate.mGate.load(), Math.max(0, nowNanos - entry.mSinceNanos));
+    }
+
     /** Returns the load of the gate of a request. */
     GateLoad loadOf(long id) {
         return mEntries.get(id).mGate.mGate.load();
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -158,14 +158,15 @@
     /**
      * Takes the end of a request that was answered.
      *
-     * @param load load that the gateway daemon told with the answer, if it was another daemon
+     * @param report what the gateway daemon told with the answer, if it was another daemon
      */
-    public void onAnswered(long nowNanos, long id, Optional<GateLoad> load) {
+    public void onAnswered(long nowNanos, long id, Optional<GatewayReport> report) {
         PendingRequest pending = mPending.remove(id);
         if (pending == null) {
             return;
         }
-        Optional<GateLoad> known = mGates.contains(id) ? Optional.of(mGates.loadOf(id)) : load;
+        Optional<GatewayReport> known =
+                mGates.contains(id) ? Optional.of(mGates.reportOf(nowNanos, id)) : report;
         carryOut(nowNanos, mGates.finished(nowNanos, id, Outcome.RAN));
         if (!pending.isForwarded()) {
             mOutputs.ended(pending.route(), true, nowNanos - pending.arrivalNanos());
@@ -186,7 +187,7 @@
             mOutputs.ended(pending.route(), false, nowNanos - pending.arrivalNanos());
         }
         if (!pending.isForwarded() && pending.endAttempt()) {
-            serviceView(pending.service()).failed(id, pending.serverName());
+            serviceView(pending.service()).cancelled(nowNanos, id, pending.serverName());
         }
     }
 
@@ -219,7 +220,8 @@
             return;
         }
         Optional<BackendServer> server =
-                serviceView(pending.service()).choose(nowNanos, pending.serverName());
+                serviceView(pending.service())
+                        .choose(nowNanos, pending.serverName(), pending.isIdempotent());
         if (server.isEmpty()) {
             refuse(nowNanos, pending, ResultCode.NO_BACKEND_SERVER, 0);
         } else {
@@ -311,7 +313,11 @@
         }
         ServiceView service = serviceView(pending.service());
         if (pending.endAttempt()) {
-            service.failed(pending.id(), pending.serverName());
+            if (failure.certainlyNotRun()) {
+                service.refused(pending.id(), pending.serverName());
+            } else {
+                service.cancelled(nowNanos, pending.id(), pending.serverName());
+            }
         }
         RetryVerdict verdict =
                 service.retries()
--- a/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
@@ -48,12 +48,12 @@
     }
 
     /** Chooses a server, another one than that of the last attempt where there is one. */
-    Optional<BackendServer> choose(long nowNanos, String lastServer) {
+    Optional<BackendServer> choose(long nowNanos, String lastServer, boolean idempotent) {
         ImmutableList<ServerView> others =
                 mCandidates.stream()
                         .filter(view -> !view.name().equals(lastServer))
                         .collect(ImmutableList.toImmutableList());
-        return mChooser.choose(others.isEmpty() ? mCandidates : others, nowNanos)
+        return mChooser.choose(others.isEmpty() ? mCandidates : others, idempotent, nowNanos)
                 .map(view -> mServers.get(view.name()));
     }
 
@@ -70,24 +70,40 @@
     }
 
     void answered(
-            long nowNanos, long id, String server, long latencyNanos, Optional<GateLoad> load) {
+            long nowNanos,
+            long id,
+            String server,
+            long latencyNanos,
+            Optional<GatewayReport> report) {
         ServerView view = mViews.get(server);
         if (view == null) {
             return;
         }
-        mStragglers.answered(server, id, nowNanos);
-        if (load.isPresent()) {
-            view.answered(latencyNanos, load.get(), nowNanos);
+        if (report.isPresent()) {
+            GateLoad load = report.get().load();
+            mStragglers.answered(server, id, report.get().serviceNanos(), load.queued());
+            view.answered(latencyNanos, load, nowNanos);
         } else {
+            mStragglers.refused(server, id);
             view.ended();
         }
     }
 
-    void failed(long id, String server) {
+    /** Takes the end of an attempt that never ran. */
+    void refused(long id, String server) {
         ServerView view = mViews.get(server);
         if (view != null) {
             view.ended();
-            mStragglers.abandoned(server, id);
+            mStragglers.refused(server, id);
+        }
+    }
+
+    /** Takes the end of an attempt whose answer is not awaited any more. */
+    void cancelled(long nowNanos, long id, String server) {
+        ServerView view = mViews.get(server);
+        if (view != null) {
+            view.ended();
+            mStragglers.cancelled(server, id, nowNanos);
         }
     }
 
