Report that an instance is gone also when its member was dead before

Cause: the failure detector is usually faster than the platform's list, so the certain end of a member, which ownership needs, was not reported.

Change: onInstanceGone reports its reason for members in every state.

--- a/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
+++ b/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
@@ -16,7 +16,6 @@
 import org.geraniumusher.dissemination.Versions;
 import org.geraniumusher.membership.Member;
 import org.geraniumusher.membership.MemberUpdate;
-import org.geraniumusher.membership.MembershipMessage;
 import org.geraniumusher.membership.MembershipMessage.Probe;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.DataCentre;
@@ -28,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -59,8 +59,8 @@
 
     @BeforeEach
     void start() {
-        mA.start(mMemberA, new Collector(mAtA));
-        mB.start(mMemberB, new Collector(mAtB));
+        mA.start(mMemberA, collector(mAtA));
+        mB.start(mMemberB, collector(mAtB));
     }
 
     @AfterEach
@@ -142,7 +142,7 @@
         mB.close();
         mA.send(mMemberB, pull);
         mB = PeerTransport.bind(mGroup, HOST, mMemberB.peerAddress().port(), mRegistry);
-        mB.start(mMemberB, new Collector(mAtB));
+        mB.start(mMemberB, collector(mAtB));
         Object got = null;
         for (int attempt = 0; attempt < 200 && got == null; attempt++) {
             mA.send(mMemberB, pull);
@@ -191,26 +191,16 @@
         return new Member(name, 1, "nadi-b", address, address, address);
     }
 
-    /** Collects what is delivered. */
-    private record Collector(BlockingQueue<Object> queue) implements PeerHandler {
-        @Override
-        public void onMembership(MembershipMessage message) {
-            queue.add(message);
-        }
-
-        @Override
-        public void onVersions(Member from, Versions versions) {
-            queue.add(versions);
-        }
-
-        @Override
-        public void onSync(Member from, SyncMessage message) {
-            queue.add(message);
-        }
-
-        @Override
-        public void onAuthority(Member from, AuthorityMessage message) {
-            queue.add(message);
-        }
+    /** Returns a handler that adds the last argument of each call to a queue. */
+    private static PeerHandler collector(BlockingQueue<Object> queue) {
+        Class<?>[] types = {PeerHandler.class};
+        return (PeerHandler)
+                Proxy.newProxyInstance(
+                        PeerHandler.class.getClassLoader(),
+                        types,
+                        (proxy, method, args) -> {
+                            queue.add(args[args.length - 1]);
+                            return null;
+                        });
     }
 }
--- a/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
@@ -185,18 +185,27 @@
     }
 
     /**
-     * Takes the platform's word that an instance is gone. The member is dead at once; should its
-     * process run nevertheless, it refutes.
+     * Takes the platform's word that an instance is gone. The member is dead at once, and the
+     * reason is reported even when it was dead before, because only this makes its end certain.
+     * Should its process run nevertheless, it refutes.
      */
     public ImmutableList<MembershipCommand> onInstanceGone(long nowNanos, String name) {
-        mTable.find(name)
-                .filter(update -> update.state().isLive())
+        Optional<MemberUpdate> known = mTable.find(name);
+        known.filter(update -> update.state().isLive())
                 .ifPresent(
                         update ->
                                 decide(
                                         nowNanos,
                                         update.withState(MemberState.DEAD),
                                         Reason.INSTANCE_GONE));
+        known.filter(update -> !update.state().isLive())
+                .ifPresent(
+                        update ->
+                                mOut.add(
+                                        new Changed(
+                                                update.member(),
+                                                update.state(),
+                                                Reason.INSTANCE_GONE)));
         return takeCommands();
     }
 
--- a/decisions/src/test/java/org/geraniumusher/dissemination/ConfigurationReplicaTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dissemination/ConfigurationReplicaTest.java
@@ -43,7 +43,7 @@
             source.apply(Delta.of(before, change.version(), ImmutableList.of(change)));
             messages.add(Delta.of(before, change.version(), ImmutableList.of(change)));
             messages.add(source.changesSince(random.nextInt((int) source.version() + 1)));
-            messages.add(new Snapshot(source.version(), lastOf(source)));
+            messages.add(source.changesSince(-1));
         }
         for (int i = 0; i < messages.size(); i++) {
             long before = replica.version();
@@ -166,12 +166,6 @@
         return model;
     }
 
-    private static ImmutableList<Change> lastOf(ConfigurationReplica source) {
-        return source.configuration().dataCentres().stream()
-                .map(dc -> Change.put(Long.parseLong(dc.labels().get("v").orElseThrow()), dc))
-                .collect(ImmutableList.toImmutableList());
-    }
-
     private static Change put(long version, String name, String label) {
         return Change.put(version, new DataCentre(name, "r", Labels.of("v", label)));
     }
--- a/decisions/src/test/java/org/geraniumusher/dissemination/DisseminatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dissemination/DisseminatorTest.java
@@ -29,8 +29,8 @@
 import java.util.stream.Collectors;
 
 /**
- * Guards against daemons that stay apart after loss, changes that wait for the store to return, and
- * a wait for a version that ends too early.
+ * Guards against daemons that stay apart after loss, versions that go back, changes that wait for
+ * the store to return, and a wait for a version that ends too early.
  */
 class DisseminatorTest {
     private static final String SERVICE = "catalogue";
@@ -163,12 +163,21 @@
                     Versions versions = mDaemons.get(by).versions();
                     mInFlight.add(() -> perform(to, target.onVersions(mNow, by, versions)));
                 } else {
-                    mInFlight.add(() -> perform(to, target.onMessage(mNow, by, send.message())));
+                    mInFlight.add(() -> deliver(by, to, send.message()));
                 }
             }
         }
     }
 
+    private void deliver(Member from, Member to, SyncMessage message) {
+        Disseminator target = mDaemons.get(to);
+        long configuration = target.configurationVersion();
+        long shard = target.shardVersion(SERVICE);
+        perform(to, target.onMessage(mNow, from, message));
+        assertThat(target.configurationVersion()).isAtLeast(configuration);
+        assertThat(target.shardVersion(SERVICE)).isAtLeast(shard);
+    }
+
     private List<Member> start(int count) {
         // jqwik keeps the test object over the tries of a property.
         mDaemons.clear();
--- a/decisions/src/test/java/org/geraniumusher/membership/FailureDetectorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/membership/FailureDetectorTest.java
@@ -17,8 +17,9 @@
 import java.util.stream.Stream;
 
 /**
- * Guards against a stale incarnation that revives a dead member, a suspicion that survives the
- * daemon's own pause, probes answered for another daemon, and updates repeated without bound.
+ * Guards against a stale incarnation that revives a dead member, a certain end that is not
+ * reported, a suspicion that survives the daemon's own pause, probes answered for another daemon,
+ * and updates repeated without bound.
  */
 class FailureDetectorTest {
     private static final long MILLIS = 1_000_000;
@@ -49,6 +50,14 @@
         assertThat(commands).contains(new Changed(OTHER, MemberState.ALIVE, Reason.REFUTED));
     }
 
+    @Test
+    void onInstanceGone_deadBefore_reasonReported() {
+        hear(OTHER);
+        Changed gone = new Changed(OTHER, MemberState.DEAD, Reason.INSTANCE_GONE);
+        assertThat(mDetector.onInstanceGone(0, OTHER.name())).containsExactly(gone);
+        assertThat(mDetector.onInstanceGone(0, OTHER.name())).containsExactly(gone);
+    }
+
     @Test
     void onMessage_leftMember_neverComesBackInItsIncarnation() {
         hear(OTHER);
@@ -69,7 +78,7 @@
     void onTick_noAnswer_asksOthersThenSuspectsThenDead() {
         hear(OTHER);
         hear(THIRD);
-        Probe probe = probes(mDetector.onTick(0)).get(0);
+        Probe probe = sent(mDetector.onTick(0), Probe.class).get(0);
         List<ProbeRequest> requests = sent(mDetector.onTick(200 * MILLIS), ProbeRequest.class);
         assertThat(requests).hasSize(1);
         assertThat(requests.get(0).target().name()).isEqualTo(probe.target());
@@ -85,7 +94,7 @@
     void onTick_indirectAnswer_noSuspicion() {
         hear(OTHER);
         hear(THIRD);
-        Probe probe = probes(mDetector.onTick(0)).get(0);
+        Probe probe = sent(mDetector.onTick(0), Probe.class).get(0);
         mDetector.onTick(200 * MILLIS);
         Member helper = probe.target().equals("d1") ? THIRD : OTHER;
         ProbeAck ack =
@@ -134,10 +143,6 @@
         return mDetector.find(member.name()).orElseThrow().state();
     }
 
-    private static List<Probe> probes(List<MembershipCommand> commands) {
-        return sent(commands, Probe.class);
-    }
-
     private static <T> List<T> sent(List<MembershipCommand> commands, Class<T> type) {
         Stream<Send> sends = commands.stream().filter(c -> c instanceof Send).map(c -> (Send) c);
         return sends.map(Send::message)
