Look up lost servers once per tick

Counting undecided slices looked each owner up in a sorted map, and moves were searched for when none was under way. Lost servers are now collected once per tick, and only a renewer counts.

--- a/decisions/src/main/java/org/geraniumusher/ownership/Releases.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/Releases.java
@@ -62,6 +62,11 @@
         mWarming.keySet().retainAll(warming);
     }
 
+    /** Reports whether some slice still names a previous owner. */
+    boolean isAnyMoving() {
+        return !mAssigned.isEmpty();
+    }
+
     /** Reports whether the owner of the slice may be granted it. */
     boolean isReleased(long nowNanos, Slice slice) {
         if (slice.previous().isEmpty() || mReleased.contains(slice.epoch())) {
--- a/decisions/src/main/java/org/geraniumusher/ownership/Servers.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/Servers.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.ownership;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedSet;
 
 import java.util.Collection;
@@ -57,6 +58,13 @@
         return server != null && nowNanos - server.mHeardNanos >= OwnershipTimes.SILENCE_NANOS;
     }
 
+    /** Returns the servers that count as lost. */
+    ImmutableSet<String> lost(long nowNanos) {
+        return mServers.keySet().stream()
+                .filter(s -> isLost(nowNanos, s))
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns the servers that may receive slices. */
     ImmutableSortedSet<String> receivers(long nowNanos) {
         ImmutableSortedSet.Builder<String> names = ImmutableSortedSet.naturalOrder();
--- a/decisions/src/main/java/org/geraniumusher/ownership/ShardMember.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/ShardMember.java
@@ -417,6 +417,9 @@
 
     /** Hurries the polls that end a move: of the previous owner, then of the new one. */
     private void release(long nowNanos) {
+        if (!mReleases.isAnyMoving()) {
+            return;
+        }
         for (Slice slice : slices()) {
             mReleases.hurriedServer(nowNanos, slice).ifPresent(s -> mServers.hurry(nowNanos, s));
         }
@@ -519,9 +522,11 @@
 
     private void countUndecided(long nowNanos, boolean mayWrite) {
         int count = 0;
-        for (Slice slice : slices()) {
-            boolean lost = !slice.hasOwner() || mServers.isLost(nowNanos, slice.owner());
-            count += lost && isRenewer(nowNanos) ? 1 : 0;
+        Set<String> lost = mServers.lost(nowNanos);
+        if (isRenewer(nowNanos)) {
+            for (Slice slice : slices()) {
+                count += !slice.hasOwner() || lost.contains(slice.owner()) ? 1 : 0;
+            }
         }
         if (count > 0 && mUndecided == 0) {
             log(count + " slices without a live owner, store " + (mayWrite ? "up" : "pending"));
@@ -532,9 +537,11 @@
     /** Answers the planner from what is known at one time. */
     private final class PresentFacts implements MovePlanner.Facts {
         private final long mNowNanos;
+        private final Set<String> mLost;
 
         PresentFacts(long nowNanos) {
             mNowNanos = nowNanos;
+            mLost = mServers.lost(nowNanos);
         }
 
         @Override
@@ -544,7 +551,7 @@
 
         @Override
         public boolean isLost(String server) {
-            return mServers.isLost(mNowNanos, server);
+            return mLost.contains(server);
         }
 
         @Override
