Test what cools a server and what cancelled requests prove

Cause: breaking each rule in a copy showed seven rules without a failing test: the four events of the gate that make a server cold, the lower bounds of cancelled requests in gate and view, and the limit of one probe to a straggler.

--- a/decisions/src/test/java/org/geraniumusher/admission/ServerGateTest.java
+++ b/decisions/src/test/java/org/geraniumusher/admission/ServerGateTest.java
@@ -18,9 +18,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Guards against a server that gets more than its slots, orders that wait for reads, requests that
@@ -149,6 +151,42 @@
         assertThat(gate.limitConcurrency(2, mNow)).containsExactly(new Dispatch(2));
     }
 
+    @Test
+    void events_thatTellOfColdServer_coolIt() {
+        List<Function<ServerGate, ImmutableList<Admission>>> events =
+                ImmutableList.of(
+                        gate -> gate.refusedByServer(1, mNow),
+                        gate -> gate.newIncarnation(mNow),
+                        gate -> gate.returnedToService(mNow),
+                        gate -> {
+                            gate.connectionReset(mNow);
+                            return gate.connectionReset(mNow);
+                        });
+        for (Function<ServerGate, ImmutableList<Admission>> event : events) {
+            SlowStart start = SlowStart.create(WarmUp.BY_WORK, 6, 2, Duration.ofSeconds(10), mNow);
+            ServerGate gate = ServerGate.create(start, 9);
+            gate.takeOverWarm(mNow);
+            mNow += 1_000 * MILLI;
+            read(gate, 1, 99_000);
+            assertThat(gate.usableSlots()).isEqualTo(6);
+            event.apply(gate);
+            assertThat(gate.usableSlots()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void finished_cancelledEarly_doesNotLowerEstimate() {
+        ServerGate gate = gate(1, 9);
+        read(gate, 1, 9_000);
+        finish(gate, 1, 50);
+        read(gate, 2, 9_000);
+        gate.finished(2, Outcome.UNKNOWN, MILLI, mNow);
+        assertThat(gate.load().serviceNanos()).isEqualTo(50 * MILLI);
+        read(gate, 3, 9_000);
+        gate.finished(3, Outcome.UNKNOWN, 500 * MILLI, mNow);
+        assertThat(gate.load().serviceNanos()).isGreaterThan(50 * MILLI);
+    }
+
     @Property(tries = 300)
     void anyEvents_slotsKeptAndOneVerdictEach(@ForAll long seed) {
         Random random = new Random(seed);
--- a/decisions/src/test/java/org/geraniumusher/admission/SlowStartTest.java
+++ b/decisions/src/test/java/org/geraniumusher/admission/SlowStartTest.java
@@ -106,7 +106,7 @@
     void recordLatency_coldServerRecoversUnderLessLoad_warmsUpSlowly() {
         warmUp();
         answers(100, 6);
-        while (mStart.isWarm()) {
+        for (int i = 0; i < 1_000 && mStart.isWarm(); i++) {
             answers(1, 20);
         }
         answers(300, 6);
--- a/decisions/src/test/java/org/geraniumusher/choice/ChoiceStrategyTest.java
+++ b/decisions/src/test/java/org/geraniumusher/choice/ChoiceStrategyTest.java
@@ -158,5 +158,21 @@
         }
         answer(servers.get(0), 2, 2, 60);
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
+        answer(servers.get(0), 0, 6, 60);
+        assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).containsKey("s0");
+        servers.get(0).sent();
+        assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
+    }
+
+    @Test
+    void cancelled_lateRequest_raisesLatency() {
+        ServerView server = servers(1).get(0);
+        answer(server, 0, 6, 6);
+        server.sent();
+        server.cancelled(MILLI, 0);
+        assertThat(server.latencyNanos(0)).isWithin(1).of(6 * MILLI);
+        server.sent();
+        server.cancelled(60 * MILLI, 0);
+        assertThat(server.latencyNanos(0)).isGreaterThan(10.0 * MILLI);
     }
 }
