Fence routers of backend servers that do not check grants

Cause: a gateway daemon that is cut off could go on sending to the former owner of a slice when that server does not check grants; ownership waits for the table leases, but nothing kept them.

--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -68,6 +68,7 @@
     private final Disseminator mDisseminator;
     private final OwnershipRunner mOwnership;
     private final StoreWatchControl mWatch;
+    private final TableConfirmations mConfirmations;
     private final AwaitedVersions mAwaited = new AwaitedVersions();
     private final Duty mDuty;
     private long mNextSeedNanos;
@@ -96,6 +97,9 @@
                 new OwnershipRunner(
                         new LiveMember(id, self.dataCentre()), clock, this, api, grants);
         mWatch = new StoreWatchControl(api, this);
+        mConfirmations =
+                new TableConfirmations(
+                        new TableConfirmations.Ports(this::memberOf, transport::send, consumers));
         mDuty =
                 Duty.start(
                         "control",
@@ -193,6 +197,8 @@
                                             ack.granted(),
                                             ack.knownVersion(),
                                             Optional.empty())));
+        } else if (message instanceof AuthorityMessage.TableConfirm confirm) {
+            run(() -> mConfirmations.onMessage(now(), from, confirm, mOwnership.members()));
         }
     }
 
@@ -282,6 +288,7 @@
         membership(mDetector.onTick(nowNanos));
         sync(mDisseminator.onTick(nowNanos));
         mOwnership.onTick();
+        mConfirmations.onTick(nowNanos, mOwnership.members());
         mWatch.setWanted(mDisseminator.isFeeder() && !mLeaving);
         if (nowNanos - mNextSeedNanos >= 0) {
             mNextSeedNanos = nowNanos + SEED_PERIOD_NANOS;
@@ -372,6 +379,7 @@
     private void onConfiguration(Configuration configuration) {
         LOG.atInfo().log("config: in force. version=%d", configuration.version());
         mOwnership.onConfiguration(configuration);
+        mConfirmations.onConfiguration(configuration);
         mConsumers.onConfiguration(configuration);
     }
 
@@ -409,6 +417,9 @@
         /** Takes the state of a shard. */
         void onShard(long version, ShardState state);
 
+        /** Takes the confirmation that a version of a table was current. */
+        void onTableLease(String service, long version, long untilNanos);
+
         /** Takes the table of gateway daemons. */
         void onGateways(GatewayDaemons gateways);
 
--- a/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
@@ -252,7 +252,12 @@
 
         @Override
         public void onShard(long version, ShardState state) {
-            mRequests.update(decider -> decider.onShard(state));
+            mRequests.update(decider -> decider.onShard(version, state));
+        }
+
+        @Override
+        public void onTableLease(String service, long version, long untilNanos) {
+            mRequests.update(d -> d.onTableLease(service, version, untilNanos));
         }
 
         @Override
--- a/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
@@ -218,6 +218,11 @@
                 mDeadlineNanos);
     }
 
+    /** Returns the epoch of the slice in the last attempt. */
+    long epoch() {
+        return mEpoch;
+    }
+
     BackendServer server() {
         return mServer;
     }
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -51,7 +51,7 @@
     private final Long2ObjectHashMap<PendingRequest> mPending = new Long2ObjectHashMap<>();
     private final PriorityQueue<Retry> mRetries =
             new PriorityQueue<>(Comparator.comparingLong(Retry::atNanos));
-    private final Map<String, ShardState> mShards = new HashMap<>();
+    private final TableLeases mTables = new TableLeases();
     private final Map<String, ServiceView> mServices = new HashMap<>();
     private final Map<Address, Long> mAvoidedUntil = new HashMap<>();
     private final GateSet mGates = new GateSet(WarmUp.BY_WORK);
@@ -82,9 +82,14 @@
         carryOut(nowNanos, mGates.onConfiguration(nowNanos, configuration));
     }
 
-    /** Replaces the state of a shard. */
-    public void onShard(ShardState state) {
-        mShards.put(state.service(), state);
+    /** Replaces the table of a keyed service by a newer version. */
+    public void onShard(long version, ShardState state) {
+        mTables.onShard(version, state);
+    }
+
+    /** Takes the confirmation that a version of a table was current, valid until a time. */
+    public void onTableLease(String service, long version, long untilNanos) {
+        mTables.onLease(service, version, untilNanos);
     }
 
     /** Replaces the table of gateway daemons. */
@@ -230,14 +235,10 @@
     }
 
     private void attemptAtOwner(long nowNanos, PendingRequest pending) {
-        ShardState shard = mShards.get(pending.service());
-        Slice slice = shard == null ? null : shard.sliceOf(pending.hash());
-        Optional<BackendServer> owner =
-                slice == null || !slice.hasOwner()
-                        ? Optional.empty()
-                        : mConfiguration.backendServer(slice.owner());
+        Optional<Slice> slice = mTables.sliceOf(pending.service(), pending.hash());
+        Optional<BackendServer> owner = slice.flatMap(s -> mConfiguration.backendServer(s.owner()));
         if (owner.isPresent()) {
-            attemptAt(nowNanos, pending, owner.get(), slice.epoch());
+            attemptAt(nowNanos, pending, owner.get(), slice.get().epoch());
         } else {
             pending.beginAttemptWithoutServer();
             failed(nowNanos, pending, Failure.NOT_OWNER, 0);
@@ -290,10 +291,7 @@
                 continue;
             }
             if (verdict instanceof Admission.Dispatch) {
-                Address address = pending.server().address();
-                GateLoad load = mGates.loadOf(pending.id());
-                mOutputs.dispatch(
-                        pending.id(), pending.toDispatch(new Dispatch.Direct(address, load)));
+                dispatch(nowNanos, pending);
             } else if (verdict instanceof Admission.Refused refused) {
                 mGates.refused(pending.id());
                 failed(
@@ -305,6 +303,22 @@
         }
     }
 
+    private void dispatch(long nowNanos, PendingRequest pending) {
+        if (pending.isKeyed() && !pending.server().fenced() && !isTableCurrent(nowNanos, pending)) {
+            carryOut(nowNanos, mGates.finished(nowNanos, pending.id(), Outcome.NOT_RUN));
+            failed(nowNanos, pending, Failure.NOT_OWNER, 0);
+            return;
+        }
+        Address address = pending.server().address();
+        GateLoad load = mGates.loadOf(pending.id());
+        mOutputs.dispatch(pending.id(), pending.toDispatch(new Dispatch.Direct(address, load)));
+    }
+
+    private boolean isTableCurrent(long nowNanos, PendingRequest pending) {
+        return mTables.permits(
+                nowNanos, pending.service(), pending.hash(), pending.serverName(), pending.epoch());
+    }
+
     private void failed(
             long nowNanos, PendingRequest pending, Failure failure, long retryAfterMillis) {
         if (pending.isForwarded()) {
--- a/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
+++ b/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
@@ -51,22 +51,22 @@
                     7);
 
     RequestDeciderTest() {
-        mDecider.onConfiguration(0, configuration());
+        mDecider.onConfiguration(0, configuration(true));
     }
 
     @Test
     void onNotRun_ownerMoves_requestReachesTheNewOwner() {
-        mDecider.onShard(shard("s1", 1));
+        mDecider.onShard(1, shard("s1", 1));
         arrive(1, "POST", "/k/a");
         mDecider.onNotRun(MILLI, 1, ResultCode.NO_OWNER, true);
-        mDecider.onShard(shard("s2", 2));
+        mDecider.onShard(2, shard("s2", 2));
         mDecider.onTick(20 * MILLI);
         assertThat(mOutputs).containsExactly("1 to s1/1", "1 to s2/2").inOrder();
     }
 
     @Test
     void onOutcomeUnknown_notIdempotent_neverSentAgain() {
-        mDecider.onShard(shard("s1", 1));
+        mDecider.onShard(1, shard("s1", 1));
         arrive(1, "POST", "/k/a");
         mDecider.onOutcomeUnknown(MILLI, 1, true);
         mDecider.onTick(1_000 * MILLI);
@@ -75,7 +75,7 @@
 
     @Test
     void onNotRun_afterUnknownOutcomeOfRead_saysUnknown() {
-        mDecider.onShard(shard("s1", 1));
+        mDecider.onShard(1, shard("s1", 1));
         for (int id = 100; id < 120; id++) {
             arrive(id, "GET", "/k/a");
             mDecider.onAnswered(0, id, Optional.empty());
@@ -92,14 +92,14 @@
     void onArrival_noOwner_waitsUntilThereIsOne() {
         arrive(1, "GET", "/k/a");
         assertThat(mOutputs).isEmpty();
-        mDecider.onShard(shard("s2", 4));
+        mDecider.onShard(4, shard("s2", 4));
         mDecider.onTick(100 * MILLI);
         assertThat(mOutputs).containsExactly("1 to s2/4");
     }
 
     @Test
     void onArrival_slotsTaken_waitsForAnEndThatIsAbandoned() {
-        mDecider.onShard(shard("s1", 1));
+        mDecider.onShard(1, shard("s1", 1));
         arrive(1, "GET", "/k/a");
         arrive(2, "GET", "/k/b");
         assertThat(mOutputs).containsExactly("1 to s1/1");
@@ -109,7 +109,7 @@
 
     @Test
     void onAbandoned_betweenAttempts_isAccepted() {
-        mDecider.onShard(shard("s1", 1));
+        mDecider.onShard(1, shard("s1", 1));
         arrive(1, "GET", "/k/a");
         mDecider.onNotRun(MILLI, 1, ResultCode.NO_OWNER, true);
         mDecider.onAbandoned(2 * MILLI, 1);
@@ -133,13 +133,31 @@
         Address first = new Address("127.0.0.1", 1);
         mDecider.onGateways(
                 (server, avoided) -> avoided.test(first) ? Optional.empty() : Optional.of(first));
-        mDecider.onShard(shard("s1", 1));
+        mDecider.onShard(1, shard("s1", 1));
         arrive(1, "POST", "/k/a");
         mDecider.onNotRun(MILLI, 1, ResultCode.CONNECT_FAILED, true);
         mDecider.onTick(20 * MILLI);
         assertThat(mGatewayUse).containsExactly(true, false).inOrder();
     }
 
+    @Test
+    void onArrival_unfencedServer_sentOnlyWhileTheTableIsConfirmed() {
+        mDecider.onConfiguration(0, configuration(false));
+        mDecider.onShard(4, shard("s1", 1));
+        arrive(1, "GET", "/k/a");
+        assertThat(mOutputs).isEmpty();
+        mDecider.onTableLease("svc", 4, 30 * MILLI);
+        mDecider.onTick(20 * MILLI);
+        assertThat(mOutputs).containsExactly("1 to s1/1");
+        mDecider.onAnswered(21 * MILLI, 1, Optional.empty());
+        mDecider.onArrival(
+                31 * MILLI, 2, new RouteTableTest.TestHead("GET", "h", "/k/a", ImmutableMap.of()));
+        mDecider.onShard(5, shard("s2", 2));
+        mDecider.onTableLease("svc", 4, 900 * MILLI);
+        mDecider.onTick(60 * MILLI);
+        assertThat(mOutputs).containsExactly("1 to s1/1");
+    }
+
     private void arrive(long id, String method, String uri) {
         mDecider.onArrival(0, id, new RouteTableTest.TestHead(method, "h", uri, ImmutableMap.of()));
     }
@@ -149,7 +167,7 @@
                 .withSlices(epoch, ImmutableList.of(new Slice(0, -1, owner, epoch, "", "")));
     }
 
-    private static Configuration configuration() {
+    private static Configuration configuration(boolean fenced) {
         Configuration configuration =
                 Configuration.of()
                         .with(1, new Service("svc", null, Selector.of(""), true, 1))
@@ -160,7 +178,7 @@
                     configuration.with(
                             2 + i,
                             new BackendServer(
-                                    "s" + i, address, "nadi-b", Labels.of(), 1, 1, 0, true));
+                                    "s" + i, address, "nadi-b", Labels.of(), 1, 1, 0, fenced));
         }
         return configuration;
     }
