--- a/decisions/src/main/java/org/geraniumusher/balance/HotKeyDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/balance/HotKeyDetector.java
@@ -24,7 +24,7 @@
     /** Share of its server's load from which a key is split off. */
     static final double SPLIT_SHARE = 0.15;
 
-    /** Share below which it is merged back; a third, so that a varying load does not alternate. */
+    /** Share up to which it is merged back; a third, so that a varying load does not alternate. */
     static final double MERGE_SHARE = 0.05;
 
     private static final long MISSING = -1;
@@ -128,7 +128,7 @@
 
     private static void addMerge(
             SliceLoad slice, double load, ImmutableList.Builder<HotKeyProposal> proposals) {
-        if (slice.requestsPerSecond() < MERGE_SHARE * load) {
+        if (slice.requestsPerSecond() <= MERGE_SHARE * load) {
             proposals.add(new HotKeyProposal.Merge(slice.slice().first()));
         }
     }
