--- a/decisions/src/main/java/org/geraniumusher/balance/HotKeyDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/balance/HotKeyDetector.java
@@ -18,7 +18,8 @@
  * <p>Memory is constant: {@code capacity} counters. Without decay, a key with more than 1/capacity
  * of the requests is always tracked, and its count minus its error never exceeds the true count.
  * {@link #decay} is called once a second and halves the past in {@code halfLifeSeconds}, so that a
- * key that cools is seen to. Not thread-safe.
+ * key that cools is seen to. The gateway daemon of a server sees all requests to it, so its counts
+ * compare with the server's load. Not thread-safe.
  */
 public final class HotKeyDetector {
     /** Share of its server's load from which a key is split off. */
