--- a/decisions/src/main/java/org/geraniumusher/balance/HotKeyDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/balance/HotKeyDetector.java
@@ -18,13 +18,14 @@
  * <p>Memory is constant: {@code capacity} counters. Without decay, a key with more than 1/capacity
  * of the requests is always tracked, and its count minus its error never exceeds the true count.
  * {@link #decay} is called once a second and halves the past in {@code halfLifeSeconds}, so that a
- * key that cools is seen to. Not thread-safe.
+ * key that cools is seen to. The gateway daemon of a server sees all requests to it, so its counts
+ * compare with the server's load. Not thread-safe.
  */
 public final class HotKeyDetector {
     /** Share of its server's load from which a key is split off. */
     static final double SPLIT_SHARE = 0.15;
 
-    /** Share below which it is merged back; a third, so that a varying load does not alternate. */
+    /** Share up to which it is merged back; a third, so that a varying load does not alternate. */
     static final double MERGE_SHARE = 0.05;
 
     private static final long MISSING = -1;
@@ -128,7 +129,7 @@
 
     private static void addMerge(
             SliceLoad slice, double load, ImmutableList.Builder<HotKeyProposal> proposals) {
-        if (slice.requestsPerSecond() < MERGE_SHARE * load) {
+        if (slice.requestsPerSecond() <= MERGE_SHARE * load) {
             proposals.add(new HotKeyProposal.Merge(slice.slice().first()));
         }
     }
