--- /dev/null
+++ b/experiments/src/main/java/org/geraniumusher/experiments/package-info.java
@@ -0,0 +1,2 @@
+/** Measures parts of the router. */
+package org.geraniumusher.experiments;
