Wait for the freed port in the test of a restarted peer

Cause: PeerTransportTest.send_peerRestarts_connectsAgain failed once in about ten runs with "Address already in use". Netty's close returns before the selector has released the socket, so an immediate bind can fail.

--- a/daemon/src/main/java/org/geraniumusher/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/PeerTransport.java
@@ -137,7 +137,7 @@
         sendDatagram(to.peerAddress(), fromSelf(PeerCodec.encode(message)));
     }
 
-    /** Closes the ports and all connections. */
+    /** Closes the ports and all connections. The selector frees the ports a moment later. */
     @Override
     public void close() {
         mStreams.close();
--- a/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
+++ b/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
@@ -135,13 +135,13 @@
     }
 
     @Test
-    void send_peerRestarts_connectsAgain() throws InterruptedException {
+    void send_peerRestarts_connectsAgain() throws Exception {
         SyncMessage.Pull pull = new SyncMessage.Pull(1, ImmutableMap.of());
         mA.send(mMemberB, pull);
         assertThat(next(mAtB)).isEqualTo(pull);
         mB.close();
         mA.send(mMemberB, pull);
-        mB = PeerTransport.bind(mGroup, HOST, mMemberB.peerAddress().port(), mRegistry);
+        mB = bindAgain(mMemberB.peerAddress().port());
         mB.start(mMemberB, collector(mAtB));
         Object got = null;
         for (int attempt = 0; attempt < 200 && got == null; attempt++) {
@@ -162,6 +162,20 @@
         awaitCount("peer.send-failed", 2);
     }
 
+    /** Binds a port as soon as the selector has let go of the closed sockets. */
+    private PeerTransport bindAgain(int port) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (true) {
+            try {
+                return PeerTransport.bind(mGroup, HOST, port, mRegistry);
+            } catch (Exception e) {
+                if (System.nanoTime() - end > 0) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     private void awaitCount(String name, long count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
         while (mRegistry.counter(name).getCount() < count && System.nanoTime() < end) {
