Raise no suspicion in a period in which this daemon was late

A stall shorter than the pause limit of 500 ms lets a probe period end while the answer waits in this daemon.

Change: a probe period in which two ticks were more than 250 ms apart raises no suspicion.

--- a/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/FailureDetector.java
@@ -72,6 +72,7 @@
     private boolean mStarted;
     private boolean mNeedsMembers = true;
     private Optional<Long> mMembersAskedNanos = Optional.empty();
+    private boolean mLate;
     private long mNextPeriodNanos;
     private long mLastTickNanos;
     private long mSequence;
@@ -129,13 +130,18 @@
         return name.equals(mSelf.name()) ? Optional.of(mSelf) : mTable.find(name);
     }
 
-    /** Acts on the passing of time; to be called several times in a probe period. */
+    /**
+     * Acts on the passing of time; to be called at least every 100 ms. A probe period in which two
+     * calls were further apart than half of it raises no suspicion, because the answer may wait in
+     * this daemon.
+     */
     public ImmutableList<MembershipCommand> onTick(long nowNanos) {
         boolean paused = mStarted && nowNanos - mLastTickNanos > mSettings.pauseNanos();
         if (!mStarted || paused) {
             mStarted = true;
             mNextPeriodNanos = nowNanos;
         }
+        mLate |= nowNanos - mLastTickNanos > mSettings.probePeriodNanos() / 2;
         mLastTickNanos = nowNanos;
         if (paused) {
             dropOwnSuspicions(nowNanos);
@@ -294,7 +300,8 @@
     private void endPeriod(long nowNanos) {
         Optional<Outstanding> probe = mProbe;
         mProbe = Optional.empty();
-        probe.flatMap(p -> mTable.find(p.target().name()))
+        probe.filter(p -> !mLate)
+                .flatMap(p -> mTable.find(p.target().name()))
                 .filter(update -> update.state() == MemberState.ALIVE)
                 .filter(update -> isUnchanged(update, probe.get().target()))
                 .ifPresent(
@@ -320,6 +327,7 @@
         if (mNextPeriodNanos - nowNanos <= 0) {
             mNextPeriodNanos = nowNanos + mSettings.probePeriodNanos();
         }
+        mLate = false;
         Optional<MemberUpdate> target = mTable.next();
         target.ifPresent(
                 update -> {
