--- a/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
@@ -9,6 +9,9 @@
 import org.geraniumusher.backend.GrantClient;
 import org.geraniumusher.model.BackendServer;
 import org.geraniumusher.model.Configuration;
+import org.geraniumusher.model.DataCentre;
+import org.geraniumusher.model.Kind;
+import org.geraniumusher.model.Selector;
 import org.geraniumusher.model.Service;
 import org.geraniumusher.model.ShardState;
 import org.geraniumusher.ownership.AuthorityAck;
@@ -76,6 +79,7 @@
             if (service.keyed()) {
                 keyed.add(service.name());
                 mMembers.computeIfAbsent(service.name(), name -> create(service));
+                run(service.name(), m -> m.onMembers(now(), participants(service.name())));
                 run(service.name(), m -> m.onServersChanged(now(), roles(service)));
             }
         }
@@ -85,7 +89,9 @@
     /** Tells the members which daemons are alive. */
     void onMembers(Collection<LiveMember> live) {
         mLive = ImmutableList.copyOf(live);
-        runAll(member -> member.onMembers(now(), mLive));
+        for (String service : ImmutableList.copyOf(mMembers.keySet())) {
+            run(service, member -> member.onMembers(now(), participants(service)));
+        }
     }
 
     /** Tells the members that a run of a daemon has certainly ended. */
@@ -106,8 +112,13 @@
         run(ack.service(), m -> m.onAuthorityAck(now(), ack));
     }
 
+    /** Moves time on for the services in which this daemon takes part. */
     void onTick() {
-        runAll(member -> member.onTick(now()));
+        for (String service : ImmutableList.copyOf(mMembers.keySet())) {
+            if (participants(service).contains(mSelf)) {
+                run(service, member -> member.onTick(now()));
+            }
+        }
     }
 
     /** Returns the members by service. */
@@ -120,22 +131,51 @@
     }
 
     private ShardMember create(Service service) {
-        ShardMember member =
-                ShardMember.builder(service.name(), mSelf).initialSlices(service.slices()).build();
-        carryOut(service.name(), member.onMembers(now(), mLive));
-        return member;
+        return ShardMember.builder(service.name(), mSelf).initialSlices(service.slices()).build();
+    }
+
+    /**
+     * Returns the live daemons in the regions of the service's backend servers. A group that spans
+     * regions would lose its majority whenever regions lose each other. Without a daemon there, all
+     * live daemons take part.
+     */
+    private ImmutableList<LiveMember> participants(String service) {
+        Set<String> regions = new HashSet<>();
+        for (BackendServer server : selected(service)) {
+            regions.add(regionOf(server.dataCentre()));
+        }
+        ImmutableList<LiveMember> near =
+                mLive.stream()
+                        .filter(member -> regions.contains(regionOf(member.dataCentre())))
+                        .collect(ImmutableList.toImmutableList());
+        return near.isEmpty() ? mLive : near;
+    }
+
+    private String regionOf(String dataCentre) {
+        return mConfiguration
+                .find(Kind.DATA_CENTRE, dataCentre)
+                .map(object -> ((DataCentre) object).region())
+                .orElse("");
+    }
+
+    private ImmutableList<BackendServer> selected(String service) {
+        Optional<Service> found = mConfiguration.service(service);
+        if (found.isEmpty()) {
+            return ImmutableList.of();
+        }
+        Selector selector = found.get().selector();
+        return mConfiguration.backendServers().stream()
+                .filter(server -> selector.matches(mConfiguration.effectiveLabels(server)))
+                .collect(ImmutableList.toImmutableList());
     }
 
     private List<ServerRole> roles(Service service) {
         Set<String> serving = new HashSet<>();
         mConfiguration.serversOf(service).forEach(server -> serving.add(server.name()));
         ImmutableList.Builder<ServerRole> roles = ImmutableList.builder();
-        for (BackendServer server : mConfiguration.backendServers()) {
-            boolean selected = service.selector().matches(mConfiguration.effectiveLabels(server));
-            if (selected) {
-                boolean isServing = serving.contains(server.name());
-                roles.add(new ServerRole(server.name(), server.fenced(), isServing));
-            }
+        for (BackendServer server : selected(service.name())) {
+            boolean isServing = serving.contains(server.name());
+            roles.add(new ServerRole(server.name(), server.fenced(), isServing));
         }
         return roles.build();
     }
--- a/experiments/src/main/java/org/geraniumusher/experiments/package-info.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/package-info.java
@@ -1,2 +1,5 @@
-/** Measures the decision modules with fake servers on a paused clock. */
+/**
+ * Measures decisions: policies on a paused clock, and what membership costs at different sizes.
+ * Every run is seeded.
+ */
 package org.geraniumusher.experiments;
