--- a/decisions/src/main/java/org/geraniumusher/admission/ServerGate.java
+++ b/decisions/src/main/java/org/geraniumusher/admission/ServerGate.java
@@ -65,7 +65,7 @@
         return new ServerGate(slowStart, queueCapacity);
     }
 
-    /** Decides on a new request; the first verdict is the one on it unless an earlier one waits. */
+    /** Decides on a new request; verdicts on waiting requests may come before the one on it. */
     public ImmutableList<Admission> submit(GateRequest request, long nowNanos) {
         checkNotNull(request, "request");
         checkArgument(!mRunning.contains(request.id()), "request %s runs already", request.id());
