Let requests that hang raise a server's latency estimate

Cause: in slow moments of 300 ms the router was behind least requests, which avoids a server as soon as an own request hangs there, while the estimate only learnt from answers. Change: the latency estimate is at least the mean age of the own requests in flight; the view takes the times of sending and the ages of ended requests.

--- a/decisions/src/main/java/org/geraniumusher/choice/ServerView.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/ServerView.java
@@ -27,6 +27,7 @@
     private final int mSlots;
     private int mUsableSlots;
     private int mInFlight;
+    private long mStartSumNanos;
     private int mOthers;
     private long mLoadNanos;
     private double mLatencyNanos;
@@ -62,15 +63,15 @@
     }
 
     /** Notes that a request was sent towards the server. */
-    public void sent() {
+    public void sent(long nowNanos) {
         mInFlight++;
+        mStartSumNanos += nowNanos;
     }
 
     /** Takes the end of a request by cancellation, whose age is a lower bound of its latency. */
     public void cancelled(long ageNanos, long nowNanos) {
-        checkArgument(ageNanos >= 0, "bad ageNanos: %s", ageNanos);
-        ended();
-        double old = latencyNanos(nowNanos);
+        ended(ageNanos, nowNanos);
+        double old = answeredNanos(nowNanos);
         if (old > 0 && ageNanos > old) {
             recordLatency(ageNanos, nowNanos);
         }
@@ -78,22 +79,23 @@
 
     /** Takes an answer, with the load that the gateway daemon told. */
     public void answered(long latencyNanos, GateLoad load, long nowNanos) {
-        checkArgument(latencyNanos >= 0, "bad latencyNanos: %s", latencyNanos);
-        ended();
+        ended(latencyNanos, nowNanos);
         recordLatency(latencyNanos, nowNanos);
         observe(load, nowNanos);
     }
 
     /** Takes a refusal by the gateway daemon, with its load. */
-    public void refused(GateLoad load, long nowNanos) {
-        ended();
+    public void refused(long ageNanos, GateLoad load, long nowNanos) {
+        ended(ageNanos, nowNanos);
         observe(load, nowNanos);
     }
 
     /** Takes the end of a request without an answer. */
-    public void ended() {
+    public void ended(long ageNanos, long nowNanos) {
+        checkArgument(ageNanos >= 0, "bad ageNanos: %s", ageNanos);
         checkArgument(mInFlight > 0, "no request in flight to %s", mName);
         mInFlight--;
+        mStartSumNanos -= nowNanos - ageNanos;
     }
 
     /** Takes a load figure from the server itself; larger means busier, the unit is its own. */
@@ -120,8 +122,16 @@
         return (mInFlight + others + 1) / mUsableSlots;
     }
 
-    /** Estimates the latency; 0 when unknown. */
+    /**
+     * Estimates the latency, at least the mean age of the requests in flight, which shows a server
+     * that hangs before it answers; 0 when unknown.
+     */
     double latencyNanos(long nowNanos) {
+        double age = mInFlight == 0 ? 0 : nowNanos - (double) mStartSumNanos / mInFlight;
+        return Math.max(age, answeredNanos(nowNanos));
+    }
+
+    private double answeredNanos(long nowNanos) {
         return mLatencyNanos * halved(nowNanos - mLatencyAtNanos, LATENCY_HALF_LIFE_NANOS);
     }
 
@@ -132,7 +142,7 @@
     }
 
     private void recordLatency(long latency, long now) {
-        double old = latencyNanos(now);
+        double old = answeredNanos(now);
         mLatencyNanos = old == 0 ? latency : old + (latency - old) * LATENCY_WEIGHT;
         mLatencyAtNanos = now;
     }
--- a/decisions/src/test/java/org/geraniumusher/choice/ChoiceStrategyTest.java
+++ b/decisions/src/test/java/org/geraniumusher/choice/ChoiceStrategyTest.java
@@ -31,7 +31,7 @@
     }
 
     private static void answer(ServerView server, int running, int usable, long millis) {
-        server.sent();
+        server.sent(-millis * MILLI);
         server.answered(millis * MILLI, new GateLoad(running, 0, usable, millis * MILLI), 0);
     }
 
@@ -60,7 +60,7 @@
             names = {"LEAST_REQUESTS", "POWER_OF_TWO", "TWO_CHOICES_LATENCY"})
     void choose_oneBusy_avoided(ChoiceStrategy strategy) {
         List<ServerView> servers = servers(4);
-        servers.get(0).sent();
+        servers.get(0).sent(0);
         assertThat(count(strategy, servers, 0)).doesNotContainKey("s0");
     }
 
@@ -76,7 +76,7 @@
                             ChoiceStrategy.TWO_CHOICES_LATENCY, new SplittableRandom(daemon));
             for (int i = 0; i < 12; i++) {
                 ServerView server = chooser.choose(servers, true, 10 * MILLI).orElseThrow();
-                server.sent();
+                server.sent(10 * MILLI);
                 first.merge(server.name(), 1, Integer::sum);
             }
         }
@@ -90,7 +90,7 @@
         answer(servers.get(1), 0, 6, 6);
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
         answer(servers.get(1), 0, 6, 6);
-        servers.get(1).sent();
+        servers.get(1).sent(4_994 * MILLI);
         servers.get(1).answered(6 * MILLI, new GateLoad(0, 0, 6, 0), 5_000 * MILLI);
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 5_000 * MILLI))
                 .containsKey("s0");
@@ -104,7 +104,7 @@
         ServerChooser chooser =
                 ServerChooser.create(ChoiceStrategy.TWO_CHOICES_LATENCY, new SplittableRandom(1));
         for (int i = 0; i < 8; i++) {
-            chooser.choose(servers, true, 0).orElseThrow().sent();
+            chooser.choose(servers, true, 0).orElseThrow().sent(0);
         }
         assertThat(servers.get(0).inFlight()).isEqualTo(2);
     }
@@ -113,7 +113,7 @@
     void choose_serverReportsNoLoadButOwnRequestsWait_ownObservationWins() {
         List<ServerView> servers = servers(2);
         servers.forEach(s -> answer(s, 0, 6, 6));
-        servers.get(0).sent();
+        servers.get(0).sent(0);
         servers.get(0).reported(0, 0);
         servers.get(1).reported(100, 0);
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
@@ -160,7 +160,7 @@
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
         answer(servers.get(0), 0, 6, 60);
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).containsKey("s0");
-        servers.get(0).sent();
+        servers.get(0).sent(0);
         assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 0)).doesNotContainKey("s0");
     }
 
@@ -168,11 +168,24 @@
     void cancelled_lateRequest_raisesLatency() {
         ServerView server = servers(1).get(0);
         answer(server, 0, 6, 6);
-        server.sent();
+        server.sent(-MILLI);
         server.cancelled(MILLI, 0);
         assertThat(server.latencyNanos(0)).isWithin(1).of(6 * MILLI);
-        server.sent();
+        server.sent(-60 * MILLI);
         server.cancelled(60 * MILLI, 0);
         assertThat(server.latencyNanos(0)).isGreaterThan(10.0 * MILLI);
     }
+
+    @Test
+    void choose_requestHangs_serverAvoidedBeforeItAnswers() {
+        List<ServerView> servers = servers(2);
+        servers.forEach(s -> answer(s, 0, 6, 6));
+        servers.forEach(s -> s.sent(0));
+        servers.get(1).sent(0);
+        servers.get(1).answered(20 * MILLI, new GateLoad(1, 0, 6, 0), 20 * MILLI);
+        servers.get(1).ended(20 * MILLI, 20 * MILLI);
+        servers.get(1).sent(19 * MILLI);
+        assertThat(count(ChoiceStrategy.TWO_CHOICES_LATENCY, servers, 20 * MILLI))
+                .doesNotContainKey("s0");
+    }
 }
--- a/experiments/src/main/java/org/geraniumusher/experiments/SimDaemon.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/SimDaemon.java
@@ -103,7 +103,8 @@
             return;
         }
         copy.close();
-        mViews.get(copy.server()).refused(load, mEvents.nowNanos());
+        long now = mEvents.nowNanos();
+        mViews.get(copy.server()).refused(now - copy.sentNanos(), load, now);
         mDetector.refused(name(copy), copy.id());
         failed(copy.call(), failure);
     }
@@ -113,7 +114,8 @@
             return;
         }
         copy.close();
-        mViews.get(copy.server()).ended();
+        long now = mEvents.nowNanos();
+        mViews.get(copy.server()).ended(now - copy.sentNanos(), now);
         mDetector.refused(name(copy), copy.id());
         failed(copy.call(), Failure.CONNECTION_LOST);
         copy.call().noteMayHaveRun();
@@ -129,7 +131,7 @@
         Copy copy = new Copy(mRun.nextId(), call, server, this, mEvents.nowNanos());
         call.copies().add(copy);
         mRun.results().sent(call);
-        chosen.get().sent();
+        chosen.get().sent(mEvents.nowNanos());
         mDetector.started(name(copy), copy.id(), mEvents.nowNanos());
         SimGateway gateway = mRun.gateway(server);
         mEvents.after(hopNanos(gateway.dataCentre()), () -> gateway.submit(copy));
