--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -192,7 +192,8 @@
             mOutputs.ended(pending.route(), false, nowNanos - pending.arrivalNanos());
         }
         if (!pending.isForwarded() && pending.endAttempt()) {
-            serviceView(pending.service()).cancelled(nowNanos, id, pending.serverName());
+            serviceView(pending.service())
+                    .cancelled(nowNanos, id, pending.serverName(), pending.sentNanos());
         }
     }
 
@@ -328,9 +329,10 @@
         ServiceView service = serviceView(pending.service());
         if (pending.endAttempt()) {
             if (failure.certainlyNotRun()) {
-                service.refused(pending.id(), pending.serverName());
+                service.refused(nowNanos, pending.id(), pending.serverName(), pending.sentNanos());
             } else {
-                service.cancelled(nowNanos, pending.id(), pending.serverName());
+                service.cancelled(
+                        nowNanos, pending.id(), pending.serverName(), pending.sentNanos());
             }
         }
         RetryVerdict verdict =
--- a/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
@@ -64,7 +64,7 @@
     void sent(long nowNanos, long id, String server) {
         ServerView view = mViews.get(server);
         if (view != null) {
-            view.sent();
+            view.sent(nowNanos);
             mStragglers.started(server, id, nowNanos);
         }
     }
@@ -85,24 +85,24 @@
             view.answered(latencyNanos, load, nowNanos);
         } else {
             mStragglers.refused(server, id);
-            view.ended();
+            view.ended(latencyNanos, nowNanos);
         }
     }
 
     /** Takes the end of an attempt that never ran. */
-    void refused(long id, String server) {
+    void refused(long nowNanos, long id, String server, long sentNanos) {
         ServerView view = mViews.get(server);
         if (view != null) {
-            view.ended();
+            view.ended(Math.max(0, nowNanos - sentNanos), nowNanos);
             mStragglers.refused(server, id);
         }
     }
 
     /** Takes the end of an attempt whose answer is not awaited any more. */
-    void cancelled(long nowNanos, long id, String server) {
+    void cancelled(long nowNanos, long id, String server, long sentNanos) {
         ServerView view = mViews.get(server);
         if (view != null) {
-            view.ended();
+            view.cancelled(Math.max(0, nowNanos - sentNanos), nowNanos);
             mStragglers.cancelled(server, id, nowNanos);
         }
     }
