Hold back requests to an unfenced server until its predecessor has lapsed

Cause: with the table leases alone, the gateway of the new owner sent at once after the move, while the gateway of the former owner could still hold a lease of the older table. Change: an unfenced server gets requests only when the table names no previous owner, which the coordinator clears after authority and leases have lapsed. Result: RequestDeciderTest.onArrival_unfencedServerWithPreviousOwner failed before (sent at once) and passes now.

--- a/decisions/src/main/java/org/geraniumusher/routing/TableLeases.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/TableLeases.java
@@ -13,7 +13,8 @@
  *
  * <p>For such a server the gateway daemon is fenced in place of the server: it sends a request only
  * while a member with authority has confirmed this very version of the table, and only when the
- * table names the server and the epoch of the request. Not thread-safe.
+ * table names the server and the epoch of the request and no previous owner that may still be used.
+ * Not thread-safe.
  */
 final class TableLeases {
     private final Map<String, Table> mTables = new HashMap<>();
@@ -47,6 +48,7 @@
         Slice slice = table.state().sliceOf(hash);
         return lease.version() == table.version()
                 && nowNanos - lease.untilNanos() < 0
+                && slice.previous().isEmpty()
                 && slice.owner().equals(server)
                 && slice.epoch() == epoch;
     }
--- a/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
+++ b/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
@@ -158,6 +158,21 @@
         assertThat(mOutputs).containsExactly("1 to s1/1");
     }
 
+    @Test
+    void onArrival_unfencedServerWithPreviousOwner_waitsUntilThatIsCleared() {
+        mDecider.onConfiguration(0, configuration(false));
+        Slice moved = new Slice(0, -1, "s2", 2, "s1", "");
+        mDecider.onShard(5, shard("s1", 1).withSlices(2, ImmutableList.of(moved)));
+        mDecider.onTableLease("svc", 5, 900 * MILLI);
+        arrive(1, "GET", "/k/a");
+        assertThat(mOutputs).isEmpty();
+        ImmutableList<Slice> cleared = ImmutableList.of(moved.withoutPrevious());
+        mDecider.onShard(6, shard("s1", 1).withSlices(2, cleared));
+        mDecider.onTableLease("svc", 6, 900 * MILLI);
+        mDecider.onTick(20 * MILLI);
+        assertThat(mOutputs).containsExactly("1 to s2/2");
+    }
+
     private void arrive(long id, String method, String uri) {
         mDecider.onArrival(0, id, new RouteTableTest.TestHead(method, "h", uri, ImmutableMap.of()));
     }
