--- a/standins/src/test/java/org/geraniumusher/standin/TestFleet.java
+++ b/standins/src/test/java/org/geraniumusher/standin/TestFleet.java
@@ -112,6 +112,11 @@
         return mBackends.get(name);
     }
 
+    /** Returns the configuration object of a backend server as the fleet wrote it first. */
+    public BackendServer server(String name) {
+        return mServers.get(name);
+    }
+
     /** Returns the names of the backend servers. */
     public ImmutableList<String> backendNames() {
         return ImmutableList.copyOf(mServers.keySet());
