Run daemon and tool from scripts, without library warnings

A new user had no command to start either program, although the pages name geraniumusherd and geraniumusher, and Metrics printed SLF4J's warning about a missing binding.

--- a/demo.sh
+++ b/demo.sh
@@ -3,7 +3,7 @@
 # sends requests through every daemon and stops the processes. With --keep it waits for Ctrl-C.
 set -euo pipefail
 cd "$(dirname "$0")"
-mvn -q -B -ntp -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/classpath.txt
+mvn -q -B -ntp -DskipTests package -pl standins,tool -am
 
 work=$(mktemp -d)
 pids=()
@@ -15,14 +15,18 @@
 trap stop EXIT
 trap 'exit 130' INT TERM
 
-classpath=standins/target/classes:tool/target/classes:$(cat standins/target/classpath.txt)
-run() { # NAME MAIN ARGS...
-  java -Xmx256m --add-opens java.base/jdk.internal.misc=ALL-UNNAMED -cp "$classpath" "${@:2}" >"$work/$1.log" 2>&1 &
+classpath=standins/target/classes:$(<standins/target/classpath.txt)
+export JAVA_OPTIONS=-Xmx256m
+run() { # NAME COMMAND...
+  "${@:2}" >"$work/$1.log" 2>&1 &
   pids+=($!)
 }
+stand_in() { # NAME MAIN ARGS...
+  run "$1" java -Xmx256m --add-opens java.base/jdk.internal.misc=ALL-UNNAMED -cp "$classpath" "${@:2}"
+}
 
 platform=127.0.0.1:17300
-run platform org.geraniumusher.standin.platform.PlatformMain $platform
+stand_in platform org.geraniumusher.standin.platform.PlatformMain $platform
 backends=()
 port=17500
 for spec in catalogue:6 firing:3 cleft-register:6 kiln-ledger:3; do
@@ -31,7 +35,7 @@
     port=$((port + 1))
   done
 done
-run backends org.geraniumusher.standin.backend.BackendMain "${backends[@]}"
+stand_in backends org.geraniumusher.standin.backend.BackendMain "${backends[@]}"
 
 daemons=()
 centres=(lautoka-a nadi-b latgale-a)
@@ -51,7 +55,7 @@
 operator = "127.0.0.1:$((base + 3))"
 platform = "$platform"
 TOML
-  run "entry-$i" org.geraniumusher.daemon.Main "$work/entry-$i.toml"
+  run "entry-$i" bin/geraniumusherd "$work/entry-$i.toml"
   daemons+=("127.0.0.1:$base")
 done
 
@@ -60,6 +64,8 @@
   exit 1
 fi
 if [ "${1:-}" = "--keep" ]; then
-  echo "logs are in $work; operator ports are 17403, 17413 and 17423; stop with Ctrl-C"
+  echo "logs are in $work; stop with Ctrl-C; to use the tool:"
+  echo "  export GERANIUMUSHER_DAEMON=127.0.0.1:17403,127.0.0.1:17413,127.0.0.1:17423"
+  echo "  bin/geraniumusher daemons"
   wait
 fi
