Log what a configuration change did and why slices move

During a drain the log said only "config: in force. version=97", twice at the daemon that took the change, and "moving 0 slices, preparing 21"; neither names the data centre or the reason. The second line is the same change arriving from the store's watch after the operator port, so the content is compared, not the version, which may rise without a change of content.

The config line names the changed objects, a further line lists the servers that left or returned with the label's object, and the ownership line names each server that slices leave and whether it is lost, out of service or only loaded.

--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -73,6 +73,7 @@
     private long mNextSeedNanos;
     private long mNextSnapshotNanos;
     private boolean mLeaving;
+    private Configuration mLogged = Configuration.of();
     private volatile ControlSnapshot mSnapshot = ControlSnapshot.empty();
 
     ControlDuty(
@@ -370,7 +371,9 @@
     }
 
     private void onConfiguration(Configuration configuration) {
-        LOG.atInfo().log("config: in force. version=%d", configuration.version());
+        ConfigurationLog.lines(mLogged, configuration)
+                .forEach(line -> LOG.atInfo().log("%s", line));
+        mLogged = configuration;
         mOwnership.onConfiguration(configuration);
         mConsumers.onConfiguration(configuration);
     }
--- a/decisions/src/main/java/org/geraniumusher/ownership/ShardMember.java
+++ b/decisions/src/main/java/org/geraniumusher/ownership/ShardMember.java
@@ -434,34 +434,29 @@
         }
         ShardState state = mKnown.get().state();
         if (isCoordinator()) {
-            write(planned(nowNanos, withLiveStandbys(nowNanos, state)));
+            write(nowNanos, planned(nowNanos, withLiveStandbys(nowNanos, state)));
         } else if (isTurnToTakeOver(nowNanos)) {
             log("taking over from " + state.coordinator() + " at term " + (state.term() + 1));
             List<MemberId> present = mGroup.contains(mSelf) ? mGroup : ImmutableList.of();
-            write(planned(nowNanos, takenOver(nowNanos, state, present)));
+            write(nowNanos, planned(nowNanos, takenOver(nowNanos, state, present)));
         }
     }
 
-    private void write(ShardState next) {
+    private void write(long nowNanos, ShardState next) {
         if (mKnown.isPresent() && next.equals(mKnown.get().state())) {
             return;
         }
-        logMoves(next);
+        logMoves(nowNanos, next);
         mCommands.add(mStore.write(knownVersion(), next));
     }
 
-    private void logMoves(ShardState next) {
-        int moved = 0;
-        int prepared = 0;
-        for (int i = 0; i < slices().size(); i++) {
-            Slice before = slices().get(i);
-            Slice after = next.slices().get(i);
-            moved += before.epoch() == after.epoch() ? 0 : 1;
-            prepared +=
-                    before.pending().equals(after.pending()) || after.pending().isEmpty() ? 0 : 1;
-        }
-        if (moved + prepared > 0) {
-            log("moving " + moved + " slices, preparing " + prepared);
+    private void logMoves(long nowNanos, ShardState next) {
+        ImmutableSortedSet<String> receivers = mServers.receivers(nowNanos);
+        MoveSummary summary =
+                new MoveSummary(s -> mServers.isLost(nowNanos, s), receivers::contains);
+        String text = summary.between(slices(), next);
+        if (!text.isEmpty()) {
+            log(text);
         }
     }
 
@@ -470,7 +465,7 @@
         if (nowNanos - mGroupSeenNanos >= turn) {
             log("creating the shard with " + mInitialSlices + " slices");
             ShardState empty = ShardState.create(mService, mInitialSlices);
-            write(planned(nowNanos, takenOver(nowNanos, empty, ImmutableList.of())));
+            write(nowNanos, planned(nowNanos, takenOver(nowNanos, empty, ImmutableList.of())));
         }
     }
 
