Show the unit of byte counters in /metrics

/metrics printed "peer.sent-bytes count 79069": plain counters always had the unit count, and the unit is taken from the end of the name after an underscore, which these names did not have. Counters now use the same rule as gauges, and the names use underscores like all others: peer.sent_bytes, peer.received_bytes, peer.send_failed. OperatorServerTest holds the unit.

--- a/daemon/src/main/java/org/geraniumusher/operator/MetricText.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/MetricText.java
@@ -15,9 +15,9 @@
 /**
  * Writes metrics as lines of name, unit and value, sorted by name.
  *
- * <p>The unit of a gauge or histogram is the end of its name after the last underscore when that is
- * {@code ns}, {@code ms}, {@code s}, {@code bytes} or {@code ratio}, otherwise {@code count};
- * timers are in {@code ns}, rates in {@code per_s}.
+ * <p>The unit of a gauge, counter or histogram is the end of its name after the last underscore
+ * when that is {@code ns}, {@code ms}, {@code s}, {@code bytes} or {@code ratio}, otherwise {@code
+ * count}; timers are in {@code ns}, rates in {@code per_s}.
  */
 final class MetricText {
     private final StringBuilder mText = new StringBuilder();
@@ -36,7 +36,8 @@
             line(name, unit, gauge.getValue());
         }
         if (metric instanceof Counting counting) {
-            line(metric instanceof Sampling ? name + ".count" : name, "count", counting.getCount());
+            boolean sampling = metric instanceof Sampling;
+            line(sampling ? name + ".count" : name, sampling ? "count" : unit, counting.getCount());
         }
         if (metric instanceof Metered metered) {
             line(name + ".rate_1m", "per_s", metered.getOneMinuteRate());
--- a/daemon/src/main/java/org/geraniumusher/peer/PeerMetrics.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/PeerMetrics.java
@@ -13,9 +13,9 @@
     private final Counter mOversized;
 
     PeerMetrics(MetricRegistry registry) {
-        mSentBytes = registry.counter("peer.sent-bytes");
-        mReceivedBytes = registry.counter("peer.received-bytes");
-        mSendFailed = registry.counter("peer.send-failed");
+        mSentBytes = registry.counter("peer.sent_bytes");
+        mReceivedBytes = registry.counter("peer.received_bytes");
+        mSendFailed = registry.counter("peer.send_failed");
         mDropped = registry.counter("peer.dropped");
         mMalformed = registry.counter("peer.malformed");
         mOversized = registry.counter("peer.oversized");
--- a/daemon/src/test/java/org/geraniumusher/operator/OperatorServerTest.java
+++ b/daemon/src/test/java/org/geraniumusher/operator/OperatorServerTest.java
@@ -162,7 +162,9 @@
     @Test
     void metrics_counter_isOneLine() {
         mMetrics.counter("ownership.undecided").inc(3);
-        assertThat(get("/metrics").text()).isEqualTo("ownership.undecided count 3\n");
+        mMetrics.counter("peer.sent_bytes").inc(4);
+        assertThat(get("/metrics").text())
+                .isEqualTo("ownership.undecided count 3\npeer.sent_bytes bytes 4\n");
     }
 
     private HttpReply put(long version, String writer, String region) {
--- a/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
+++ b/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
@@ -155,11 +155,11 @@
     void send_unknownAddress_countedQuietly() throws InterruptedException {
         Member nobody = member("n", new Address("not-a-number", 9));
         mB.send(nobody, new SyncMessage.VersionsRequest());
-        awaitCount("peer.send-failed", 1);
+        awaitCount("peer.send_failed", 1);
         Address closed = mA.address();
         mA.close();
         mB.send(member("a", closed), new SyncMessage.Pull(1, ImmutableMap.of()));
-        awaitCount("peer.send-failed", 2);
+        awaitCount("peer.send_failed", 2);
     }
 
     private void awaitCount(String name, long count) throws InterruptedException {
