Show the table versions of the daemon that answers

'geraniumusher daemons' showed '-' as the shards of the daemon asked, which looks like a daemon without tables: the disseminator keeps the versions of the others only. The view now takes the daemon's own from its shard members, and shows the role relay beside feeder.

--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
@@ -68,6 +68,9 @@
         if (member.equals(self) && disseminator.isFeeder()) {
             roles.add("feeder");
         }
+        if (member.equals(self) && disseminator.isRelay()) {
+            roles.add("relay");
+        }
         return new MemberStatus(
                 member.name(),
                 member.incarnation(),
@@ -75,10 +78,23 @@
                 member.dataCentre(),
                 versions.map(Versions::configuration).orElse(0L),
                 versions.map(v -> v.early().asList()).orElse(ImmutableList.of()),
-                versions.map(Versions::shards).orElse(ImmutableMap.of()),
+                member.equals(self)
+                        ? shardVersions(ownership)
+                        : versions.map(Versions::shards).orElse(ImmutableMap.of()),
                 roles.build());
     }
 
+    /** Returns this daemon's own versions; the disseminator only keeps those of the others. */
+    private static ImmutableMap<String, Long> shardVersions(OwnershipRunner ownership) {
+        ImmutableMap.Builder<String, Long> versions = ImmutableMap.builder();
+        ownership
+                .members()
+                .forEach(
+                        (service, shard) ->
+                                shard.known().ifPresent(k -> versions.put(service, k.version())));
+        return versions.buildOrThrow();
+    }
+
     private static void addRole(
             ImmutableList.Builder<String> roles, String service, ShardMember shard, String id) {
         if (shard.known().isEmpty()) {
--- a/decisions/src/main/java/org/geraniumusher/dissemination/Disseminator.java
+++ b/decisions/src/main/java/org/geraniumusher/dissemination/Disseminator.java
@@ -124,6 +124,11 @@
         return mAlive.feeders(regionOf(mSelf.dataCentre()), dataCentres).contains(mSelf);
     }
 
+    /** Reports whether this daemon passes changes on in its data centre. */
+    public boolean isRelay() {
+        return mAlive.relay(mSelf.dataCentre()).filter(mSelf::equals).isPresent();
+    }
+
     /** Returns the versions for the next datagrams; of many shards, other ones at each call. */
     public Versions versions() {
         List<Long> early = mConfiguration.early().asList();
@@ -376,7 +381,7 @@
                     origin == Origin.STORE ? dataCentresOfRegion() : liveDataCentres();
             dataCentres.forEach(name -> mAlive.relay(name).ifPresent(targets::add));
         }
-        if (mAlive.relay(mSelf.dataCentre()).filter(mSelf::equals).isPresent()) {
+        if (isRelay()) {
             targets.addAll(mAlive.membersOf(mSelf.dataCentre()));
         }
         targets.remove(mSelf);
