Exchange burn counts between daemons

'geraniumusher report burn' showed the counts of the daemon asked only, and they ended with it. Every daemon now sends its summary to two collectors, chosen alike by rendezvous hash over the live daemons, in two data centres where there are two: every 5 minutes, 2 s after the collectors change and at the end of a graceful stop, in a BurnSummary frame on the peer's TCP port. 79,633 bytes to two daemons in 5 minutes are 531 bytes a second at most. A stopping daemon, and a collector towards a new one, also hands on the counts of runs that have ended. The operator port of another daemon asks a collector, and the table names the number of daemons counted.

--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -7,6 +7,7 @@
 import com.google.common.flogger.FluentLogger;
 
 import org.geraniumusher.backend.GrantClient;
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.Change;
 import org.geraniumusher.dissemination.Disseminator;
 import org.geraniumusher.dissemination.SyncCommand;
@@ -41,6 +42,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -66,6 +68,8 @@
     private final Consumers mConsumers;
     private final FailureDetector mDetector;
     private final Disseminator mDisseminator;
+    private final ServiceLevels mLevels;
+    private final BurnExchange mBurn;
     private final OwnershipRunner mOwnership;
     private final StoreWatchControl mWatch;
     private final AwaitedVersions mAwaited = new AwaitedVersions();
@@ -84,6 +88,7 @@
             ObjectApi api,
             GrantClient grants,
             Consumers consumers,
+            ServiceLevels levels,
             MetricRegistry metrics) {
         mSettings = checkNotNull(settings);
         mSelf = checkNotNull(self);
@@ -92,6 +97,8 @@
         mConsumers = checkNotNull(consumers);
         mDetector = FailureDetector.create(self, DetectorSettings.DEFAULT, self.incarnation());
         mDisseminator = Disseminator.create(self);
+        mLevels = checkNotNull(levels);
+        mBurn = new BurnExchange(self, levels, transport::send);
         MemberId id = new MemberId(self.name(), self.incarnation());
         mOwnership =
                 new OwnershipRunner(
@@ -144,6 +151,17 @@
                 });
     }
 
+    /** Hands the counts of requests to the collectors; completes when they have been sent off. */
+    CompletableFuture<Void> handOver() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        run(
+                () -> {
+                    mBurn.onStop();
+                    done.complete(null);
+                });
+        return done;
+    }
+
     @Override
     public void close() {
         mWatch.close();
@@ -197,6 +215,11 @@
         }
     }
 
+    @Override
+    public void onBurnSummary(BurnSummary summary) {
+        run(() -> mLevels.accept(summary));
+    }
+
     @Override
     public void onSnapshot(ReadResult.Found snapshot) {
         run(
@@ -283,6 +306,7 @@
         membership(mDetector.onTick(nowNanos));
         sync(mDisseminator.onTick(nowNanos));
         mOwnership.onTick();
+        mBurn.onTick(nowNanos);
         mWatch.setWanted(mDisseminator.isFeeder() && !mLeaving);
         if (nowNanos - mNextSeedNanos >= 0) {
             mNextSeedNanos = nowNanos + SEED_PERIOD_NANOS;
@@ -291,7 +315,8 @@
         if (nowNanos - mNextSnapshotNanos >= 0) {
             mNextSnapshotNanos = nowNanos + SNAPSHOT_PERIOD_NANOS;
             mAwaited.expired(nowNanos).forEach(mDisseminator::onAwaitEnded);
-            mSnapshot = ControlSnapshot.of(mDetector, mDisseminator, mOwnership);
+            mSnapshot =
+                    ControlSnapshot.of(mDetector, mDisseminator, mOwnership, mBurn.collectors());
         }
         mTransport.setVersions(mDisseminator.versions());
     }
@@ -341,6 +366,11 @@
         ImmutableList<Member> alive = mDetector.alive();
         Rendezvous live = Rendezvous.of(alive);
         mDisseminator.onMembers(live, mDetector.live());
+        if (mBurn.onMembers(now(), live)) {
+            LOG.atInfo().log(
+                    "burn: collectors changed. daemons=%s",
+                    mBurn.collectors().stream().map(Member::name).toList());
+        }
         ImmutableList.Builder<LiveMember> members = ImmutableList.builder();
         alive.forEach(member -> members.add(toLiveMember(member)));
         if (mLeaving) {
--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
@@ -20,19 +20,25 @@
  * Holds what operators see of the duty control at one moment. Immutable and thread-safe.
  *
  * @param undecided slices that wait for the store or for a receiving server, over all services
+ * @param collectors daemons that collect the counts for the burn report
  */
 record ControlSnapshot(
         Configuration configuration,
         ImmutableList<MemberStatus> members,
         ImmutableMap<String, DaemonView.ShardSnapshot> shards,
-        int undecided) {
+        int undecided,
+        ImmutableList<Member> collectors) {
     static ControlSnapshot empty() {
-        return new ControlSnapshot(Configuration.of(), ImmutableList.of(), ImmutableMap.of(), 0);
+        return new ControlSnapshot(
+                Configuration.of(), ImmutableList.of(), ImmutableMap.of(), 0, ImmutableList.of());
     }
 
     /** Reads the decisions; called on their thread. */
     static ControlSnapshot of(
-            FailureDetector detector, Disseminator disseminator, OwnershipRunner ownership) {
+            FailureDetector detector,
+            Disseminator disseminator,
+            OwnershipRunner ownership,
+            ImmutableList<Member> collectors) {
         ImmutableMap.Builder<String, DaemonView.ShardSnapshot> shards = ImmutableMap.builder();
         int undecided = 0;
         for (var entry : ownership.members().entrySet()) {
@@ -52,7 +58,11 @@
                         .sorted(Comparator.comparing(MemberStatus::name))
                         .collect(ImmutableList.toImmutableList());
         return new ControlSnapshot(
-                disseminator.configuration(), members, shards.buildOrThrow(), undecided);
+                disseminator.configuration(),
+                members,
+                shards.buildOrThrow(),
+                undecided,
+                collectors);
     }
 
     private static MemberStatus toStatus(
--- a/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
@@ -50,6 +50,9 @@
     /** Time in which load balancers and other daemons learn that this daemon leaves. */
     private static final long LEAVE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /** Longest time for which the counts of requests delay the end of a graceful stop. */
+    private static final long HAND_OVER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final long DRAIN_POLL_MILLIS = 20;
 
     private final Settings mSettings;
@@ -65,6 +68,7 @@
     private final CallerServer mForwards;
     private final PeerTransport mTransport;
     private final ControlDuty mControl;
+    private final BurnReports mBurnReports;
     private final OperatorServer mOperator;
     private final AtomicBoolean mDraining = new AtomicBoolean();
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
@@ -107,7 +111,9 @@
                         api,
                         GrantClient.create(client),
                         new RequestConsumers(),
+                        mServiceLevels,
                         mMetrics);
+        mBurnReports = new BurnReports(settings.name(), client, mServiceLevels::report);
         mOperator =
                 OperatorServer.builder()
                         .name(settings.name())
@@ -173,12 +179,23 @@
             waiting = busy || mClock.getAsLong() - start < LEAVE_NANOS;
             pause();
         }
+        handOver();
         LOG.atInfo().log(
                 "daemon: graceful stop ends. name=%s requests_cut=%d",
                 mSettings.name(), mCallerContext.exchanges() + mForwardContext.exchanges());
         close();
     }
 
+    /** Sends the counts of requests to other daemons, as this one's memory ends here. */
+    private void handOver() {
+        CompletableFuture<Void> sent = mControl.handOver();
+        long start = mClock.getAsLong();
+        while (!(sent.isDone() && mTransport.isFlushed())
+                && mClock.getAsLong() - start < HAND_OVER_NANOS) {
+            pause();
+        }
+    }
+
     private static void pause() {
         try {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
@@ -300,5 +317,10 @@
         public BurnReport burn() {
             return mServiceLevels.report();
         }
+
+        @Override
+        public CompletableFuture<BurnReport> burnOfAll() {
+            return mBurnReports.ask(mControl.snapshot().collectors());
+        }
     }
 }
--- a/daemon/src/main/java/org/geraniumusher/daemon/ServiceLevels.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ServiceLevels.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import com.google.common.collect.ImmutableList;
 
 import org.geraniumusher.burn.BurnRates;
 import org.geraniumusher.burn.BurnReport;
@@ -79,6 +80,11 @@
         mRates.accept(summary, mMillisClock.getAsLong());
     }
 
+    /** Returns the kept summaries of other daemons and of former runs. */
+    synchronized ImmutableList<BurnSummary> others() {
+        return mRates.others();
+    }
+
     /** Returns the burn rates over all summaries known here. */
     synchronized BurnReport report() {
         return mRates.report(mObjectives, mMillisClock.getAsLong());
--- a/daemon/src/main/java/org/geraniumusher/operator/DaemonView.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/DaemonView.java
@@ -7,6 +7,7 @@
 import org.geraniumusher.model.ShardState;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Gives the operator port the state of this daemon as immutable snapshots. Implementations are
@@ -31,6 +32,11 @@
     /** Returns the burn rates over all daemons whose counts are known here. */
     BurnReport burn();
 
+    /** Returns the burn rates over all daemons; asks a daemon that collects them where needed. */
+    default CompletableFuture<BurnReport> burnOfAll() {
+        return CompletableFuture.completedFuture(burn());
+    }
+
     /** Says whether a daemon takes requests. */
     enum Readiness {
         /** No configuration has been received since the start. */
--- a/daemon/src/main/java/org/geraniumusher/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/OperatorServer.java
@@ -46,7 +46,7 @@
                         .put("/admin/owner", get(state::owner))
                         .put("/admin/daemons", get(state::daemons))
                         .put("/admin/assignments", get(state::assignments))
-                        .put("/admin/burn", get(state::burn))
+                        .put("/admin/burn", state::burn)
                         .put("/admin/in-force", get(state::inForce))
                         .put("/admin/drain-self", only("POST", this::drainSelf))
                         .buildOrThrow();
--- a/daemon/src/main/java/org/geraniumusher/operator/StateEndpoint.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/StateEndpoint.java
@@ -12,6 +12,7 @@
 import org.geraniumusher.operator.DaemonView.ShardSnapshot;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 /** Answers questions about the state of the daemon from its snapshots. Thread-safe. */
@@ -51,8 +52,14 @@
         return JsonReply.ok(new Replies.Daemons(mName, mView.members()));
     }
 
-    HttpReply burn(HttpCall call) {
-        return JsonReply.ok(mView.burn());
+    /** Answers for all daemons, or with {@code local} for those whose counts are known here. */
+    CompletableFuture<HttpReply> burn(HttpCall call) {
+        if (!call.method().equals("GET")) {
+            throw new IllegalArgumentException("bad method: " + call.method() + ", use GET");
+        }
+        return call.query("local").isPresent()
+                ? CompletableFuture.completedFuture(JsonReply.ok(mView.burn()))
+                : mView.burnOfAll().thenApply(JsonReply::ok);
     }
 
     HttpReply inForce(HttpCall call) {
--- a/daemon/src/main/java/org/geraniumusher/peer/PeerCodec.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/PeerCodec.java
@@ -1,5 +1,8 @@
 package org.geraniumusher.peer;
 
+import com.google.protobuf.ByteString;
+
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.membership.Member;
 import org.geraniumusher.peer.AuthorityMessage.AuthorityAck;
@@ -43,6 +46,12 @@
         return envelope;
     }
 
+    static Envelope.Builder encode(BurnSummary summary) {
+        Envelope.Builder envelope = Envelope.newBuilder();
+        envelope.getBurnSummaryBuilder().setEncoded(ByteString.copyFrom(summary.toBytes()));
+        return envelope;
+    }
+
     /** Returns the call of a handler that delivers an envelope. */
     static Delivery decode(Envelope envelope) {
         Member from = MemberCodec.decode(envelope.getSender()).member();
@@ -76,6 +85,10 @@
             case TABLE_CONFIRM:
                 AuthorityMessage authority = decodeAuthority(envelope, from);
                 return handler -> handler.onAuthority(from, authority);
+            case BURN_SUMMARY:
+                byte[] encoded = envelope.getBurnSummary().getEncoded().toByteArray();
+                BurnSummary summary = BurnSummary.fromBytes(encoded);
+                return handler -> handler.onBurnSummary(summary);
             default:
                 SyncMessage sync = SyncCodec.decode(envelope);
                 return handler -> handler.onSync(from, sync);
--- a/daemon/src/main/java/org/geraniumusher/peer/PeerHandler.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/PeerHandler.java
@@ -1,5 +1,6 @@
 package org.geraniumusher.peer;
 
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.dissemination.Versions;
 import org.geraniumusher.membership.Member;
@@ -21,4 +22,7 @@
 
     /** Takes a message about authority or a table. */
     void onAuthority(Member from, AuthorityMessage message);
+
+    /** Takes the counts of a daemon, which may have come through another. */
+    void onBurnSummary(BurnSummary summary);
 }
--- a/daemon/src/main/java/org/geraniumusher/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/PeerTransport.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.dissemination.Versions;
 import org.geraniumusher.membership.FailureDetector;
@@ -137,6 +138,16 @@
         sendDatagram(to.peerAddress(), fromSelf(PeerCodec.encode(message)));
     }
 
+    /** Sends counts of requests, which may be too large for a datagram. */
+    public void send(Member to, BurnSummary summary) {
+        sendStream(to.peerAddress(), fromSelf(PeerCodec.encode(summary)).build().toByteArray());
+    }
+
+    /** Reports whether no frame waits to be written to a connection. */
+    public boolean isFlushed() {
+        return mStreams.isFlushed();
+    }
+
     /** Closes the ports and all connections. */
     @Override
     public void close() {
--- a/daemon/src/main/java/org/geraniumusher/peer/StreamSender.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/StreamSender.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** Reports whether no frame waits to be written. */
+    boolean isFlushed() {
+        return mPendingBytes.get() == 0;
+    }
+
     /** Closes all connections; later messages are dropped. */
     void close() {
         mClosed = true;
--- a/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
+++ b/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
@@ -11,6 +11,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.geraniumusher.burn.BurnRates;
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.Change;
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.dissemination.Versions;
@@ -162,6 +164,17 @@
         awaitCount("peer.send_failed", 2);
     }
 
+    @Test
+    void send_largestBurnSummary_arrivesWhole() throws InterruptedException {
+        BurnRates rates = BurnRates.create("a", 1);
+        for (int i = 0; i < BurnSummary.MAX_ROUTES; i++) {
+            rates.record("r".repeat(BurnSummary.MAX_NAME_BYTES - 2) + (10 + i), 1, 2, 9_000_000);
+        }
+        BurnSummary summary = rates.summary(9_000_000);
+        mA.send(mMemberB, summary);
+        assertThat(next(mAtB)).isEqualTo(summary);
+    }
+
     private void awaitCount(String name, long count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
         while (mRegistry.counter(name).getCount() < count && System.nanoTime() < end) {
@@ -212,5 +225,10 @@
         public void onAuthority(Member from, AuthorityMessage message) {
             queue.add(message);
         }
+
+        @Override
+        public void onBurnSummary(BurnSummary summary) {
+            queue.add(summary);
+        }
     }
 }
--- a/decisions/src/main/java/org/geraniumusher/membership/Rendezvous.java
+++ b/decisions/src/main/java/org/geraniumusher/membership/Rendezvous.java
@@ -70,21 +70,32 @@
      * @param dataCentres data centres of the region
      */
     public ImmutableList<Member> feeders(String region, Set<String> dataCentres) {
-        long task = KeyHash.of("feeder/" + region);
         ImmutableList<Candidate> inRegion =
                 filter(mAll, c -> dataCentres.contains(c.mMember.dataCentre()));
-        Optional<Member> first = best(inRegion, task);
+        return pair(inRegion, KeyHash.of("feeder/" + region));
+    }
+
+    /**
+     * Returns up to two daemons that collect the counts for the burn report, the second in another
+     * data centre where there is one.
+     */
+    public ImmutableList<Member> burnCollectors() {
+        return pair(mAll, KeyHash.of("burn"));
+    }
+
+    private static ImmutableList<Member> pair(ImmutableList<Candidate> candidates, long task) {
+        Optional<Member> first = best(candidates, task);
         if (first.isEmpty()) {
             return ImmutableList.of();
         }
         String used = first.get().dataCentre();
         ImmutableList<Candidate> elsewhere =
-                filter(inRegion, c -> !c.mMember.dataCentre().equals(used));
+                filter(candidates, c -> !c.mMember.dataCentre().equals(used));
         ImmutableList<Candidate> rest =
-                elsewhere.isEmpty() ? filter(inRegion, c -> c.mMember != first.get()) : elsewhere;
-        ImmutableList.Builder<Member> feeders = ImmutableList.<Member>builder().add(first.get());
-        best(rest, task).ifPresent(feeders::add);
-        return feeders.build();
+                elsewhere.isEmpty() ? filter(candidates, c -> c.mMember != first.get()) : elsewhere;
+        ImmutableList.Builder<Member> chosen = ImmutableList.<Member>builder().add(first.get());
+        best(rest, task).ifPresent(chosen::add);
+        return chosen.build();
     }
 
     private static ImmutableList<Candidate> filter(
--- a/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
@@ -42,7 +42,7 @@
         return report.then(r -> writePage(r, html))
                 .map(
                         r -> {
-                            mContext.output().result(r, () -> toTable(r));
+                            mContext.output().result(r, () -> toText(r));
                             return r;
                         })
                 .findFailure();
@@ -119,6 +119,14 @@
         return table;
     }
 
+    /** Names the number of daemons, because a report without some of them looks complete. */
+    private static String toText(BurnReport report) {
+        return toTable(report)
+                + String.format(
+                        "counted by %d daemons in the last hour, %d requests not counted%n",
+                        report.sources(), report.untracked());
+    }
+
     private static Table toTable(BurnReport report) {
         Table table =
                 Table.of("ROUTE", "OBJECTIVE", "5 MIN", "1 H", "REQUESTS IN 1 H", "BAD", "ALERT");
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -213,6 +213,7 @@
         assertThat(run("report", "burn", "--html", page.toString())).isEqualTo(0);
 
         assertThat(out()).containsMatch("orders +0.9 +5.00 +5.00 +100 +50 +no");
+        assertThat(out()).contains("counted by 1 daemons in the last hour, 0 requests not counted");
         assertThat(Files.readString(page)).contains("orders</td>");
     }
 
