--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
@@ -20,19 +20,25 @@
  * Holds what operators see of the duty control at one moment. Immutable and thread-safe.
  *
  * @param undecided slices that wait for the store or for a receiving server, over all services
+ * @param collectors daemons that collect the counts for the burn report
  */
 record ControlSnapshot(
         Configuration configuration,
         ImmutableList<MemberStatus> members,
         ImmutableMap<String, DaemonView.ShardSnapshot> shards,
-        int undecided) {
+        int undecided,
+        ImmutableList<Member> collectors) {
     static ControlSnapshot empty() {
-        return new ControlSnapshot(Configuration.of(), ImmutableList.of(), ImmutableMap.of(), 0);
+        return new ControlSnapshot(
+                Configuration.of(), ImmutableList.of(), ImmutableMap.of(), 0, ImmutableList.of());
     }
 
     /** Reads the decisions; called on their thread. */
     static ControlSnapshot of(
-            FailureDetector detector, Disseminator disseminator, OwnershipRunner ownership) {
+            FailureDetector detector,
+            Disseminator disseminator,
+            OwnershipRunner ownership,
+            ImmutableList<Member> collectors) {
         ImmutableMap.Builder<String, DaemonView.ShardSnapshot> shards = ImmutableMap.builder();
         int undecided = 0;
         for (var entry : ownership.members().entrySet()) {
@@ -52,7 +58,11 @@
                         .sorted(Comparator.comparing(MemberStatus::name))
                         .collect(ImmutableList.toImmutableList());
         return new ControlSnapshot(
-                disseminator.configuration(), members, shards.buildOrThrow(), undecided);
+                disseminator.configuration(),
+                members,
+                shards.buildOrThrow(),
+                undecided,
+                collectors);
     }
 
     private static MemberStatus toStatus(
@@ -68,6 +78,9 @@
         if (member.equals(self) && disseminator.isFeeder()) {
             roles.add("feeder");
         }
+        if (member.equals(self) && disseminator.isRelay()) {
+            roles.add("relay");
+        }
         return new MemberStatus(
                 member.name(),
                 member.incarnation(),
@@ -75,10 +88,23 @@
                 member.dataCentre(),
                 versions.map(Versions::configuration).orElse(0L),
                 versions.map(v -> v.early().asList()).orElse(ImmutableList.of()),
-                versions.map(Versions::shards).orElse(ImmutableMap.of()),
+                member.equals(self)
+                        ? shardVersions(ownership)
+                        : versions.map(Versions::shards).orElse(ImmutableMap.of()),
                 roles.build());
     }
 
+    /** Returns this daemon's own versions; the disseminator only keeps those of the others. */
+    private static ImmutableMap<String, Long> shardVersions(OwnershipRunner ownership) {
+        ImmutableMap.Builder<String, Long> versions = ImmutableMap.builder();
+        ownership
+                .members()
+                .forEach(
+                        (service, shard) ->
+                                shard.known().ifPresent(k -> versions.put(service, k.version())));
+        return versions.buildOrThrow();
+    }
+
     private static void addRole(
             ImmutableList.Builder<String> roles, String service, ShardMember shard, String id) {
         if (shard.known().isEmpty()) {
--- a/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
+++ b/daemon/src/test/java/org/geraniumusher/peer/PeerTransportTest.java
@@ -11,6 +11,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.geraniumusher.burn.BurnRates;
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.Change;
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.dissemination.Versions;
@@ -155,11 +157,22 @@
     void send_unknownAddress_countedQuietly() throws InterruptedException {
         Member nobody = member("n", new Address("not-a-number", 9));
         mB.send(nobody, new SyncMessage.VersionsRequest());
-        awaitCount("peer.send-failed", 1);
+        awaitCount("peer.send_failed", 1);
         Address closed = mA.address();
         mA.close();
         mB.send(member("a", closed), new SyncMessage.Pull(1, ImmutableMap.of()));
-        awaitCount("peer.send-failed", 2);
+        awaitCount("peer.send_failed", 2);
+    }
+
+    @Test
+    void send_largestBurnSummary_arrivesWhole() throws InterruptedException {
+        BurnRates rates = BurnRates.create("a", 1);
+        for (int i = 0; i < BurnSummary.MAX_ROUTES; i++) {
+            rates.record("r".repeat(BurnSummary.MAX_NAME_BYTES - 2) + (10 + i), 1, 2, 9_000_000);
+        }
+        BurnSummary summary = rates.summary(9_000_000);
+        mA.send(mMemberB, summary);
+        assertThat(next(mAtB)).isEqualTo(summary);
     }
 
     /** Binds a port as soon as the selector has let go of the closed sockets. */
--- a/experiments/src/main/java/org/geraniumusher/experiments/MembershipCost.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/MembershipCost.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.dissemination.Versions;
 import org.geraniumusher.membership.DetectorSettings;
@@ -219,6 +220,9 @@
             // Only the failure detector is measured.
         }
 
+        @Override
+        public void onBurnSummary(BurnSummary summary) {}
+
         @Override
         public void onAuthority(Member from, AuthorityMessage message) {
             // Only the failure detector is measured.
