--- a/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -70,12 +70,32 @@
 
     /** Makes a call; fails the future on connection errors and when {@code timeout} passes. */
     public CompletableFuture<HttpReply> call(Address address, HttpCall call, Duration timeout) {
-        CompletableFuture<HttpReply> future = new CompletableFuture<>();
         Optional<ReplyHandler> idle = takeIdle(address);
-        if (idle.isPresent()) {
-            idle.get().send(address, call, timeout, future);
-            return future;
+        if (idle.isEmpty()) {
+            return callOnNew(address, call, timeout);
+        }
+        CompletableFuture<HttpReply> future = new CompletableFuture<>();
+        idle.get().send(address, call, timeout, future);
+        return call.method().equals("GET")
+                ? future.handle((reply, error) -> orOnNew(reply, error, address, call, timeout))
+                        .thenCompose(result -> result)
+                : future;
+    }
+
+    /** A peer that was restarted has closed the idle connections; reading again does no harm. */
+    private CompletableFuture<HttpReply> orOnNew(
+            HttpReply reply, Throwable error, Address address, HttpCall call, Duration timeout) {
+        if (error == null) {
+            return CompletableFuture.completedFuture(reply);
         }
+        return error instanceof IOException
+                ? callOnNew(address, call, timeout)
+                : CompletableFuture.failedFuture(error);
+    }
+
+    private CompletableFuture<HttpReply> callOnNew(
+            Address address, HttpCall call, Duration timeout) {
+        CompletableFuture<HttpReply> future = new CompletableFuture<>();
         ReplyHandler handler = new ReplyHandler(this::putIdle);
         ChannelFuture connecting =
                 open(
