Rewrite message heads without formats and streams

Every request and response passes ResponseRelay, which built its header values with String.format and collected the hop-by-hop fields in a list and a stream. The hash is now written by HexFormat, the load report by concatenation, and the fields are removed one by one.

A Connection field that names transfer-encoding or content-length twice no longer removes that field, which would change where the message ends.

--- a/daemon/src/main/java/org/geraniumusher/caller/ResponseRelay.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/ResponseRelay.java
@@ -14,6 +14,7 @@
 import org.geraniumusher.routing.Dispatch;
 import org.geraniumusher.routing.GatewayReport;
 
+import java.util.HexFormat;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -82,13 +83,15 @@
         if (dispatch.via() instanceof Dispatch.Direct direct) {
             GateLoad load = direct.load();
             String text =
-                    String.format(
-                            "%d %d %d %d %d",
-                            load.running(),
-                            load.queued(),
-                            load.usableSlots(),
-                            load.serviceNanos(),
-                            serviceNanos);
+                    load.running()
+                            + " "
+                            + load.queued()
+                            + " "
+                            + load.usableSlots()
+                            + " "
+                            + load.serviceNanos()
+                            + " "
+                            + serviceNanos;
             response.headers().set(HeaderNames.LOAD, text);
         }
     }
@@ -121,7 +124,7 @@
                 .set(HeaderNames.DEADLINE_MILLIS, leftMillis);
         if (dispatch.keyed()) {
             request.headers()
-                    .set(HeaderNames.HASH, String.format("%016x", dispatch.hash()))
+                    .set(HeaderNames.HASH, HexFormat.of().toHexDigits(dispatch.hash()))
                     .set(HeaderNames.EPOCH, dispatch.epoch());
         }
         if (dispatch.via() instanceof Dispatch.Gateway) {
--- a/daemon/src/main/java/org/geraniumusher/http/HeaderNames.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HeaderNames.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 
@@ -59,19 +58,30 @@
                     "proxy-authorization",
                     "expect");
 
+    /** A message without these fields would be cut differently at the next hop. */
+    private static final ImmutableSet<String> FRAMING =
+            ImmutableSet.of("transfer-encoding", "content-length");
+
     private HeaderNames() {}
 
     /** Removes the fields that must not pass a proxy, and those that Connection names. */
     public static void removeHopByHop(HttpHeaders headers) {
-        List<String> remove = new ArrayList<>(HOP_BY_HOP);
-        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
-            for (String name : value.split(",")) {
-                remove.add(name.strip().toLowerCase(Locale.ROOT));
+        List<String> connection = headers.getAll(HttpHeaderNames.CONNECTION);
+        for (String name : HOP_BY_HOP) {
+            headers.remove(name);
+        }
+        for (String value : connection) {
+            removeNamed(headers, value);
+        }
+    }
+
+    private static void removeNamed(HttpHeaders headers, String names) {
+        for (String part : names.split(",")) {
+            String name = part.strip().toLowerCase(Locale.ROOT);
+            if (!name.isEmpty() && !FRAMING.contains(name)) {
+                headers.remove(name);
             }
         }
-        remove.remove("transfer-encoding");
-        remove.remove("content-length");
-        remove.stream().filter(name -> !name.isEmpty()).forEach(headers::remove);
     }
 
     /** Removes all header fields of the project. */
