Put the labels of a server together once per configuration

RequestDecider.onConfiguration asked for the servers of every service, and every call put together the labels of every backend server twice. The decision thread stands still meanwhile. Configuration.serversByService does it once for each server.

--- a/decisions/src/main/java/org/geraniumusher/model/Configuration.java
+++ b/decisions/src/main/java/org/geraniumusher/model/Configuration.java
@@ -3,9 +3,12 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
 
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -107,7 +110,10 @@
 
     /** Reports whether neither the server nor its data centre is labelled {@code serving=false}. */
     public boolean isServing(BackendServer server) {
-        Labels labels = effectiveLabels(server);
+        return isServing(effectiveLabels(server));
+    }
+
+    private static boolean isServing(Labels labels) {
         return !labels.get(SERVING_LABEL).equals(Optional.of("false"))
                 && !labels.get(DATA_CENTRE_LABEL + "/" + SERVING_LABEL)
                         .equals(Optional.of("false"));
@@ -121,6 +127,32 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * Returns what {@link #serversOf} returns for every service, by the name of the service. The
+     * labels of a server are put together once, not once for each service.
+     */
+    public ImmutableListMultimap<String, BackendServer> serversByService() {
+        List<Labelled> serving = new ArrayList<>();
+        for (BackendServer server : backendServers()) {
+            Labels labels = effectiveLabels(server);
+            if (isServing(labels)) {
+                serving.add(new Labelled(server, labels));
+            }
+        }
+        ImmutableListMultimap.Builder<String, BackendServer> servers =
+                ImmutableListMultimap.builder();
+        for (Service service : services()) {
+            for (Labelled candidate : serving) {
+                if (service.selector().matches(candidate.labels())) {
+                    servers.put(service.name(), candidate.server());
+                }
+            }
+        }
+        return servers.build();
+    }
+
+    private record Labelled(BackendServer server, Labels labels) {}
+
     private Configuration withKind(long newVersion, Kind kind, Map<String, ConfigObject> values) {
         checkArgument(newVersion > version, "version %s after %s", newVersion, version);
         Map<Kind, ImmutableMap<String, ConfigObject>> copy = new EnumMap<>(Kind.class);
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -76,8 +76,9 @@
     public void onConfiguration(long nowNanos, Configuration configuration) {
         mConfiguration = configuration;
         mRoutes = RouteTable.of(configuration);
+        var servers = configuration.serversByService();
         for (Service service : configuration.services()) {
-            serviceView(service.name()).setServers(configuration.serversOf(service));
+            serviceView(service.name()).setServers(servers.get(service.name()));
         }
         carryOut(nowNanos, mGates.onConfiguration(nowNanos, configuration));
     }
--- a/decisions/src/test/java/org/geraniumusher/model/ConfigurationTest.java
+++ b/decisions/src/test/java/org/geraniumusher/model/ConfigurationTest.java
@@ -30,6 +30,26 @@
         assertThat(drained.serversOf(CATALOGUE)).isEmpty();
     }
 
+    /** Guards against a list of all services that differs from the list of one service. */
+    @Test
+    void serversByService_equalsServersOfEachService() {
+        Service other = new Service("other", null, Selector.of("region=viti-west"), false, null);
+        BackendServer stopped =
+                BackendServer.of(
+                        "c2",
+                        Address.of("127.0.0.1:9002"),
+                        "nadi-b",
+                        Labels.of("app", "catalogue").with("serving", "false"));
+        Configuration both = CONFIGURATION.with(3, CATALOGUE).with(4, other).with(5, stopped);
+
+        assertThat(both.serversByService().get("other")).isEqualTo(both.serversOf(other));
+        assertThat(both.serversByService().get("catalogue")).isEqualTo(both.serversOf(CATALOGUE));
+        assertThat(both.serversOf(other)).hasSize(1);
+        Configuration drained =
+                both.with(6, new DataCentre("nadi-b", "viti-west", Labels.of("serving", "false")));
+        assertThat(drained.serversByService()).isEmpty();
+    }
+
     @Test
     void with_olderVersion_refused() {
         assertThrows(IllegalArgumentException.class, () -> CONFIGURATION.with(2, CATALOGUE));
