--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
@@ -1,7 +1,9 @@
 package org.geraniumusher.daemon;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 
 import org.geraniumusher.dissemination.Disseminator;
 import org.geraniumusher.dissemination.Versions;
@@ -9,6 +11,7 @@
 import org.geraniumusher.membership.Member;
 import org.geraniumusher.membership.MemberUpdate;
 import org.geraniumusher.model.Configuration;
+import org.geraniumusher.model.ShardState;
 import org.geraniumusher.operator.DaemonView;
 import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.ownership.ShardMember;
@@ -46,9 +49,10 @@
                                             new DaemonView.ShardSnapshot(
                                                     known.version(), known.state())));
         }
+        ImmutableListMultimap<String, String> roles = roles(ownership);
         ImmutableList<MemberStatus> members =
                 detector.members().stream()
-                        .map(update -> toStatus(update, detector.self(), disseminator, ownership))
+                        .map(update -> toStatus(update, detector.self(), disseminator, roles))
                         .sorted(Comparator.comparing(MemberStatus::name))
                         .collect(ImmutableList.toImmutableList());
         return new ControlSnapshot(
@@ -59,12 +63,12 @@
             MemberUpdate update,
             Member self,
             Disseminator disseminator,
-            OwnershipRunner ownership) {
+            ImmutableListMultimap<String, String> rolesByIdentity) {
         Member member = update.member();
         Optional<Versions> versions = disseminator.versionsOf(member);
         ImmutableList.Builder<String> roles = ImmutableList.builder();
         String id = member.name() + "@" + member.incarnation();
-        ownership.members().forEach((service, shard) -> addRole(roles, service, shard, id));
+        roles.addAll(rolesByIdentity.get(id));
         if (member.equals(self) && disseminator.isFeeder()) {
             roles.add("feeder");
         }
@@ -79,15 +83,24 @@
                 roles.build());
     }
 
-    private static void addRole(
-            ImmutableList.Builder<String> roles, String service, ShardMember shard, String id) {
-        if (shard.known().isEmpty()) {
-            return;
-        }
-        if (shard.known().get().state().coordinator().equals(id)) {
-            roles.add("coordinator of " + service);
-        } else if (shard.known().get().state().standbys().contains(id)) {
-            roles.add("standby of " + service);
+    /** Goes through the shards once, not once for each member: a fleet has thousands of them. */
+    private static ImmutableListMultimap<String, String> roles(OwnershipRunner ownership) {
+        ImmutableListMultimap.Builder<String, String> roles = ImmutableListMultimap.builder();
+        ownership
+                .members()
+                .forEach(
+                        (service, shard) ->
+                                shard.known().ifPresent(s -> addRoles(roles, service, s.state())));
+        return roles.build();
+    }
+
+    private static void addRoles(
+            ImmutableListMultimap.Builder<String, String> roles, String service, ShardState state) {
+        roles.put(state.coordinator(), "coordinator of " + service);
+        for (String standby : ImmutableSet.copyOf(state.standbys())) {
+            if (!standby.equals(state.coordinator())) {
+                roles.put(standby, "standby of " + service);
+            }
         }
     }
 }
