--- a/config/performance.sh
+++ b/config/performance.sh
@@ -2,6 +2,7 @@
 # Builds the experiments, starts a platform, two backend servers and two daemons as processes on the
 # loopback interface and prints the table of docs/performance.md. The server of data centre 0 has
 # its gateway in the daemon that takes the requests, the one of data centre 1 in the other daemon.
+# Numbers of connections as arguments limit the run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ -z "${GERANIUMUSHER_CLASSPATH:-}" ]; then
@@ -53,7 +54,7 @@
 done
 
 if ! "${java_run[@]}" org.geraniumusher.experiments.PerformanceTable \
-  $platform "${servers[@]}" "127.0.0.1:$((port + 10))" "${pids[2]}" "${pids[3]}"; then
+  $platform "${servers[@]}" "127.0.0.1:$((port + 10))" "${pids[2]}" "${pids[3]}" "$@"; then
   tail -n 20 "$work"/*.log >&2
   exit 1
 fi
--- a/experiments/src/main/java/org/geraniumusher/experiments/PerformanceTable.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/PerformanceTable.java
@@ -28,6 +28,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
@@ -41,6 +42,7 @@
  */
 public final class PerformanceTable {
     private static final int[] CONNECTIONS = {1, 8, 32};
+    private static final int FIXED_ARGUMENTS = 6;
     private static final int PAIRS = 5;
     private static final long RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final long WARM_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(4_000);
@@ -58,7 +60,9 @@
     private final List<Long> mDaemonProcesses = new ArrayList<>();
 
     private PerformanceTable(String[] args) {
-        checkArgument(args.length == 6, "PLATFORM BACKEND0 BACKEND1 DAEMON PID0 PID1 expected");
+        checkArgument(
+                args.length >= FIXED_ARGUMENTS,
+                "PLATFORM BACKEND0 BACKEND1 DAEMON PID0 PID1 [CONNECTIONS..] expected");
         mApi = ObjectApi.create(mClient, Address.of(args[0]));
         mServers = ImmutableList.of(server(0, args[1]), server(1, args[2]));
         mDaemon = Address.of(args[3]);
@@ -94,12 +98,18 @@
         PerformanceTable table = new PerformanceTable(args);
         table.prepare();
         table.printHeader();
-        for (int connections : CONNECTIONS) {
+        for (int connections : connections(args)) {
             table.measure(connections);
         }
         table.mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    private static int[] connections(String[] args) {
+        int[] given =
+                Arrays.stream(args).skip(FIXED_ARGUMENTS).mapToInt(Integer::parseInt).toArray();
+        return given.length == 0 ? CONNECTIONS : given;
+    }
+
     private static BackendServer server(int index, String address) {
         return new BackendServer(
                 "server-" + index,
