--- a/daemon/src/main/java/org/geraniumusher/peer/WireFormat.java
+++ b/daemon/src/main/java/org/geraniumusher/peer/WireFormat.java
@@ -1,17 +1,14 @@
 package org.geraniumusher.peer;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-
 import org.geraniumusher.dissemination.SyncMessage;
 import org.geraniumusher.dissemination.Versions;
 import org.geraniumusher.membership.Member;
 import org.geraniumusher.membership.MemberUpdate;
 import org.geraniumusher.membership.MembershipMessage;
-import org.geraniumusher.peer.wire.PeerProto.Envelope;
 
 /**
- * Converts messages between daemons to and from the bytes that {@link PeerTransport} sends, without
- * a socket. Measurements of message sizes use it. Stateless and thread-safe.
+ * Converts messages between daemons to the bytes that {@link PeerTransport} sends, without a
+ * socket. Measurements of message sizes use it. Stateless and thread-safe.
  */
 public final class WireFormat {
     private WireFormat() {}
@@ -31,21 +28,4 @@
                 .build()
                 .toByteArray();
     }
-
-    /** Encodes an authority message. */
-    public static byte[] encode(Member sender, AuthorityMessage message) {
-        return PeerCodec.encode(message)
-                .setSender(MemberCodec.encode(MemberUpdate.of(sender)))
-                .build()
-                .toByteArray();
-    }
-
-    /** Decodes a message and hands it to the handler. */
-    public static void decode(byte[] bytes, PeerHandler handler) {
-        try {
-            PeerCodec.decode(Envelope.parseFrom(bytes)).deliver(handler);
-        } catch (InvalidProtocolBufferException e) {
-            throw new IllegalArgumentException("bad message of " + bytes.length + " bytes", e);
-        }
-    }
 }
