Test the loss, the graceful stop and the restart of daemons under load

Each backend stand-in of TestFleet gets an event loop of its own, since closing the listening socket left its connections open, so that a stopped server went on answering. TestFleet.await parks for 1 ms between two looks instead of spinning. Daemon.close may be called twice: the second call failed with RejectedExecutionException.

--- a/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
@@ -150,9 +150,12 @@
         return mStopped;
     }
 
-    /** Stops the daemon at once. */
+    /** Stops the daemon at once; a later call waits for the end of the first one. */
     @Override
-    public void close() {
+    public synchronized void close() {
+        if (mClosed) {
+            return;
+        }
         mClosed = true;
         mCallers.close();
         mForwards.close();
--- a/standins/src/main/java/org/geraniumusher/standin/backend/BackendStandIn.java
+++ b/standins/src/main/java/org/geraniumusher/standin/backend/BackendStandIn.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -43,6 +44,7 @@
     private final Map<String, GrantAck> mLastAcks = new LinkedHashMap<>();
     private final Set<String> mExecutedIds = new HashSet<>();
     private BackendBehaviour mBehaviour;
+    private Consumer<HttpCall> mObserver = call -> {};
     private long mExecuted;
     private long mRepeated;
     private long mRefusedByGrant;
@@ -80,6 +82,11 @@
         mBehaviour = checkNotNull(behaviour);
     }
 
+    /** Replaces the receiver of each request that runs; it is called before the request ends. */
+    public synchronized void setObserver(Consumer<HttpCall> observer) {
+        mObserver = checkNotNull(observer);
+    }
+
     /** Returns what the server has counted. */
     public synchronized BackendStats stats() {
         return new BackendStats(
@@ -146,6 +153,7 @@
                 return;
             }
             count(id);
+            mObserver.accept(call);
             delayMicros = serviceMicros();
             drops = mBehaviour.dropEvery() > 0 && mExecuted % mBehaviour.dropEvery() == 0;
         }
--- a/standins/src/test/java/org/geraniumusher/standin/TestFleet.java
+++ b/standins/src/test/java/org/geraniumusher/standin/TestFleet.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.standin;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -21,6 +22,9 @@
 import org.geraniumusher.model.Route;
 import org.geraniumusher.model.Selector;
 import org.geraniumusher.model.Service;
+import org.geraniumusher.model.ShardState;
+import org.geraniumusher.model.Slice;
+import org.geraniumusher.operator.Replies;
 import org.geraniumusher.platform.Json;
 import org.geraniumusher.standin.backend.BackendBehaviour;
 import org.geraniumusher.standin.backend.BackendStandIn;
@@ -37,6 +41,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -49,6 +54,10 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
     private static final ImmutableList<String> DATA_CENTRES =
             ImmutableList.of("latgale-a", "latgale-b", "latgale-c");
+
+    /** Leaves the cores to the daemons between two looks at a condition. */
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
     private static final Set<Integer> USED_PORTS = new HashSet<>();
 
     private final EventLoopGroup mGroup =
@@ -56,16 +65,27 @@
     private final HttpClient mClient = HttpClient.create(mGroup);
     private final PlatformServer mPlatform = PlatformServer.start(mGroup, HOST, 0);
     private final Map<String, BackendStandIn> mBackends = new LinkedHashMap<>();
+    private final Map<String, EventLoopGroup> mBackendGroups = new LinkedHashMap<>();
+    private final Set<String> mOutside;
+    private final Map<String, BackendProcess> mProcesses = new LinkedHashMap<>();
+    private final ExecutionLog mExecutions = new ExecutionLog();
     private final Map<String, BackendServer> mServers = new LinkedHashMap<>();
     private final List<Daemon> mDaemons = new ArrayList<>();
     private final List<Settings> mSettings = new ArrayList<>();
     private long mIncarnation = 1;
 
-    private TestFleet() {}
+    private TestFleet(Set<String> outside) {
+        mOutside = ImmutableSet.copyOf(outside);
+    }
 
     /** Starts a fleet and waits until both services answer through every daemon. */
     public static TestFleet start(int daemons, int backendsPerService) {
-        TestFleet fleet = new TestFleet();
+        return startWithProcesses(daemons, backendsPerService, ImmutableSet.of());
+    }
+
+    /** Starts a fleet in which the named backend servers run in processes of their own. */
+    static TestFleet startWithProcesses(int daemons, int backendsPerService, Set<String> outside) {
+        TestFleet fleet = new TestFleet(outside);
         fleet.writeObjects(backendsPerService);
         for (int i = 0; i < daemons; i++) {
             fleet.mSettings.add(fleet.settings(i));
@@ -86,7 +106,7 @@
             if (System.nanoTime() - end > 0) {
                 throw new AssertionError("condition did not hold within 20 s");
             }
-            Thread.onSpinWait();
+            LockSupport.parkNanos(POLL_NANOS);
         }
     }
 
@@ -120,6 +140,54 @@
     /** Stops a backend server and closes its sockets. */
     public void stopBackend(String name) {
         mBackends.remove(name).close();
+        closeGroup(mBackendGroups.remove(name));
+    }
+
+    /** Returns a backend server that runs in a process of its own. */
+    BackendProcess process(String name) {
+        return mProcesses.get(name);
+    }
+
+    /** Returns the address of a backend server. */
+    Address backendAddress(String name) {
+        return mServers.get(name).address();
+    }
+
+    /** Returns what the backend servers of this process have executed. */
+    ExecutionLog executions() {
+        return mExecutions;
+    }
+
+    /** Returns the stored state of the shard of the keyed service. */
+    ShardState shard() {
+        return Json.fromTree(
+                mPlatform.store().find("shard-state", "register").orElseThrow().spec(),
+                ShardState.class);
+    }
+
+    /** Returns the index of the daemon that coordinates the keyed service, by the store. */
+    int coordinator() {
+        String name = shard().coordinator();
+        for (int i = 0; i < mSettings.size(); i++) {
+            if (name.startsWith(mSettings.get(i).name())) {
+                return i;
+            }
+        }
+        throw new AssertionError("unknown coordinator: " + name);
+    }
+
+    /** Returns the number of slices that a backend server owns, by the store. */
+    long slicesOf(String server) {
+        return shard().slices().stream().filter(slice -> slice.owner().equals(server)).count();
+    }
+
+    /** Waits until every slice has an owner and no move is under way. */
+    void awaitSettled() {
+        await(() -> shard().slices().stream().allMatch(TestFleet::isSettled));
+    }
+
+    private static boolean isSettled(Slice slice) {
+        return slice.hasOwner() && slice.previous().isEmpty() && slice.pending().isEmpty();
     }
 
     /** Starts a backend server again, as a new incarnation. */
@@ -147,6 +215,21 @@
         return mSettings.get(daemon).operator();
     }
 
+    /** Makes a call at the operator port of a daemon; status 0 means that there was no reply. */
+    HttpReply callOperator(int daemon, HttpCall call) {
+        return mClient.call(operatorAddress(daemon), call, CALL_TIMEOUT)
+                .exceptionally(error -> HttpReply.of(0, error.toString()))
+                .join();
+    }
+
+    /** Reports whether a daemon holds another one alive or suspect. */
+    boolean sees(int reporter, int daemon) {
+        HttpReply reply = callOperator(reporter, HttpCall.of("GET", "/admin/daemons"));
+        String name = mSettings.get(daemon).name();
+        return Json.read(reply.text(), Replies.Daemons.class).daemons().stream()
+                .anyMatch(member -> member.name().equals(name) && member.isLive());
+    }
+
     /** Writes an object to the store, whatever its version. */
     public void write(ConfigObject object) {
         long version =
@@ -168,9 +251,14 @@
     @Override
     public void close() {
         mDaemons.forEach(Daemon::close);
-        mBackends.values().forEach(BackendStandIn::close);
+        ImmutableList.copyOf(mBackends.keySet()).forEach(this::stopBackend);
+        mProcesses.values().forEach(BackendProcess::close);
         mPlatform.close();
-        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        closeGroup(mGroup);
+    }
+
+    private static void closeGroup(EventLoopGroup group) {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     private void writeObjects(int backendsPerService) {
@@ -198,12 +286,20 @@
         write(route("ledger", "/ledger", "ledger", null));
     }
 
+    /** Each server has its own event loop, so that its connections end with it. */
     private void startBackend(BackendServer server) {
+        String name = server.name();
+        if (mOutside.contains(name)) {
+            mProcesses.put(name, BackendProcess.start(name, server.address()));
+            return;
+        }
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         BackendBehaviour behaviour = BackendBehaviour.ofDefaults().withServiceMicros(1_000);
-        mBackends.put(
-                server.name(),
-                BackendStandIn.start(
-                        mGroup, server.address(), server.name(), behaviour, mIncarnation++));
+        BackendStandIn standIn =
+                BackendStandIn.start(group, server.address(), name, behaviour, mIncarnation++);
+        standIn.setObserver(call -> mExecutions.add(name, call));
+        mBackends.put(name, standIn);
+        mBackendGroups.put(name, group);
     }
 
     private static Route route(String name, String prefix, String service, KeySource key) {
