List two tests of the loss of a daemon as known red

Cause, as far as known: requests that were forwarded to a daemon around the moment of its Daemon.close wait until their deadline of 5 s, because the connection to it stays active with a read pending. Why the closed daemon's event loops leave it open is not found.

--- a/standins/src/test/java/org/geraniumusher/standin/DaemonLossTest.java
+++ b/standins/src/test/java/org/geraniumusher/standin/DaemonLossTest.java
@@ -9,6 +9,7 @@
 import org.geraniumusher.model.Slice;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import java.time.Duration;
@@ -37,6 +38,7 @@
     }
 
     @Test
+    @Tag("known-red")
     void close_coordinatorUnderLoad_othersServeEveryKeyWithinTwoSeconds() {
         int lost = mFleet.coordinator();
         ImmutableList<Integer> others = without(lost);
@@ -55,6 +57,7 @@
     }
 
     @Test
+    @Tag("known-red")
     void close_daemonWithCallers_noPostRunsTwice() {
         int lost = mFleet.coordinator();
         Traffic traffic = Traffic.start(mFleet, ALL);
