--- a/daemon/src/main/java/org/geraniumusher/caller/CallerServer.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/CallerServer.java
@@ -7,10 +7,13 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 
 import org.geraniumusher.model.Address;
 
@@ -20,15 +23,19 @@
 /** Listens for callers, or for daemons that forward requests. Thread-safe. */
 public final class CallerServer implements AutoCloseable {
     private final Channel mChannel;
+    private final ChannelGroup mConnections;
 
-    private CallerServer(Channel channel) {
+    private CallerServer(Channel channel, ChannelGroup connections) {
         mChannel = channel;
+        mConnections = connections;
     }
 
     /** Binds a host and a port, where 0 means any free port; throws when it cannot. */
     public static CallerServer bind(
             EventLoopGroup group, String host, int port, CallerContext context) {
         checkNotNull(context);
+        // A connection that is accepted during the close is closed as soon as it is added.
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
@@ -37,8 +44,9 @@
                         .option(ChannelOption.SO_BACKLOG, 1_024)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.AUTO_READ, false)
-                        .childHandler(new Initializer(context));
-        return new CallerServer(bootstrap.bind(host, port).syncUninterruptibly().channel());
+                        .childHandler(new Initializer(context, connections));
+        return new CallerServer(
+                bootstrap.bind(host, port).syncUninterruptibly().channel(), connections);
     }
 
     /** Returns the bound address. */
@@ -47,22 +55,26 @@
         return new Address(local.getAddress().getHostAddress(), local.getPort());
     }
 
-    /** Closes the listening socket; open connections stay. */
+    /** Closes the listening socket and all connections. */
     @Override
     public void close() {
         mChannel.close().syncUninterruptibly();
+        mConnections.close().awaitUninterruptibly();
     }
 
     /** Builds the pipeline of a connection. */
     private static final class Initializer extends ChannelInitializer<SocketChannel> {
         private final CallerContext mContext;
+        private final ChannelGroup mConnections;
 
-        Initializer(CallerContext context) {
+        Initializer(CallerContext context, ChannelGroup connections) {
             mContext = context;
+            mConnections = connections;
         }
 
         @Override
         protected void initChannel(SocketChannel channel) {
+            mConnections.add(channel);
             CallerContext.Limits limits = mContext.limits();
             ResponseEncoder encoder = new ResponseEncoder();
             channel.pipeline()
--- a/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/Exchange.java
@@ -120,6 +120,18 @@
                         });
     }
 
+    @Override
+    public void abort() {
+        mInbound.channel()
+                .eventLoop()
+                .execute(
+                        () -> {
+                            if (!mEnded && !mResponseStarted && mAttempt != null) {
+                                mAttempt.giveUp();
+                            }
+                        });
+    }
+
     private void beginAttempt(Dispatch dispatch) {
         if (mEnded) {
             return;
@@ -194,6 +206,18 @@
             }
         }
 
+        void giveUp() {
+            boolean maySent = mUpstream != null;
+            cancel();
+            mAttempt = null;
+            if (maySent) {
+                mMayHaveRun = true;
+                mContext.decisions().outcomeUnknown(mId, mBody.canReplay());
+            } else {
+                mContext.decisions().notRun(mId, ResultCode.CONNECT_FAILED, mBody.canReplay());
+            }
+        }
+
         void send(HttpContent part) {
             UpstreamConnection upstream = mUpstream;
             ChannelFuture written = upstream.write(part);
--- a/daemon/src/main/java/org/geraniumusher/caller/RequestDecisions.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/RequestDecisions.java
@@ -46,6 +46,9 @@
         /** Sends the next attempt. */
         void dispatch(Dispatch dispatch);
 
+        /** Gives up the present attempt unless its response has begun. */
+        void abort();
+
         /** Ends the request without a response of a backend server. */
         void refuse(ResultCode code, long retryAfterMillis);
     }
--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -16,6 +16,8 @@
 import org.geraniumusher.membership.DetectorSettings;
 import org.geraniumusher.membership.FailureDetector;
 import org.geraniumusher.membership.Member;
+import org.geraniumusher.membership.MemberState;
+import org.geraniumusher.membership.MemberUpdate;
 import org.geraniumusher.membership.MembershipCommand;
 import org.geraniumusher.membership.MembershipMessage;
 import org.geraniumusher.membership.Rendezvous;
@@ -384,7 +386,14 @@
             members.add(toLiveMember(mSelf));
         }
         mOwnership.onMembers(members.build());
-        mConsumers.onGateways(new GatewayDaemons(mSelf, live));
+        mConsumers.onGateways(new GatewayDaemons(mSelf, live, leavingMembers()));
+    }
+
+    private ImmutableList<Member> leavingMembers() {
+        return mDetector.members().stream()
+                .filter(update -> update.state() == MemberState.LEFT)
+                .map(MemberUpdate::member)
+                .collect(ImmutableList.toImmutableList());
     }
 
     private static LiveMember toLiveMember(Member member) {
--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlSnapshot.java
@@ -56,9 +56,10 @@
                                                     known.version(), known.state())));
         }
         ImmutableListMultimap<String, String> roles = roles(ownership);
+        ImmutableMap<String, Long> own = shardVersions(ownership);
         ImmutableList<MemberStatus> members =
                 detector.members().stream()
-                        .map(update -> toStatus(update, detector.self(), disseminator, roles))
+                        .map(update -> toStatus(update, detector.self(), disseminator, roles, own))
                         .sorted(Comparator.comparing(MemberStatus::name))
                         .collect(ImmutableList.toImmutableList());
         return new ControlSnapshot(
@@ -73,7 +74,8 @@
             MemberUpdate update,
             Member self,
             Disseminator disseminator,
-            ImmutableListMultimap<String, String> rolesByIdentity) {
+            ImmutableListMultimap<String, String> rolesByIdentity,
+            ImmutableMap<String, Long> ownShards) {
         Member member = update.member();
         Optional<Versions> versions = disseminator.versionsOf(member);
         ImmutableList.Builder<String> roles = ImmutableList.builder();
@@ -93,7 +95,7 @@
                 versions.map(Versions::configuration).orElse(0L),
                 versions.map(v -> v.early().asList()).orElse(ImmutableList.of()),
                 member.equals(self)
-                        ? shardVersions(ownership)
+                        ? ownShards
                         : versions.map(Versions::shards).orElse(ImmutableMap.of()),
                 roles.build());
     }
--- a/daemon/src/main/java/org/geraniumusher/daemon/GatewayDaemons.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/GatewayDaemons.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.daemon;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 
 import org.geraniumusher.membership.Member;
 import org.geraniumusher.membership.Rendezvous;
@@ -8,10 +9,12 @@
 import org.geraniumusher.model.BackendServer;
 import org.geraniumusher.routing.GatewayTable;
 
+import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Chooses gateway daemons among the members that are held alive. Immutable but for a cache of its
@@ -20,11 +23,21 @@
 final class GatewayDaemons implements GatewayTable {
     private final Member mSelf;
     private final Rendezvous mLive;
+    private final ImmutableSet<Address> mAnswering;
     private final Map<String, Optional<Member>> mChoices = new ConcurrentHashMap<>();
 
-    GatewayDaemons(Member self, Rendezvous live) {
+    /**
+     * Creates the table.
+     *
+     * @param leaving daemons that get no new requests but finish those they have
+     */
+    GatewayDaemons(Member self, Rendezvous live, Collection<Member> leaving) {
         mSelf = self;
         mLive = live;
+        mAnswering =
+                Stream.concat(live.members().stream(), leaving.stream())
+                        .map(Member::forwardAddress)
+                        .collect(ImmutableSet.toImmutableSet());
     }
 
     @Override
@@ -38,6 +51,11 @@
         return choice.filter(member -> !member.equals(mSelf)).map(Member::forwardAddress);
     }
 
+    @Override
+    public boolean isAlive(Address gateway) {
+        return mAnswering.contains(gateway);
+    }
+
     private Optional<Member> otherThan(BackendServer server, Predicate<Address> avoided) {
         ImmutableList<Member> reachable =
                 mLive.members().stream()
--- a/daemon/src/main/java/org/geraniumusher/daemon/RequestDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/RequestDuty.java
@@ -96,6 +96,14 @@
         }
     }
 
+    @Override
+    public void abort(long id) {
+        Port port = mPorts.get(id);
+        if (port != null) {
+            port.abort();
+        }
+    }
+
     @Override
     public void ended(String route, boolean succeeded, long latencyNanos) {
         mObserver.ended(route, succeeded, latencyNanos);
--- a/daemon/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -13,6 +13,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -28,6 +30,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 
 import org.geraniumusher.model.Address;
 
@@ -47,9 +50,11 @@
     private static final int IDLE_TIMEOUT_SECONDS = 600;
 
     private final Channel mChannel;
+    private final ChannelGroup mConnections;
 
-    private HttpServer(Channel channel) {
+    private HttpServer(Channel channel, ChannelGroup connections) {
         mChannel = channel;
+        mConnections = connections;
     }
 
     /** Binds {@code address}; port 0 is not allowed by {@link Address}, see {@link #bind}. */
@@ -62,14 +67,17 @@
     public static HttpServer bind(
             EventLoopGroup group, String host, int port, BiConsumer<HttpCall, Responder> handler) {
         checkNotNull(handler);
+        // A connection that is accepted during the close is closed as soon as it is added.
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new Initializer(handler));
-        return new HttpServer(bootstrap.bind(host, port).syncUninterruptibly().channel());
+                        .childHandler(new Initializer(handler, connections));
+        return new HttpServer(
+                bootstrap.bind(host, port).syncUninterruptibly().channel(), connections);
     }
 
     /** Returns the bound address. */
@@ -78,22 +86,26 @@
         return new Address(local.getAddress().getHostAddress(), local.getPort());
     }
 
-    /** Closes the listening socket; open connections stay. */
+    /** Closes the listening socket and all connections. */
     @Override
     public void close() {
         mChannel.close().syncUninterruptibly();
+        mConnections.close().awaitUninterruptibly();
     }
 
     /** Builds the pipeline of a connection. */
     private static final class Initializer extends ChannelInitializer<SocketChannel> {
         private final BiConsumer<HttpCall, Responder> mHandler;
+        private final ChannelGroup mConnections;
 
-        Initializer(BiConsumer<HttpCall, Responder> handler) {
+        Initializer(BiConsumer<HttpCall, Responder> handler, ChannelGroup connections) {
             mHandler = handler;
+            mConnections = connections;
         }
 
         @Override
         protected void initChannel(SocketChannel channel) {
+            mConnections.add(channel);
             channel.pipeline()
                     .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                     .addLast(new HttpServerCodec())
--- a/daemon/src/test/java/org/geraniumusher/daemon/ControlSnapshotTest.java
+++ b/daemon/src/test/java/org/geraniumusher/daemon/ControlSnapshotTest.java
@@ -55,7 +55,8 @@
         mOwnership.onState(9, shard("c", "entry-1@2", "entry-2@2"));
 
         ControlSnapshot snapshot =
-                ControlSnapshot.of(detector(), Disseminator.create(member(0)), mOwnership);
+                ControlSnapshot.of(
+                        detector(), Disseminator.create(member(0)), mOwnership, ImmutableList.of());
 
         assertThat(rolesOf(snapshot, "entry-1"))
                 .containsExactly("coordinator of a", "standby of b");
--- a/decisions/src/main/java/org/geraniumusher/routing/GatewayTable.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/GatewayTable.java
@@ -15,4 +15,12 @@
      *     unless there is none
      */
     Optional<Address> gatewayOf(BackendServer server, Predicate<Address> avoided);
+
+    /**
+     * Reports whether the daemon with this forward address is held alive, or leaves and finishes
+     * the requests that it has.
+     */
+    default boolean isAlive(Address gateway) {
+        return true;
+    }
 }
--- a/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
@@ -189,6 +189,10 @@
         return mGateway;
     }
 
+    boolean isUnderWay() {
+        return mUnderWay;
+    }
+
     /** Ends the attempt; returns false when none is under way. */
     boolean endAttempt() {
         boolean ended = mUnderWay;
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -93,9 +93,20 @@
         mTables.onLease(service, version, untilNanos);
     }
 
-    /** Replaces the table of gateway daemons. */
+    /**
+     * Replaces the table of gateway daemons, and gives up attempts through a daemon that is not
+     * held alive any more: a paused one would keep its callers waiting until their deadlines.
+     */
     public void onGateways(GatewayTable gateways) {
         mGateways = checkNotNull(gateways);
+        for (PendingRequest pending : ImmutableList.copyOf(mPending.values())) {
+            boolean lost =
+                    pending.isUnderWay()
+                            && pending.gateway().filter(g -> !gateways.isAlive(g)).isPresent();
+            if (lost) {
+                mOutputs.abort(pending.id());
+            }
+        }
     }
 
     /** Notes that a backend server has been restarted. */
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestOutputs.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestOutputs.java
@@ -7,6 +7,9 @@
     /** Sends the next attempt of a request. */
     void dispatch(long id, Dispatch dispatch);
 
+    /** Gives the present attempt up; its end is reported as of a lost connection. */
+    void abort(long id);
+
     /**
      * Tells how a request of a caller ended, for service-level reports.
      *
--- a/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
+++ b/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Guards against forbidden repeats, against requests that are lost while their owner changes, and
@@ -40,6 +41,11 @@
                             mOutputs.add(id + " to " + dispatch.server() + "/" + dispatch.epoch());
                         }
 
+                        @Override
+                        public void abort(long id) {
+                            mOutputs.add(id + " aborted");
+                        }
+
                         @Override
                         public void ended(String route, boolean succeeded, long nanos) {}
 
@@ -140,6 +146,27 @@
         assertThat(mGatewayUse).containsExactly(true, false).inOrder();
     }
 
+    @Test
+    void onGateways_gatewayDaemonNotAlive_attemptIsGivenUp() {
+        Address first = new Address("127.0.0.1", 1);
+        mDecider.onGateways((server, avoided) -> Optional.of(first));
+        mDecider.onShard(1, shard("s1", 1));
+        arrive(1, "GET", "/k/a");
+        mDecider.onGateways(
+                new GatewayTable() {
+                    @Override
+                    public Optional<Address> gatewayOf(BackendServer s, Predicate<Address> a) {
+                        return Optional.empty();
+                    }
+
+                    @Override
+                    public boolean isAlive(Address gateway) {
+                        return false;
+                    }
+                });
+        assertThat(mOutputs).containsExactly("1 to s1/1", "1 aborted").inOrder();
+    }
+
     @Test
     void onArrival_unfencedServer_sentOnlyWhileTheTableIsConfirmed() {
         mDecider.onConfiguration(0, configuration(false));
--- a/experiments/src/main/java/org/geraniumusher/experiments/CountingOutputs.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/CountingOutputs.java
@@ -17,6 +17,9 @@
         return mRefused;
     }
 
+    @Override
+    public void abort(long id) {}
+
     @Override
     public void dispatch(long id, Dispatch dispatch) {
         mDispatched++;
--- a/experiments/src/main/java/org/geraniumusher/experiments/RequestSlopes.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/RequestSlopes.java
@@ -21,7 +21,7 @@
         var all = Fleet.changes(Fleet.objects(objects));
         disseminator.onListed(all.size(), all);
         mDecider.onConfiguration(0, disseminator.configuration());
-        mDecider.onShard(Fleet.shard("service-0", 256, 1));
+        mDecider.onShard(1, Fleet.shard("service-0", 256, 1));
     }
 
     private record Head(String uri) implements RequestHead {
