--- a/daemon/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -4,19 +4,12 @@
 
 import com.google.common.collect.ImmutableMap;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -30,11 +23,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import io.netty.util.concurrent.GlobalEventExecutor;
 
 import org.geraniumusher.model.Address;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.BiConsumer;
@@ -49,12 +40,10 @@
 
     private static final int IDLE_TIMEOUT_SECONDS = 600;
 
-    private final Channel mChannel;
-    private final ChannelGroup mConnections;
+    private final TcpListener mListener;
 
-    private HttpServer(Channel channel, ChannelGroup connections) {
-        mChannel = channel;
-        mConnections = connections;
+    private HttpServer(TcpListener listener) {
+        mListener = listener;
     }
 
     /** Binds {@code address}; port 0 is not allowed by {@link Address}, see {@link #bind}. */
@@ -67,51 +56,29 @@
     public static HttpServer bind(
             EventLoopGroup group, String host, int port, BiConsumer<HttpCall, Responder> handler) {
         checkNotNull(handler);
-        // A connection that is accepted during the close is closed as soon as it is added.
-        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new Initializer(handler, connections));
         return new HttpServer(
-                bootstrap.bind(host, port).syncUninterruptibly().channel(), connections);
+                TcpListener.bind(
+                        group, host, port, true, channel -> buildPipeline(channel, handler)));
     }
 
     /** Returns the bound address. */
     public Address address() {
-        InetSocketAddress local = (InetSocketAddress) mChannel.localAddress();
-        return new Address(local.getAddress().getHostAddress(), local.getPort());
+        return mListener.address();
     }
 
     /** Closes the listening socket and all connections. */
     @Override
     public void close() {
-        mChannel.close().syncUninterruptibly();
-        mConnections.close().awaitUninterruptibly();
+        mListener.close();
     }
 
-    /** Builds the pipeline of a connection. */
-    private static final class Initializer extends ChannelInitializer<SocketChannel> {
-        private final BiConsumer<HttpCall, Responder> mHandler;
-        private final ChannelGroup mConnections;
-
-        Initializer(BiConsumer<HttpCall, Responder> handler, ChannelGroup connections) {
-            mHandler = handler;
-            mConnections = connections;
-        }
-
-        @Override
-        protected void initChannel(SocketChannel channel) {
-            mConnections.add(channel);
-            channel.pipeline()
-                    .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                    .addLast(new CallHandler(mHandler));
-        }
+    private static void buildPipeline(
+            SocketChannel channel, BiConsumer<HttpCall, Responder> handler) {
+        channel.pipeline()
+                .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                .addLast(new CallHandler(handler));
     }
 
     /** Turns a request into a call. */
