Count members as gone that the platform no longer lists

Cause: after the loss of two members of a group, keys of owners lost with them waited until one of the two restarted under its name, since nothing called onMemberGone. Change: a coordinator with an unfenced former group asks for the platform's instances every 2 s. Because the list lags, a missing daemon counts as gone only when the list names this daemon and the other started more than 10 minutes ago. Result: InstanceListTest passes (3 tests); not tried over sockets.

--- a/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
@@ -35,6 +35,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
@@ -51,6 +52,10 @@
     /** 16 ticks of 25 ms stay below the 500 ms that count as a pause. */
     private static final int IDLE_TICKS = 16;
 
+    /** Two seconds, as the platform counts each call. */
+    private static final int INSTANCE_TICKS = 80;
+
+    private static final int LOG_INTERVAL_SECONDS = 30;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private final LiveMember mSelf;
@@ -68,6 +73,7 @@
     private final Map<String, Long> mIncarnations = new HashMap<>();
     private ImmutableList<LiveMember> mLive;
     private Configuration mConfiguration = Configuration.of();
+    private final long mStartNanos;
     private long mTicks;
 
     OwnershipRunner(
@@ -77,6 +83,7 @@
         mPorts = checkNotNull(ports);
         mApi = checkNotNull(api);
         mGrants = checkNotNull(grants);
+        mStartNanos = clock.getAsLong();
         mLive = ImmutableList.of(self);
     }
 
@@ -137,6 +144,9 @@
                 run(service, member -> member.onTick(now()));
             }
         }
+        if (mTicks % INSTANCE_TICKS == 0) {
+            askForInstances();
+        }
     }
 
     /** Returns the members by service. */
@@ -228,6 +238,39 @@
         }
     }
 
+    /** A member of a former group that is gone for good cannot acknowledge, so it is looked up. */
+    private void askForInstances() {
+        boolean isBlocked =
+                mMembers.values().stream()
+                        .anyMatch(m -> m.isCoordinator() && !unfenced(m).isEmpty());
+        if (isBlocked) {
+            mApi.list(InstanceList.KIND)
+                    .thenAccept(result -> mPorts.run(() -> onInstances(result)));
+        }
+    }
+
+    private void onInstances(ReadResult result) {
+        if (!(result instanceof ReadResult.Found found)) {
+            return;
+        }
+        InstanceList list = InstanceList.of(found);
+        long upMillis = TimeUnit.NANOSECONDS.toMillis(now() - mStartNanos);
+        long nowMillis = mSelf.id().incarnation() + upMillis;
+        Set<MemberId> unfenced = new HashSet<>();
+        mMembers.values().forEach(member -> unfenced.addAll(unfenced(member)));
+        for (MemberId gone : list.gone(unfenced, mSelf.id(), nowMillis)) {
+            LOG.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "ownership: the platform does not list a member any more. id=%s", gone);
+            onMemberGone(gone);
+        }
+    }
+
+    private static Set<MemberId> unfenced(ShardMember member) {
+        return member.known()
+                .map(known -> InstanceList.membersOf(known.state().unfencedGroups()))
+                .orElse(Set.of());
+    }
+
     private boolean hasRole(ShardState state) {
         String self = mSelf.id().toString();
         return state.group().contains(self)
