--- a/daemon/src/main/java/org/geraniumusher/daemon/Duty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Duty.java
@@ -25,7 +25,7 @@
  * Thread-safe.
  */
 public final class Duty implements AutoCloseable {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     /** Events run between two looks at the clock, so that a full ring does not delay ticks. */
     private static final int BATCH = 256;
@@ -181,7 +181,7 @@
             event.run();
         } catch (RuntimeException e) {
             mFailed.inc();
-            LOGGER.atSevere().withCause(e).log("%s: event failed", mThread.getName());
+            LOG.atSevere().withCause(e).log("%s: event failed", mThread.getName());
         }
     }
 }
--- a/daemon/src/main/java/org/geraniumusher/operator/ObjectEndpoint.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/ObjectEndpoint.java
@@ -19,7 +19,7 @@
 
 /** Reads and changes configuration objects. Thread-safe; never blocks. */
 final class ObjectEndpoint {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private final DaemonView mView;
     private final ObjectWriter mWriter;
@@ -148,7 +148,7 @@
     }
 
     private static void log(String action, StoredObject object, WriteResult result) {
-        LOGGER.atInfo().log(
+        LOG.atInfo().log(
                 "operator: %s kind=%s name=%s expected=%d writer=%s result=%s",
                 action,
                 object.kind(),
--- a/daemon/src/main/java/org/geraniumusher/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/OperatorServer.java
@@ -24,7 +24,7 @@
  * future; none blocks. Thread-safe.
  */
 public final class OperatorServer implements AutoCloseable {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     private final ImmutableMap<String, Function<HttpCall, CompletableFuture<HttpReply>>> mHandlers;
     private final String mName;
@@ -74,7 +74,7 @@
                 .whenComplete(
                         (reply, error) -> {
                             if (error != null) {
-                                LOGGER.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(error)
+                                LOG.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(error)
                                         .log(
                                                 "operator: no answer method=%s path=%s",
                                                 call.method(), call.path());
@@ -95,7 +95,7 @@
     }
 
     private HttpReply drainSelf(HttpCall call) {
-        LOGGER.atInfo().log("operator: graceful stop requested daemon=%s", mName);
+        LOG.atInfo().log("operator: graceful stop requested daemon=%s", mName);
         mStartDrain.run();
         return JsonReply.of(202, new Replies.Draining(mName));
     }
--- a/daemon/src/test/java/org/geraniumusher/daemon/LogSetupTest.java
+++ b/daemon/src/test/java/org/geraniumusher/daemon/LogSetupTest.java
@@ -19,7 +19,7 @@
  * fault that fills the log with the same line.
  */
 class LogSetupTest {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String TIME = "\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z";
 
     private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
@@ -36,14 +36,14 @@
 
     @Test
     void log_info_isOneLineOfTimeLevelAndText() {
-        LOGGER.atInfo().log("ownership: slice moved service=%s epoch=%d", "catalogue", 7);
+        LOG.atInfo().log("ownership: slice moved service=%s epoch=%d", "catalogue", 7);
         assertThat(text())
                 .matches(TIME + " info ownership: slice moved service=catalogue epoch=7\n");
     }
 
     @Test
     void log_causeAndLineBreaks_staysOneLine() {
-        LOGGER.atWarning().withCause(new IOException("broken\npipe")).log("caller: a\r\n  b");
+        LOG.atWarning().withCause(new IOException("broken\npipe")).log("caller: a\r\n  b");
         assertThat(text())
                 .matches(
                         TIME
@@ -53,14 +53,14 @@
 
     @Test
     void log_belowTheLevel_isLeftOut() {
-        LOGGER.atFine().log("config: detail");
+        LOG.atFine().log("config: detail");
         assertThat(text()).isEmpty();
     }
 
     @Test
     void log_repeatedWithLimit_appearsOnce() {
         for (int i = 0; i < 1_000; i++) {
-            LOGGER.atWarning().atMostEvery(1, TimeUnit.HOURS).log("platform: no answer");
+            LOG.atWarning().atMostEvery(1, TimeUnit.HOURS).log("platform: no answer");
         }
         assertThat(text().lines().count()).isEqualTo(1);
     }
