Derive the routing tables on the thread of the duty control

Change: RoutingConfiguration holds the route table, the servers by service and the serving servers and is made before the hand-over; a service whose servers did not change is left alone. The scripts in config no longer run Maven offline, so that they work on a fresh machine. The whole work of a change is not less.

--- a/config/capacity-slopes.sh
+++ b/config/capacity-slopes.sh
@@ -3,7 +3,7 @@
 # main classes limit the run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mvn -q -B -ntp -o compile dependency:build-classpath -pl experiments -am \
+mvn -q -B -ntp compile dependency:build-classpath -pl experiments -am \
   -Dmdep.outputFile=target/classpath.txt -Dmdep.includeScope=runtime >&2
 classes=("$@")
 if [ $# -eq 0 ]; then
--- a/config/performance.sh
+++ b/config/performance.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ -z "${GERANIUMUSHER_CLASSPATH:-}" ]; then
-  mvn -q -B -ntp -o compile dependency:build-classpath -pl experiments -am \
+  mvn -q -B -ntp compile dependency:build-classpath -pl experiments -am \
     -Dmdep.outputFile=target/classpath.txt -Dmdep.includeScope=runtime >&2
   GERANIUMUSHER_CLASSPATH="experiments/target/classes:$(cat experiments/target/classpath.txt)"
 fi
--- a/config/policy-table.sh
+++ b/config/policy-table.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # One Maven run, so that the classpath names the classes of the other modules.
-mvn -q -B -ntp -o compile dependency:build-classpath -pl experiments -am \
+mvn -q -B -ntp compile dependency:build-classpath -pl experiments -am \
   -Dmdep.outputFile=target/classpath.txt -Dmdep.includeScope=runtime >&2
 exec java -Xmx2g -cp "experiments/target/classes:$(cat experiments/target/classpath.txt)" \
   org.geraniumusher.experiments.PolicyTable "$@"
--- a/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.geraniumusher.operator.StoreObjectWriter;
 import org.geraniumusher.peer.PeerTransport;
 import org.geraniumusher.platform.ObjectApi;
+import org.geraniumusher.routing.RoutingConfiguration;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -267,7 +268,8 @@
         public void onConfiguration(Configuration configuration) {
             mHasConfiguration = true;
             mServiceLevels.onConfiguration(configuration);
-            mRequests.update(d -> d.onConfiguration(mClock.getAsLong(), configuration));
+            RoutingConfiguration view = RoutingConfiguration.of(configuration);
+            mRequests.update(d -> d.onConfiguration(mClock.getAsLong(), view));
         }
 
         @Override
--- a/decisions/src/main/java/org/geraniumusher/routing/GateSet.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/GateSet.java
@@ -9,7 +9,6 @@
 import org.geraniumusher.admission.ServerGate;
 import org.geraniumusher.admission.WarmUp;
 import org.geraniumusher.model.BackendServer;
-import org.geraniumusher.model.Configuration;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.Route;
 
@@ -38,13 +37,13 @@
     }
 
     /** Notes servers that are new, gone, changed or back in service. */
-    ImmutableList<Admission> onConfiguration(long nowNanos, Configuration configuration) {
+    ImmutableList<Admission> onConfiguration(long nowNanos, RoutingConfiguration view) {
         ImmutableList.Builder<Admission> verdicts = ImmutableList.builder();
         Set<String> names = new HashSet<>();
-        for (BackendServer server : configuration.backendServers()) {
+        for (BackendServer server : view.configuration().backendServers()) {
             names.add(server.name());
             mKnownSinceNanos.putIfAbsent(server.name(), nowNanos);
-            boolean serving = configuration.isServing(server);
+            boolean serving = view.serving().contains(server.name());
             Boolean before = mServing.put(server.name(), serving);
             Gate gate = mGates.get(server.name());
             if (gate != null && serving && Boolean.FALSE.equals(before)) {
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -73,14 +73,13 @@
     }
 
     /** Replaces the configuration. */
-    public void onConfiguration(long nowNanos, Configuration configuration) {
-        mConfiguration = configuration;
-        mRoutes = RouteTable.of(configuration);
-        var servers = configuration.serversByService();
-        for (Service service : configuration.services()) {
-            serviceView(service.name()).setServers(servers.get(service.name()));
+    public void onConfiguration(long nowNanos, RoutingConfiguration view) {
+        mConfiguration = view.configuration();
+        mRoutes = view.routes();
+        for (Service service : mConfiguration.services()) {
+            serviceView(service.name()).setServers(view.servers().get(service.name()));
         }
-        carryOut(nowNanos, mGates.onConfiguration(nowNanos, configuration));
+        carryOut(nowNanos, mGates.onConfiguration(nowNanos, view));
     }
 
     /** Replaces the table of a keyed service by a newer version. */
--- a/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/ServiceView.java
@@ -24,6 +24,7 @@
     private final StragglerDetector mStragglers = StragglerDetector.create();
     private final Map<String, ServerView> mViews = new HashMap<>();
     private ImmutableList<ServerView> mCandidates = ImmutableList.of();
+    private ImmutableList<BackendServer> mServerList = ImmutableList.of();
     private Map<String, BackendServer> mServers = Map.of();
     private long mNextEvaluationNanos;
 
@@ -33,6 +34,10 @@
 
     /** Replaces the servers; those that stay keep their state. */
     void setServers(ImmutableList<BackendServer> servers) {
+        if (servers.equals(mServerList)) {
+            return;
+        }
+        mServerList = servers;
         Map<String, BackendServer> byName = new HashMap<>();
         ImmutableList.Builder<ServerView> candidates = ImmutableList.builder();
         for (BackendServer server : servers) {
--- a/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
+++ b/decisions/src/test/java/org/geraniumusher/routing/RequestDeciderTest.java
@@ -57,7 +57,7 @@
                     7);
 
     RequestDeciderTest() {
-        mDecider.onConfiguration(0, configuration(true));
+        mDecider.onConfiguration(0, RoutingConfiguration.of(configuration(true)));
     }
 
     @Test
@@ -169,7 +169,7 @@
 
     @Test
     void onArrival_unfencedServer_sentOnlyWhileTheTableIsConfirmed() {
-        mDecider.onConfiguration(0, configuration(false));
+        mDecider.onConfiguration(0, RoutingConfiguration.of(configuration(false)));
         mDecider.onShard(4, shard("s1", 1));
         arrive(1, "GET", "/k/a");
         assertThat(mOutputs).isEmpty();
@@ -187,7 +187,7 @@
 
     @Test
     void onArrival_unfencedServerWithPreviousOwner_waitsUntilThatIsCleared() {
-        mDecider.onConfiguration(0, configuration(false));
+        mDecider.onConfiguration(0, RoutingConfiguration.of(configuration(false)));
         Slice moved = new Slice(0, -1, "s2", 2, "s1", "");
         mDecider.onShard(5, shard("s1", 1).withSlices(2, ImmutableList.of(moved)));
         mDecider.onTableLease("svc", 5, 900 * MILLI);
--- a/experiments/src/main/java/org/geraniumusher/experiments/ConfigurationSlopes.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/ConfigurationSlopes.java
@@ -11,6 +11,7 @@
 import org.geraniumusher.peer.WireFormat;
 import org.geraniumusher.routing.RequestDecider;
 import org.geraniumusher.routing.RouteTable;
+import org.geraniumusher.routing.RoutingConfiguration;
 
 /** Measures one configuration change by the number of objects in force. */
 public final class ConfigurationSlopes {
@@ -31,8 +32,9 @@
         System.out.println("### Configuration change, 2% services, 10% routes, 88% servers\n");
         System.out.println(
                 "| objects | delta bytes | snapshot bytes | replica µs a change"
-                        + " | RouteTable.of µs | onConfiguration µs | heap bytes an object |");
-        System.out.println("|---|---|---|---|---|---|---|");
+                        + " | RouteTable.of µs | RoutingConfiguration.of µs | onConfiguration µs"
+                        + " | heap bytes an object |");
+        System.out.println("|---|---|---|---|---|---|---|---|");
         for (int objects : OBJECTS) {
             printRow(objects);
         }
@@ -49,16 +51,18 @@
                 new SyncMessage.Delta(
                         last.version() - 1, last.version(), last.version(), ImmutableList.of(last));
         SyncMessage snapshot = new SyncMessage.Snapshot(last.version(), all);
+        RoutingConfiguration view = RoutingConfiguration.of(configuration);
         RequestDecider decider = RequestDecider.create(new CountingOutputs(), 1);
         Summary heap = CpuMeter.retainedBytes(3, () -> new ConfigurationSlopes(objects));
         System.out.printf(
-                "| %d | %d | %d | %s | %s | %s | %.0f |%n",
+                "| %d | %d | %d | %s | %s | %s | %s | %.0f |%n",
                 objects,
                 WireFormat.encode(self, delta).length,
                 WireFormat.encode(self, snapshot).length,
                 CpuMeter.text(CpuMeter.micros(run::change)),
                 CpuMeter.text(CpuMeter.micros(() -> RouteTable.of(configuration))),
-                CpuMeter.text(CpuMeter.micros(() -> configure(decider, configuration))),
+                CpuMeter.text(CpuMeter.micros(() -> RoutingConfiguration.of(configuration))),
+                CpuMeter.text(CpuMeter.micros(() -> configure(decider, view))),
                 heap.median() / objects);
     }
 
@@ -67,8 +71,8 @@
         return mDisseminator.onWatched(Change.put(mVersion, mObjects.get(mObjects.size() - 1)));
     }
 
-    private static RequestDecider configure(RequestDecider decider, Configuration configuration) {
-        decider.onConfiguration(0, configuration);
+    private static RequestDecider configure(RequestDecider decider, RoutingConfiguration view) {
+        decider.onConfiguration(0, view);
         return decider;
     }
 }
--- a/experiments/src/main/java/org/geraniumusher/experiments/RequestSlopes.java
+++ b/experiments/src/main/java/org/geraniumusher/experiments/RequestSlopes.java
@@ -3,6 +3,7 @@
 import org.geraniumusher.dissemination.Disseminator;
 import org.geraniumusher.routing.RequestDecider;
 import org.geraniumusher.routing.RequestHead;
+import org.geraniumusher.routing.RoutingConfiguration;
 
 import java.util.Optional;
 
@@ -20,7 +21,7 @@
         Disseminator disseminator = Disseminator.create(Fleet.member(0));
         var all = Fleet.changes(Fleet.objects(objects));
         disseminator.onListed(all.size(), all);
-        mDecider.onConfiguration(0, disseminator.configuration());
+        mDecider.onConfiguration(0, RoutingConfiguration.of(disseminator.configuration()));
         mDecider.onShard(1, Fleet.shard("service-0", 256, 1));
     }
 
