Convert authority messages in a class of their own

Cause: ControlDuty held the wiring of three protocols and the field-by-field conversion of messages.

--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -202,33 +202,14 @@
 
     @Override
     public void onAuthority(Member from, AuthorityMessage message) {
-        MemberId sender = new MemberId(from.name(), from.incarnation());
+        String self = mSelf.name();
         if (message instanceof AuthorityMessage.AuthorityRequest request) {
-            MemberId to = new MemberId(mSelf.name(), request.receiverIncarnation());
             run(
                     () ->
                             mOwnership.onAuthorityRequest(
-                                    new AuthorityRequest(
-                                            request.service(),
-                                            sender,
-                                            to,
-                                            request.version(),
-                                            request.requestId(),
-                                            Optional.empty())));
+                                    AuthorityMessages.fromWire(from, self, request)));
         } else if (message instanceof AuthorityMessage.AuthorityAck ack) {
-            MemberId to = new MemberId(mSelf.name(), ack.receiverIncarnation());
-            run(
-                    () ->
-                            mOwnership.onAuthorityAck(
-                                    new AuthorityAck(
-                                            ack.service(),
-                                            sender,
-                                            to,
-                                            ack.version(),
-                                            ack.requestId(),
-                                            ack.granted(),
-                                            ack.knownVersion(),
-                                            Optional.empty())));
+            run(() -> mOwnership.onAuthorityAck(AuthorityMessages.fromWire(from, self, ack)));
         } else if (message instanceof AuthorityMessage.TableConfirm confirm) {
             run(() -> mConfirmations.onMessage(now(), from, confirm, mOwnership.members()));
         }
@@ -275,35 +256,12 @@
     @Override
     public void send(AuthorityRequest request) {
         memberOf(request.to())
-                .ifPresent(
-                        member ->
-                                mTransport.send(
-                                        member,
-                                        new AuthorityMessage.AuthorityRequest(
-                                                request.service(),
-                                                request.version(),
-                                                request.sentNanos(),
-                                                mSelf.name(),
-                                                mSelf.incarnation(),
-                                                request.to().incarnation())));
+                .ifPresent(to -> mTransport.send(to, AuthorityMessages.toWire(request)));
     }
 
     @Override
     public void send(AuthorityAck ack) {
-        memberOf(ack.to())
-                .ifPresent(
-                        member ->
-                                mTransport.send(
-                                        member,
-                                        new AuthorityMessage.AuthorityAck(
-                                                ack.service(),
-                                                ack.version(),
-                                                ack.sentNanos(),
-                                                mSelf.name(),
-                                                mSelf.incarnation(),
-                                                ack.acknowledged(),
-                                                ack.knownVersion(),
-                                                ack.to().incarnation())));
+        memberOf(ack.to()).ifPresent(to -> mTransport.send(to, AuthorityMessages.toWire(ack)));
     }
 
     @Override
