--- a/decisions/src/main/java/org/geraniumusher/choice/StragglerDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/choice/StragglerDetector.java
@@ -135,7 +135,7 @@
     /** Returns the requests that a server of a keyed service may run at once. */
     public int concurrencyLimit(String server, int slots) {
         checkArgument(slots >= 1, "bad slots: %s", slots);
-        return slots;
+        return isStraggler(server) ? Math.max(1, slots / 2) : slots;
     }
 
     /** Returns the median over the servers of their medians; 0 when too little is known. */
