Keep ticking a shard in whose group this daemon is

Cause: when the servers of a service moved to another region by a change of configuration, the members of its group got no ticks any more and stopped renewing before others had taken over. Change: a member of the group is ticked, whatever the region. No test of its own yet.

--- a/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/OwnershipRunner.java
@@ -140,7 +140,7 @@
         mTicks++;
         for (String service : ImmutableList.copyOf(mMembers.keySet())) {
             boolean due = !mIdle.contains(service) || mTicks % IDLE_TICKS == 0;
-            if (due && participants(service).contains(mSelf)) {
+            if (due && (participants(service).contains(mSelf) || hasRole(service))) {
                 run(service, member -> member.onTick(now()));
             }
         }
@@ -271,6 +271,11 @@
                 .orElse(Set.of());
     }
 
+    /** A member of a group goes on when servers move to another region, until it is replaced. */
+    private boolean hasRole(String service) {
+        return mMembers.get(service).known().isPresent() && !mIdle.contains(service);
+    }
+
     private boolean hasRole(ShardState state) {
         String self = mSelf.id().toString();
         return state.group().contains(self)
