Use one match for keyed and unkeyed routes

Change: RouteMatch.Found with the hash, 0 for an unkeyed service. RouteTableTest checks the service and the hash where the type said it before.

--- a/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/PendingRequest.java
@@ -52,34 +52,20 @@
         mPriority = priority;
     }
 
-    static PendingRequest ofKeyed(
-            long id, long nowNanos, RouteMatch.Keyed match, boolean idempotent) {
+    static PendingRequest ofCaller(
+            long id, long nowNanos, RouteMatch.Found match, boolean idempotent) {
+        Route route = match.route();
         return new PendingRequest(
                 id,
-                match.route().name(),
+                route.name(),
                 nowNanos,
-                deadline(nowNanos, match.route()),
+                nowNanos + route.timeoutMillis() * NANOS_PER_MILLI,
                 false,
-                true,
+                match.service().keyed(),
                 match.service().name(),
                 match.hash(),
                 idempotent,
-                match.route().priority());
-    }
-
-    static PendingRequest ofUnkeyed(
-            long id, long nowNanos, RouteMatch.Unkeyed match, boolean idempotent) {
-        return new PendingRequest(
-                id,
-                match.route().name(),
-                nowNanos,
-                deadline(nowNanos, match.route()),
-                false,
-                false,
-                match.service().name(),
-                0,
-                idempotent,
-                match.route().priority());
+                route.priority());
     }
 
     static PendingRequest ofForwarded(long id, long nowNanos, ForwardedRequest request) {
@@ -96,10 +82,6 @@
                 request.priority());
     }
 
-    private static long deadline(long nowNanos, Route route) {
-        return nowNanos + route.timeoutMillis() * NANOS_PER_MILLI;
-    }
-
     /** Returns the route, or "" of a forwarded request. */
     String route() {
         return mRoute;
--- a/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RequestDecider.java
@@ -118,12 +118,9 @@
         RouteMatch match = mRoutes.match(head);
         if (match instanceof RouteMatch.Refused refused) {
             mOutputs.refuse(id, refused.code(), 0);
-        } else if (match instanceof RouteMatch.Keyed keyed) {
-            boolean idempotent = keyed.route().isIdempotent(head.method());
-            begin(nowNanos, PendingRequest.ofKeyed(id, nowNanos, keyed, idempotent));
-        } else if (match instanceof RouteMatch.Unkeyed unkeyed) {
-            boolean idempotent = unkeyed.route().isIdempotent(head.method());
-            begin(nowNanos, PendingRequest.ofUnkeyed(id, nowNanos, unkeyed, idempotent));
+        } else if (match instanceof RouteMatch.Found found) {
+            boolean idempotent = found.route().isIdempotent(head.method());
+            begin(nowNanos, PendingRequest.ofCaller(id, nowNanos, found, idempotent));
         }
     }
 
--- a/decisions/src/main/java/org/geraniumusher/routing/RouteTable.java
+++ b/decisions/src/main/java/org/geraniumusher/routing/RouteTable.java
@@ -49,7 +49,7 @@
         }
         return service.get().keyed()
                 ? keyed(route, service.get(), head)
-                : new RouteMatch.Unkeyed(route, service.get());
+                : new RouteMatch.Found(route, service.get(), 0);
     }
 
     private static RouteMatch keyed(Route route, Service service, RequestHead head) {
@@ -58,7 +58,7 @@
         }
         Optional<String> key = KeyExtractor.extract(route.keySource(), head);
         return key.isPresent()
-                ? new RouteMatch.Keyed(route, service, KeyHash.of(key.get()))
+                ? new RouteMatch.Found(route, service, KeyHash.of(key.get()))
                 : new RouteMatch.Refused(ResultCode.NO_KEY);
     }
 
--- a/decisions/src/test/java/org/geraniumusher/routing/RouteTableTest.java
+++ b/decisions/src/test/java/org/geraniumusher/routing/RouteTableTest.java
@@ -33,19 +33,22 @@
     @Test
     void match_pathKey_decodesTheSegment() {
         RouteMatch match = TABLE.match(head("GET", "any", "/clefts/a%20b?x=1"));
-        assertThat(((RouteMatch.Keyed) match).hash()).isEqualTo(KeyHash.of("a b"));
+        assertThat(((RouteMatch.Found) match).hash()).isEqualTo(KeyHash.of("a b"));
     }
 
     @Test
     void match_prefixInsideSegment_doesNotMatch() {
         RouteMatch match = TABLE.match(head("GET", "any", "/cleftsmen/1"));
-        assertThat(((RouteMatch.Unkeyed) match).service().name()).isEqualTo("ledger");
+        RouteMatch.Found found = (RouteMatch.Found) match;
+        assertThat(found.service().name()).isEqualTo("ledger");
+        assertThat(found.service().keyed()).isFalse();
+        assertThat(found.hash()).isEqualTo(0);
     }
 
     @Test
     void match_hostRoute_goesBeforeLongerPrefix() {
         RouteMatch match = TABLE.match(head("GET", "yard.example", "/clefts/1?id=7"));
-        assertThat(((RouteMatch.Keyed) match).hash()).isEqualTo(KeyHash.of("7"));
+        assertThat(((RouteMatch.Found) match).hash()).isEqualTo(KeyHash.of("7"));
     }
 
     @Test
