--- a/daemon/src/main/java/org/geraniumusher/caller/CallerServer.java
+++ b/daemon/src/main/java/org/geraniumusher/caller/CallerServer.java
@@ -7,6 +7,7 @@
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 
+import org.geraniumusher.http.StrictRequestDecoder;
 import org.geraniumusher.http.TcpListener;
 import org.geraniumusher.model.Address;
 
--- a/daemon/src/main/java/org/geraniumusher/caller/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/geraniumusher/http/StrictRequestDecoder.java
@@ -1,4 +1,4 @@
-package org.geraniumusher.caller;
+package org.geraniumusher.http;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -8,8 +8,9 @@
  * Decodes requests and refuses those that name both a length and chunks, which a backend server
  * could split differently (request smuggling). Confined to one connection.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
-    StrictRequestDecoder(int maxInitialLineBytes, int maxHeaderBytes) {
+public final class StrictRequestDecoder extends HttpRequestDecoder {
+    /** Creates a decoder with these limits. */
+    public StrictRequestDecoder(int maxInitialLineBytes, int maxHeaderBytes) {
         super(
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(maxInitialLineBytes)
--- a/daemon/src/main/java/org/geraniumusher/operator/MetricText.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/MetricText.java
@@ -19,12 +19,13 @@
  * when that is {@code ns}, {@code ms}, {@code s}, {@code bytes} or {@code ratio}, otherwise {@code
  * count}; timers are in {@code ns}, rates in {@code per_s}.
  */
-final class MetricText {
+public final class MetricText {
     private final StringBuilder mText = new StringBuilder();
 
     private MetricText() {}
 
-    static String of(MetricRegistry registry) {
+    /** Returns the lines of all metrics of a registry. */
+    public static String of(MetricRegistry registry) {
         MetricText text = new MetricText();
         new TreeMap<>(registry.getMetrics()).forEach(text::append);
         return text.mText.toString();
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -0,0 +1,160 @@
+package org.geraniumusher.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Follows the load of one backend server from the reports on its responses and from the requests of
+ * this daemon. Not thread-safe.
+ *
+ * <p>A report counts the requests of all daemons, but only at its moment; the requests that this
+ * daemon has sent and that have ended since then correct it.
+ */
+public final class ServerLoad {
+    /** A report says nothing any more after this time: most requests have ended by then. */
+    private static final long REPORT_AGE_NANOS = 1_500_000_000L;
+
+    private static final double SMOOTHING = 0.15;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final int mSlots;
+    private final double mDefaultWorkNanos;
+    private int mInFlight;
+    private int mReportedOthers;
+    private long mReportedAt = Long.MIN_VALUE / 2;
+    private double mWorkNanos;
+    private double mFailureShare;
+    private long mColdUntil = Long.MIN_VALUE / 2;
+    private long mSuspectUntil = Long.MIN_VALUE / 2;
+    private int mFailuresInRow;
+    private final double mFirstColdTokens;
+    private double mColdTokens;
+    private long mColdTokensAt;
+
+    private ServerLoad(int slots, long defaultWorkNanos, double coldTokens) {
+        mSlots = slots;
+        mFirstColdTokens = coldTokens;
+        mDefaultWorkNanos = defaultWorkNanos;
+        mWorkNanos = defaultWorkNanos;
+    }
+
+    /**
+     * Returns the load of a server that is idle as far as is known.
+     *
+     * @param coldTokens share of a request that the server may get while cold, at first; a random
+     *     one in each daemon keeps the daemons from sending their first requests together
+     */
+    public static ServerLoad create(int slots, long defaultWorkNanos, double coldTokens) {
+        checkArgument(slots > 0, "bad slots: %s", slots);
+        checkArgument(coldTokens >= 0 && coldTokens <= 1, "bad tokens: %s", coldTokens);
+        return new ServerLoad(slots, defaultWorkNanos, coldTokens);
+    }
+
+    /** Counts a request that is sent. */
+    public void onSent() {
+        mInFlight++;
+    }
+
+    /** Takes a report; the request that brought it is still counted as in flight. */
+    public void onReport(LoadReport report, long nowNanos) {
+        mReportedOthers = Math.max(0, report.running() + report.waiting() - (mInFlight - 1));
+        mReportedAt = nowNanos;
+    }
+
+    /** Counts a request that ran and ended after {@code tookNanos}. */
+    public void onCompleted(long tookNanos, boolean failed) {
+        mInFlight--;
+        mFailuresInRow = 0;
+        if (!failed) {
+            double queueing = Math.max(1, expectedLoad(mReportedAt) / (double) mSlots);
+            mWorkNanos += SMOOTHING * (tookNanos / queueing - mWorkNanos);
+        }
+        mFailureShare += SMOOTHING * ((failed ? 1 : 0) - mFailureShare);
+    }
+
+    /** Counts a request that was rejected without having run. */
+    public void onRejected() {
+        mInFlight--;
+        mFailureShare += SMOOTHING * (1 - mFailureShare);
+    }
+
+    /** Counts a request without an answer; several in a row make the server suspect for a while. */
+    public void onNoAnswer(long nowNanos) {
+        mInFlight--;
+        mFailureShare += SMOOTHING * (1 - mFailureShare);
+        mFailuresInRow++;
+        long pause = Math.min(2_000_000_000L, 100_000_000L << Math.min(6, mFailuresInRow));
+        mSuspectUntil = nowNanos + pause;
+    }
+
+    /** Counts a request that was given up by this side. */
+    public void onCancelled() {
+        mInFlight--;
+    }
+
+    /** Takes the time until which the server is cold. */
+    public void onCold(long untilNanos, long nowNanos) {
+        if (!isCold(nowNanos)) {
+            mColdTokens = mFirstColdTokens;
+            mColdTokensAt = nowNanos;
+        }
+        mColdUntil = untilNanos;
+    }
+
+    /** Reports whether the server is cold. */
+    public boolean isCold(long nowNanos) {
+        return nowNanos < mColdUntil;
+    }
+
+    /** Reports whether recent requests got no answer. */
+    public boolean isSuspect(long nowNanos) {
+        return nowNanos < mSuspectUntil;
+    }
+
+    /** Takes one of the requests that a cold server may get; true when the server is warm. */
+    public boolean tryAdmit(double coldRate, long nowNanos) {
+        if (!isCold(nowNanos)) {
+            return true;
+        }
+        double elapsed = (nowNanos - mColdTokensAt) / NANOS_PER_SECOND;
+        mColdTokens = Math.min(1, mColdTokens + elapsed * coldRate);
+        mColdTokensAt = nowNanos;
+        if (mColdTokens < 1) {
+            return false;
+        }
+        mColdTokens--;
+        return true;
+    }
+
+    /** Returns the requests of this daemon that are at the server. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /** Returns the requests of all daemons that are probably at the server. */
+    public int expectedLoad(long nowNanos) {
+        boolean fresh = nowNanos - mReportedAt < REPORT_AGE_NANOS;
+        return mInFlight + (fresh ? mReportedOthers : 0);
+    }
+
+    /** Returns the time that a request sent now would probably take, with its wait for a slot. */
+    public double expectedNanos(long nowNanos) {
+        int ahead = expectedLoad(nowNanos);
+        double wait = ahead < mSlots ? 0 : (ahead - mSlots + 1) / (double) mSlots * mWorkNanos;
+        return wait + mWorkNanos;
+    }
+
+    /** Returns the smoothed time that work takes once it has a slot. */
+    public double workNanos() {
+        return mWorkNanos;
+    }
+
+    /** Returns the smoothed share of requests that failed or were rejected. */
+    public double failureShare() {
+        return mFailureShare;
+    }
+
+    /** Returns how fast the server works relative to what was expected of it, 1 as expected. */
+    public double speed() {
+        return mDefaultWorkNanos / mWorkNanos;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Where a request is sent next: load of backend servers, choice among them, cold servers. */
+package org.geraniumusher.dispatch;
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/KeyLoad.java
@@ -0,0 +1,74 @@
+package org.geraniumusher.keyrange;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Counts the work of each key, where older work counts less: it halves every {@link
+ * #HALF_LIFE_NANOS}. Each key also has a small even weight, so that an idle range weighs something.
+ * Takes 512 KB. Not thread-safe.
+ */
+public final class KeyLoad {
+    /** Long enough to smooth single requests, short enough to follow keys that turn hot. */
+    public static final long HALF_LIFE_NANOS = 2_000_000_000L;
+
+    private static final double IDLE_WEIGHT = 1e-4;
+    private static final double MAX_SCALE = 1e12;
+
+    private final double[] mWork = new double[KeyRange.MAX_KEY + 1];
+    private double mScale = 1;
+    private double mTotal;
+    private long mScaledAt;
+
+    private KeyLoad(long nowNanos) {
+        mScaledAt = nowNanos;
+    }
+
+    /** Returns an empty count. */
+    public static KeyLoad create(long nowNanos) {
+        return new KeyLoad(nowNanos);
+    }
+
+    /** Adds work for {@code key}; the unit is any that all callers share. */
+    public void add(int key, double work, long nowNanos) {
+        checkArgument(KeyRange.ALL.contains(key), "bad key: %s", key);
+        advance(nowNanos);
+        mWork[key] += work * mScale;
+        mTotal += work * mScale;
+    }
+
+    /** Lets the counts decay up to {@code nowNanos}. */
+    public void advance(long nowNanos) {
+        long elapsed = nowNanos - mScaledAt;
+        if (elapsed <= 0) {
+            return;
+        }
+        mScaledAt = nowNanos;
+        mScale *= Math.pow(2, (double) elapsed / HALF_LIFE_NANOS);
+        if (mScale > MAX_SCALE) {
+            for (int key = 0; key < mWork.length; key++) {
+                mWork[key] /= mScale;
+            }
+            mTotal /= mScale;
+            mScale = 1;
+        }
+    }
+
+    /** Returns the decayed work of a key. */
+    public double of(int key) {
+        return mWork[key] / mScale + IDLE_WEIGHT;
+    }
+
+    /** Returns the decayed work of a range, in time linear in its size. */
+    public double of(KeyRange range) {
+        double sum = 0;
+        for (int key = range.first(); key <= range.last(); key++) {
+            sum += mWork[key];
+        }
+        return sum / mScale + IDLE_WEIGHT * range.size();
+    }
+
+    /** Returns the decayed work of all keys, without the even weight. */
+    public double total() {
+        return mTotal / mScale;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeTable.java
@@ -0,0 +1,84 @@
+package org.geraniumusher.keyrange;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds the assignments of all keys of one service at one revision of the store. Immutable.
+ *
+ * <p>Invariant: the ranges cover the key space without a gap and do not overlap.
+ */
+public final class RangeTable {
+    private final long mRevision;
+    private final ImmutableList<Assignment> mAssignments;
+
+    private RangeTable(long revision, ImmutableList<Assignment> assignments) {
+        mRevision = revision;
+        mAssignments = assignments;
+    }
+
+    /** Returns a table whose unstamped assignments get {@code revision} as their fence. */
+    public static RangeTable of(long revision, List<Assignment> assignments) {
+        ImmutableList<Assignment> sorted =
+                assignments.stream()
+                        .map(a -> a.stamped(revision))
+                        .sorted(Comparator.comparingInt(a -> a.range().first()))
+                        .collect(ImmutableList.toImmutableList());
+        checkCovers(sorted);
+        return new RangeTable(revision, sorted);
+    }
+
+    private static void checkCovers(List<Assignment> sorted) {
+        int next = 0;
+        for (Assignment assignment : sorted) {
+            checkArgument(
+                    assignment.range().first() == next,
+                    "expected a range from %s: %s",
+                    next,
+                    assignment);
+            next = assignment.range().last() + 1;
+        }
+        checkArgument(next == KeyRange.MAX_KEY + 1, "no assignment of key %s", next);
+    }
+
+    /** Returns the store's revision of this table. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /** Returns the assignments in the order of their keys. */
+    public ImmutableList<Assignment> assignments() {
+        return mAssignments;
+    }
+
+    /** Returns the assignment of {@code key}, in time logarithmic in the number of ranges. */
+    public Assignment find(int key) {
+        checkArgument(KeyRange.ALL.contains(key), "bad key: %s", key);
+        int low = 0;
+        int high = mAssignments.size() - 1;
+        while (low < high) {
+            int middle = (low + high + 1) >>> 1;
+            if (mAssignments.get(middle).range().first() <= key) {
+                low = middle;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return mAssignments.get(low);
+    }
+
+    /** Returns the assignment of exactly {@code range} with {@code fence}. */
+    public Optional<Assignment> find(KeyRange range, long fence) {
+        checkNotNull(range);
+        Assignment found = find(range.first());
+        return found.range().equals(range) && found.fence() == fence
+                ? Optional.of(found)
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/traffic/RouterConfig.java
@@ -0,0 +1,83 @@
+package org.geraniumusher.traffic;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Holds one version of the configuration, in full. Immutable. */
+public final class RouterConfig {
+    private final long mVersion;
+    private final ImmutableMap<String, ServiceRule> mServices;
+    private final TrafficLimits mLimits;
+    private final ImmutableMap<String, ImmutableList<RouteRule>> mRoutesByHost;
+
+    private RouterConfig(
+            long version,
+            ImmutableMap<String, ServiceRule> services,
+            TrafficLimits limits,
+            ImmutableMap<String, ImmutableList<RouteRule>> routesByHost) {
+        mVersion = version;
+        mServices = services;
+        mLimits = limits;
+        mRoutesByHost = routesByHost;
+    }
+
+    /** Returns a configuration of these rules. */
+    public static RouterConfig of(
+            long version,
+            List<RouteRule> routes,
+            Map<String, ServiceRule> services,
+            TrafficLimits limits) {
+        Map<String, List<RouteRule>> byHost = new HashMap<>();
+        for (RouteRule route : routes) {
+            byHost.computeIfAbsent(normalize(route.host()), host -> new ArrayList<>()).add(route);
+        }
+        ImmutableMap.Builder<String, ImmutableList<RouteRule>> sorted = ImmutableMap.builder();
+        Comparator<RouteRule> longestFirst =
+                Comparator.comparingInt((RouteRule r) -> r.prefix().length()).reversed();
+        byHost.forEach(
+                (host, list) -> sorted.put(host, ImmutableList.sortedCopyOf(longestFirst, list)));
+        return new RouterConfig(
+                version, ImmutableMap.copyOf(services), checkNotNull(limits), sorted.build());
+    }
+
+    /** Returns the number of the version. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the services by name. */
+    public ImmutableMap<String, ServiceRule> services() {
+        return mServices;
+    }
+
+    /** Returns what callers may send. */
+    public TrafficLimits limits() {
+        return mLimits;
+    }
+
+    /** Returns the route of {@code host} with the longest prefix that begins {@code path}. */
+    public Optional<RouteRule> match(String host, String path) {
+        for (RouteRule route : mRoutesByHost.getOrDefault(normalize(host), ImmutableList.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String normalize(String host) {
+        int port = host.lastIndexOf(':');
+        String name = port >= 0 ? host.substring(0, port) : host;
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -0,0 +1,265 @@
+package org.geraniumusher.entry;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.entry.KeyWork.Sample;
+import org.geraniumusher.keyrange.CoordinatorElection;
+import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.traffic.ServiceRule;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Takes part in the election of the coordinator and runs a {@link RangeDuty} for each keyed service
+ * while this daemon is elected. Confined to the event loop.
+ */
+final class CoordinatorDuty {
+    private static final String RECORD = "coordinator";
+    private static final long ACTING_TICK_MILLIS = 100;
+    private static final long WATCHING_TICK_MILLIS = 500;
+    private static final long POLL_NANOS = 2_000_000_000L;
+
+    private final EntrySettings mSettings;
+    private final long mIncarnation;
+    private final Directory mDirectory;
+    private final Store mStore;
+    private final ServerControl mControl;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
+    private final CoordinatorElection mElection;
+    private final Map<String, RangeDuty> mServices = new HashMap<>();
+    private boolean mCalling;
+    private long mNextPoll;
+    private long mNextWrite;
+    private boolean mActing;
+    private boolean mResigned;
+
+    CoordinatorDuty(
+            EntrySettings settings,
+            long incarnation,
+            Directory directory,
+            Store store,
+            ServerControl control,
+            EventThread thread,
+            LongSupplier clock,
+            DecisionLog log,
+            EntryMetrics metrics) {
+        mSettings = settings;
+        mIncarnation = incarnation;
+        mDirectory = directory;
+        mStore = store;
+        mControl = control;
+        mThread = thread;
+        mClock = clock;
+        mLog = log;
+        mMetrics = metrics;
+        mElection = CoordinatorElection.create(identity(), incarnation);
+    }
+
+    /** A daemon that comes back at another address may run beside the one that it replaces. */
+    private String identity() {
+        return mSettings.name() + "/" + mSettings.peers().host();
+    }
+
+    void start() {
+        mNextPoll = mClock.getAsLong();
+        tick();
+    }
+
+    /** Returns the coordinator as last seen. */
+    Optional<CoordinatorRecord> coordinator() {
+        return mElection.record();
+    }
+
+    boolean isActing() {
+        return mActing;
+    }
+
+    /** Takes requests that a daemon reports. */
+    void onSamples(String service, List<Sample> samples) {
+        RangeDuty duty = mServices.get(service);
+        if (duty != null) {
+            duty.onSamples(samples);
+        }
+    }
+
+    /** Looks at once whether a server still answers. */
+    void verify(String life) {
+        mServices.values().forEach(d -> d.verify(life));
+    }
+
+    private void tick() {
+        long now = mClock.getAsLong();
+        if (mResigned) {
+            return;
+        }
+        if (!mCalling) {
+            if (mElection.shouldWrite(now) && now >= mNextWrite) {
+                writeRecord(now);
+            } else if (!mElection.hasAuthority(now) && now >= mNextPoll) {
+                poll(now);
+            }
+        }
+        act(now);
+        mThread.schedule(
+                this::tick,
+                mActing ? ACTING_TICK_MILLIS : WATCHING_TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void act(long now) {
+        boolean acts = mElection.hasAuthority(now);
+        if (acts != mActing) {
+            mActing = acts;
+            mLog.write(
+                    Part.OWNERSHIP,
+                    acts ? "Is the coordinator" : "Is not the coordinator any more",
+                    "coordinator",
+                    mElection.record().map(CoordinatorRecord::daemon).orElse(""));
+        }
+        if (!acts) {
+            return;
+        }
+        mDirectory
+                .configuration()
+                .ifPresent(
+                        c ->
+                                c.services().values().stream()
+                                        .filter(ServiceRule::keyed)
+                                        .forEach(s -> duty(s.name())));
+        mServices.values().forEach(RangeDuty::tick);
+    }
+
+    /** Follows a change of the directory without waiting for the next tick. */
+    void onDirectoryChange() {
+        if (mActing) {
+            act(mClock.getAsLong());
+        }
+    }
+
+    private RangeDuty duty(String service) {
+        return mServices.computeIfAbsent(
+                service,
+                s ->
+                        new RangeDuty(
+                                s,
+                                mSettings,
+                                mDirectory,
+                                mStore,
+                                mControl,
+                                mThread,
+                                mClock,
+                                mLog,
+                                mMetrics));
+    }
+
+    private void poll(long now) {
+        mCalling = true;
+        mNextPoll = now + POLL_NANOS;
+        mStore.list(StoreKind.COORDINATORS, "", mElection.record().isPresent())
+                .thenAccept(result -> mThread.execute(() -> onPolled(result)));
+    }
+
+    private void onPolled(StoreResult result) {
+        mCalling = false;
+        if (result instanceof StoreResult.Page page) {
+            mElection.onRead(
+                    page.objects().stream()
+                            .filter(o -> o.name().equals(RECORD))
+                            .findFirst()
+                            .map(CoordinatorDuty::decode),
+                    mClock.getAsLong());
+            dropServicesUnlessOwn();
+        }
+    }
+
+    private void writeRecord(long now) {
+        mCalling = true;
+        mNextWrite = now + TimeUnit.MILLISECONDS.toNanos(300);
+        ObjectNode spec = encode(identity());
+        Optional<CoordinatorRecord> known = mElection.record();
+        boolean newTerm =
+                known.map(r -> !r.daemon().equals(identity()) || r.incarnation() != mIncarnation)
+                        .orElse(true);
+        CompletableFuture<StoreResult> call =
+                known.isEmpty()
+                        ? mStore.create(StoreKind.COORDINATORS, RECORD, spec)
+                        : mStore.replace(
+                                StoreKind.COORDINATORS, RECORD, spec, known.get().revision());
+        call.thenAccept(result -> mThread.execute(() -> onWritten(result, now, newTerm)));
+    }
+
+    private ObjectNode encode(String daemon) {
+        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        spec.put("daemon", daemon);
+        spec.put("incarnation", mIncarnation);
+        spec.put("peer", mSettings.peers().toString());
+        // A write that changes nothing would not raise the revision.
+        spec.put("renewed_at", mClock.getAsLong());
+        return spec;
+    }
+
+    private void onWritten(StoreResult result, long sentAt, boolean newTerm) {
+        mCalling = false;
+        long now = mClock.getAsLong();
+        if (result instanceof StoreResult.Written written) {
+            if (newTerm) {
+                mServices.clear();
+            }
+            mElection.onWritten(decode(written.object()), sentAt, now);
+            act(now);
+        } else if (result instanceof StoreResult.Conflict conflict) {
+            mElection.onRead(Optional.of(decode(conflict.object())), now);
+            dropServicesUnlessOwn();
+        } else {
+            mLog.write(Part.OWNERSHIP, "Coordinator record was not written", "result", result);
+        }
+    }
+
+    /** Forgets the grants of a term that another daemon has ended. */
+    private void dropServicesUnlessOwn() {
+        boolean own =
+                mElection
+                        .record()
+                        .map(r -> r.daemon().equals(identity()) && r.incarnation() == mIncarnation)
+                        .orElse(false);
+        if (!own) {
+            mServices.clear();
+        }
+    }
+
+    private static CoordinatorRecord decode(StoreObject object) {
+        return new CoordinatorRecord(
+                object.spec().path("daemon").asText(),
+                object.spec().path("incarnation").asLong(),
+                object.spec().path("peer").asText(),
+                object.revision());
+    }
+
+    /** Gives the office up, so that another daemon takes over at once. */
+    CompletableFuture<?> resign() {
+        mResigned = true;
+        boolean acting = mElection.hasAuthority(mClock.getAsLong());
+        mActing = false;
+        mServices.clear();
+        if (!acting) {
+            return CompletableFuture.completedFuture(null);
+        }
+        mLog.write(Part.OWNERSHIP, "Resigns as the coordinator");
+        return mStore.replace(
+                StoreKind.COORDINATORS,
+                RECORD,
+                encode(""),
+                mElection.record().orElseThrow().revision());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -0,0 +1,208 @@
+package org.geraniumusher.entry;
+
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.traffic.RouterConfig;
+import org.geraniumusher.traffic.ServerEntry;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * Holds what this daemon knows from the store, decoded. Confined to the event loop.
+ *
+ * <p>An object that cannot be decoded costs no other: the last usable configuration stays in force,
+ * and an entry of a server is left out.
+ */
+final class Directory {
+    /** A server whose entry has gone while the store was away may register again in this time. */
+    private static final long REGISTER_AGAIN_NANOS = 2_000_000_000L;
+
+    /** Long enough to see what is wrong with an entry. */
+    private static final int MAX_LOGGED_CHARS = 400;
+
+    private final Wire mWire;
+    private final DecisionLog mLog;
+    private final LongSupplier mClock;
+    private final Map<StoreKind, KindMirror> mMirrors = new EnumMap<>(StoreKind.class);
+    private final List<Runnable> mListeners = new ArrayList<>();
+    private final Map<String, Decoded> mDecoded = new HashMap<>();
+    private Optional<RouterConfig> mConfiguration = Optional.empty();
+    private long mConfigurationRevision = -1;
+    private ImmutableMap<String, ServerEntry> mServers = ImmutableMap.of();
+    private ImmutableSet<String> mEvacuated = ImmutableSet.of();
+    private ImmutableMap<String, RangeTable> mTables = ImmutableMap.of();
+
+    private record Decoded(long revision, Optional<ServerEntry> entry) {}
+
+    Directory(Store store, Wire wire, EventThread thread, LongSupplier clock, DecisionLog log) {
+        mWire = wire;
+        mLog = log;
+        mClock = clock;
+        addMirror(StoreKind.CONFIGURATION, store, thread, this::decodeConfiguration);
+        addMirror(StoreKind.EVACUATIONS, store, thread, this::decodeEvacuations);
+        addMirror(StoreKind.SERVERS, store, thread, this::decodeServers);
+        addMirror(StoreKind.RANGES, store, thread, this::decodeTables);
+    }
+
+    private void addMirror(StoreKind kind, Store store, EventThread thread, Runnable decode) {
+        Runnable onChange =
+                () -> {
+                    decode.run();
+                    mListeners.forEach(Runnable::run);
+                };
+        mMirrors.put(
+                kind, new KindMirror(kind, store, thread, mClock, mLog, onChange, this::start));
+    }
+
+    /** Lists all kinds, at the start and when the store has dropped its history. */
+    void start() {
+        mMirrors.values().forEach(KindMirror::start);
+    }
+
+    /** Adds a task that runs after each change. */
+    void addListener(Runnable listener) {
+        mListeners.add(listener);
+    }
+
+    KindMirror mirror(StoreKind kind) {
+        return mMirrors.get(kind);
+    }
+
+    Iterable<KindMirror> mirrors() {
+        return mMirrors.values();
+    }
+
+    /** Reports whether everything that a request needs is known. */
+    boolean isComplete() {
+        return mConfiguration.isPresent()
+                && mMirrors.values().stream().allMatch(KindMirror::isKnown);
+    }
+
+    Optional<RouterConfig> configuration() {
+        return mConfiguration;
+    }
+
+    /** Returns the usable entries of servers by their lives. */
+    ImmutableMap<String, ServerEntry> servers() {
+        return mServers;
+    }
+
+    ImmutableSet<String> evacuated() {
+        return mEvacuated;
+    }
+
+    Optional<RangeTable> table(String service) {
+        return Optional.ofNullable(mTables.get(service));
+    }
+
+    private void decodeConfiguration() {
+        for (StoreObject object : mMirrors.get(StoreKind.CONFIGURATION).objects().values()) {
+            if (object.revision() <= mConfigurationRevision) {
+                continue;
+            }
+            mConfigurationRevision = object.revision();
+            try {
+                RouterConfig next = mWire.configuration(object.spec());
+                mConfiguration = Optional.of(next);
+                mLog.write(
+                        Part.STORE,
+                        "Configuration is in force",
+                        "version",
+                        next.version(),
+                        "revision",
+                        object.revision());
+            } catch (IllegalArgumentException e) {
+                mLog.write(
+                        Part.STORE,
+                        "Configuration cannot be used, the last one stays in force",
+                        "revision",
+                        object.revision(),
+                        "reason",
+                        e.getMessage());
+            }
+        }
+    }
+
+    private void decodeEvacuations() {
+        ImmutableSet<String> next =
+                ImmutableSet.copyOf(mMirrors.get(StoreKind.EVACUATIONS).objects().keySet());
+        if (!next.equals(mEvacuated)) {
+            mLog.write(Part.STORE, "Evacuated data centres changed", "data_centres", next);
+            mEvacuated = next;
+        }
+    }
+
+    private void decodeServers() {
+        ImmutableMap.Builder<String, ServerEntry> next = ImmutableMap.builder();
+        ImmutableMap<String, StoreObject> objects = mMirrors.get(StoreKind.SERVERS).objects();
+        mDecoded.keySet().retainAll(objects.keySet());
+        for (StoreObject object : objects.values()) {
+            Decoded decoded = mDecoded.get(object.name());
+            if (decoded == null || decoded.revision() != object.revision()) {
+                decoded = new Decoded(object.revision(), decodeServer(object));
+                mDecoded.put(object.name(), decoded);
+            }
+            decoded.entry().ifPresent(e -> next.put(e.life(), e));
+        }
+        mServers = next.buildKeepingLast();
+    }
+
+    private Optional<ServerEntry> decodeServer(StoreObject object) {
+        try {
+            return Optional.of(mWire.server(object));
+        } catch (IllegalArgumentException e) {
+            mLog.write(
+                    Part.SERVER,
+                    "Entry names no usable server",
+                    "server",
+                    object.name(),
+                    "revision",
+                    object.revision(),
+                    "reason",
+                    e.getMessage(),
+                    "entry",
+                    Ascii.truncate(object.content().toString(), MAX_LOGGED_CHARS, "..."));
+            return Optional.empty();
+        }
+    }
+
+    private void decodeTables() {
+        ImmutableMap.Builder<String, RangeTable> next = ImmutableMap.builder();
+        for (StoreObject object : mMirrors.get(StoreKind.RANGES).objects().values()) {
+            RangeTable known = mTables.get(object.name());
+            if (known != null && known.revision() == object.revision()) {
+                next.put(object.name(), known);
+                continue;
+            }
+            try {
+                next.put(object.name(), RangeTableCodec.decode(object.revision(), object.spec()));
+            } catch (IllegalArgumentException e) {
+                mLog.write(
+                        Part.OWNERSHIP,
+                        "Table of key ranges cannot be read",
+                        "service",
+                        object.name(),
+                        "reason",
+                        e.getMessage());
+            }
+        }
+        mTables = next.buildOrThrow();
+    }
+
+    /** Reports whether an entry that is missing now may only have lapsed with the store away. */
+    boolean mayRegisterAgain(long nowNanos) {
+        KindMirror servers = mMirrors.get(StoreKind.SERVERS);
+        return !servers.isReachable()
+                || nowNanos - servers.unreachableSince() < REGISTER_AGAIN_NANOS;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -0,0 +1,628 @@
+package org.geraniumusher.entry;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpVersion;
+
+import org.geraniumusher.dispatch.ServerLoad;
+import org.geraniumusher.dispatch.ServerPicker;
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.KeyRange;
+import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.model.Outcome;
+import org.geraniumusher.model.ResultCode;
+import org.geraniumusher.retry.RetryBudget;
+import org.geraniumusher.traffic.RouteRule;
+import org.geraniumusher.traffic.RouterConfig;
+import org.geraniumusher.traffic.ServerEntry;
+import org.geraniumusher.traffic.ServiceRule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Sends each request to a backend server, lets it wait, sends it again or refuses it. Confined to
+ * the event loop.
+ */
+final class Dispatcher {
+    private static final long PUMP_MILLIS = 15;
+    private static final long MILLI_NANOS = 1_000_000;
+
+    /** A request whose server said "not run" is sent again after this pause at the earliest. */
+    private static final long RESEND_PAUSE_NANOS = 40_000_000;
+
+    /** Sends of one request to servers that did not run it. */
+    private static final int MAX_SENDS = 6;
+
+    /** Requests to a leaving server end this long before they must, for what is on its way. */
+    private static final double DRAIN_SHARE = 0.7;
+
+    private static final int MAX_WAITING = 2_000;
+
+    /** Time that work is taken to need before a server has answered. */
+    private static final long FIRST_WORK_NANOS = 300 * MILLI_NANOS;
+
+    private final EntrySettings mSettings;
+    private final Directory mDirectory;
+    private final Wire mWire;
+    private final EventLoopGroup mGroup;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
+    private final KeyWork mKeyWork;
+    private final Random mRandom;
+    private final Map<String, Upstream> mUpstreams = new HashMap<>();
+    private final Map<String, List<Upstream>> mByService = new HashMap<>();
+    private final Map<String, RetryBudget> mBudgets = new HashMap<>();
+    private final Map<String, Long> mLongestDeadlines = new HashMap<>();
+    private final List<Exchange> mWaiting = new ArrayList<>();
+    private boolean mPumpScheduled;
+    private int mInProgress;
+    private int mDaemons = 10;
+    private Consumer<String> mOnUnreachable = life -> {};
+
+    Dispatcher(
+            EntrySettings settings,
+            Directory directory,
+            Wire wire,
+            EventLoopGroup group,
+            EventThread thread,
+            LongSupplier clock,
+            DecisionLog log,
+            EntryMetrics metrics,
+            KeyWork keyWork) {
+        mSettings = settings;
+        mDirectory = directory;
+        mWire = wire;
+        mGroup = group;
+        mThread = thread;
+        mClock = clock;
+        mLog = log;
+        mMetrics = metrics;
+        mKeyWork = keyWork;
+        mRandom = new Random(settings.name().hashCode());
+    }
+
+    /** Takes the number of daemons, which share the bound of a cold server. */
+    void setDaemons(int daemons) {
+        mDaemons = Math.max(1, daemons);
+    }
+
+    /** Sets who is told when no connection to a server can be opened. */
+    void setUnreachableListener(Consumer<String> listener) {
+        mOnUnreachable = listener;
+    }
+
+    int inProgress() {
+        return mInProgress;
+    }
+
+    /** Follows a change of the directory. */
+    void onDirectoryChange() {
+        long now = mClock.getAsLong();
+        Map<String, ServerEntry> entries = mDirectory.servers();
+        mUpstreams
+                .entrySet()
+                .removeIf(
+                        e -> {
+                            boolean gone = !entries.containsKey(e.getKey());
+                            if (gone && !mDirectory.mayRegisterAgain(now)) {
+                                e.getValue().retire(now);
+                            }
+                            return gone && e.getValue().isRetired() && !isOwner(e.getKey());
+                        });
+        for (ServerEntry entry : entries.values()) {
+            mUpstreams
+                    .computeIfAbsent(entry.life(), life -> createUpstream(entry))
+                    .update(entry, now);
+        }
+        mByService.clear();
+        for (Upstream upstream : mUpstreams.values()) {
+            mByService
+                    .computeIfAbsent(upstream.entry().service(), s -> new ArrayList<>())
+                    .add(upstream);
+        }
+        pump();
+    }
+
+    private boolean isOwner(String life) {
+        return mDirectory.configuration().stream()
+                .flatMap(c -> c.services().keySet().stream())
+                .flatMap(s -> mDirectory.table(s).stream())
+                .flatMap(t -> t.assignments().stream())
+                .anyMatch(a -> a.owner().equals(life));
+    }
+
+    private Upstream createUpstream(ServerEntry entry) {
+        mLog.write(
+                Part.SERVER,
+                "Server is known",
+                "server",
+                entry.life(),
+                "address",
+                entry.address(),
+                "data_centre",
+                entry.dataCentre(),
+                "leaving",
+                entry.leaving());
+        return new Upstream(
+                entry,
+                mGroup,
+                mClock,
+                mWire.headers().requestId(),
+                FIRST_WORK_NANOS,
+                mRandom.nextDouble());
+    }
+
+    Optional<Upstream> upstream(String life) {
+        return Optional.ofNullable(mUpstreams.get(life));
+    }
+
+    /** Closes idle connections that the servers would soon close. */
+    void closeExpired() {
+        long now = mClock.getAsLong();
+        mUpstreams.values().forEach(u -> u.closeExpired(now));
+    }
+
+    /** Takes a request; answers it at once or later. */
+    void start(Exchange exchange) {
+        mInProgress++;
+        mMetrics.requests().inc();
+        Optional<RouterConfig> config = mDirectory.configuration();
+        if (config.isEmpty() || !mDirectory.isComplete()) {
+            fail(exchange, ResultCode.PLATFORM_UNAVAILABLE, 0.5);
+            return;
+        }
+        String host = exchange.content().headers().get(HttpHeaderNames.HOST, "");
+        String path = pathOf(exchange.content().uri());
+        Optional<RouteRule> route = config.get().match(host, path);
+        if (route.isEmpty()) {
+            fail(exchange, ResultCode.NO_ROUTE, 0);
+            return;
+        }
+        exchange.route(route.get(), route.get().serviceFor(mRandom.nextDouble()));
+        ServiceRule service = config.get().services().get(exchange.service());
+        if (service == null) {
+            fail(exchange, ResultCode.NO_SERVICE, 1);
+            return;
+        }
+        if (service.keyed() && !takeKey(exchange)) {
+            fail(exchange, ResultCode.NO_KEY, 0);
+            return;
+        }
+        setDeadlines(exchange);
+        budget(exchange.service()).deposit();
+        long untilDeadline = exchange.deadlineAt() - exchange.arrivedAt();
+        exchange.setTimer(
+                mThread.schedule(() -> onDeadline(exchange), untilDeadline, TimeUnit.NANOSECONDS));
+        place(exchange);
+    }
+
+    private static String pathOf(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private boolean takeKey(Exchange exchange) {
+        String value = exchange.content().headers().get(mWire.headers().key());
+        try {
+            exchange.setKey(value == null ? -1 : Integer.parseInt(value.trim()));
+        } catch (NumberFormatException e) {
+            exchange.setKey(-1);
+        }
+        return exchange.key() >= 0 && exchange.key() <= KeyRange.MAX_KEY;
+    }
+
+    private void setDeadlines(Exchange exchange) {
+        RouteRule route = exchange.route();
+        long patience = route.timeoutNanos();
+        long age = 0;
+        String value = exchange.content().headers().get(mWire.headers().deadlineMillis());
+        if (value != null) {
+            try {
+                long left = (long) (Double.parseDouble(value.trim()) * MILLI_NANOS);
+                // A caller that asks again has less time left than others have at first.
+                long longest = mLongestDeadlines.merge(route.name(), left, Math::max);
+                age = longest - left;
+                patience = Math.min(patience, left);
+            } catch (NumberFormatException e) {
+                mLog.write(
+                        Part.REQUEST,
+                        "Deadline cannot be read",
+                        "id",
+                        exchange.id(),
+                        "value",
+                        value);
+            }
+        }
+        exchange.setTimes(exchange.arrivedAt() - age, exchange.arrivedAt() + patience);
+    }
+
+    private RetryBudget budget(String service) {
+        return mBudgets.computeIfAbsent(
+                service,
+                s ->
+                        RetryBudget.create(
+                                mSettings.resendShare() * 0.7,
+                                Math.max(2, 0.5 * mSettings.resendSlack() / mDaemons)));
+    }
+
+    private void place(Exchange exchange) {
+        if (exchange.isEnded()) {
+            return;
+        }
+        long now = mClock.getAsLong();
+        Optional<Upstream> target =
+                now < exchange.notBefore()
+                        ? Optional.empty()
+                        : exchange.isKeyed() ? owner(exchange, now) : choose(exchange, now);
+        if (target.isPresent()) {
+            exchange.setWaiting(false);
+            send(exchange, target.get(), now);
+        } else if (isHopeless(exchange, now) || mWaiting.size() >= MAX_WAITING) {
+            exchange.setWaiting(false);
+            fail(exchange, exchange.waitReason(), retryAfter(exchange));
+        } else if (!exchange.isWaiting()) {
+            exchange.setWaiting(true);
+            mWaiting.add(exchange);
+            schedulePump();
+        }
+    }
+
+    private boolean isHopeless(Exchange exchange, long now) {
+        long goal = exchange.goalNanos();
+        long latest = Math.max(exchange.goalAt() - goal / 2, exchange.arrivedAt() + goal / 4);
+        return now >= Math.min(latest, exchange.deadlineAt() - goal / 4);
+    }
+
+    private double retryAfter(Exchange exchange) {
+        double goal = (exchange.goalNanos()) / 1e9;
+        return goal * (0.3 + 0.5 * mRandom.nextDouble());
+    }
+
+    private Optional<Upstream> owner(Exchange exchange, long now) {
+        Optional<RangeTable> table = mDirectory.table(exchange.service());
+        exchange.setWaitReason(ResultCode.NO_OWNER);
+        if (table.isEmpty()) {
+            return Optional.empty();
+        }
+        Assignment assignment = table.get().find(exchange.key());
+        Upstream upstream = mUpstreams.get(assignment.owner());
+        if (assignment.isMoving() || upstream == null) {
+            return Optional.empty();
+        }
+        boolean mustNot =
+                upstream.isRetired()
+                                && now - upstream.leavingSince()
+                                        > DRAIN_SHARE * mSettings.drainNanos()
+                        || mDirectory.evacuated().contains(upstream.entry().dataCentre());
+        if (mustNot || upstream.load().isSuspect(now)) {
+            return Optional.empty();
+        }
+        exchange.setWaitReason(ResultCode.OVERLOADED);
+        return isAdmitted(exchange, upstream, now) ? Optional.of(upstream) : Optional.empty();
+    }
+
+    private boolean isAdmitted(Exchange exchange, Upstream upstream, long now) {
+        ServerLoad load = upstream.load();
+        boolean inTime = now + load.expectedNanos(now) <= exchange.goalAt();
+        boolean free = load.expectedLoad(now) < upstream.entry().slots();
+        return (inTime || free) && load.tryAdmit(coldRate(exchange.service()), now);
+    }
+
+    /** Returns the share of this daemon in the requests that a cold server may get, a second. */
+    private double coldRate(String service) {
+        double rate =
+                mDirectory
+                        .configuration()
+                        .map(c -> c.services().get(service))
+                        .map(ServiceRule::coldRequestsPerSecond)
+                        .orElse(0.0);
+        return rate <= 0 ? Double.MAX_VALUE : rate * 0.9 / mDaemons;
+    }
+
+    private Optional<Upstream> choose(Exchange exchange, long now) {
+        List<ServerPicker.Candidate> candidates = new ArrayList<>();
+        for (Upstream upstream : mByService.getOrDefault(exchange.service(), List.of())) {
+            ServerEntry entry = upstream.entry();
+            if (!upstream.isRetired() && !mDirectory.evacuated().contains(entry.dataCentre())) {
+                boolean local = entry.dataCentre().equals(mSettings.dataCentre());
+                boolean tried = exchange.tried().contains(entry.life());
+                candidates.add(
+                        new ServerPicker.Candidate(
+                                entry.life(), upstream.load(), entry.slots(), local, tried));
+            }
+        }
+        exchange.setWaitReason(
+                candidates.isEmpty() ? ResultCode.NO_BACKEND_SERVER : ResultCode.OVERLOADED);
+        return ServerPicker.pick(
+                        candidates,
+                        exchange.goalAt() - now,
+                        coldRate(exchange.service()),
+                        now,
+                        mRandom)
+                .map(c -> mUpstreams.get(c.life()));
+    }
+
+    private void send(Exchange exchange, Upstream upstream, long now) {
+        exchange.noteSend(upstream.entry().life());
+        upstream.load().onSent();
+        UpstreamConnection.Listener listener =
+                new UpstreamConnection.Listener() {
+                    @Override
+                    public void onResponse(UpstreamResponse response) {
+                        Dispatcher.this.onResponse(exchange, upstream, now, response);
+                    }
+
+                    @Override
+                    public void onNotSent(Throwable cause) {
+                        Dispatcher.this.onNotSent(exchange, upstream, cause);
+                    }
+
+                    @Override
+                    public void onBroken(String cause) {
+                        Dispatcher.this.onBroken(exchange, upstream, cause);
+                    }
+                };
+        UpstreamConnection connection =
+                upstream.send(buildRequest(exchange, upstream, now), listener);
+        if (!exchange.isEnded()) {
+            exchange.beginAttempt(new Exchange.Attempt(upstream, connection, now));
+        }
+    }
+
+    private FullHttpRequest buildRequest(Exchange exchange, Upstream upstream, long now) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        exchange.content().method(),
+                        exchange.content().uri(),
+                        Unpooled.wrappedBuffer(exchange.content().body()));
+        request.headers().set(exchange.content().headers());
+        HopHeaders.remove(request.headers());
+        long left = Math.max(1, (exchange.deadlineAt() - now) / MILLI_NANOS);
+        request.headers().set(mWire.headers().deadlineMillis(), left);
+        request.headers().set(mWire.headers().expectedServer(), upstream.entry().id());
+        if (exchange.content().body().length > 0
+                || !exchange.content().method().name().equals("GET")) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.content().body().length);
+        } else {
+            request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
+        return request;
+    }
+
+    private void onResponse(
+            Exchange exchange, Upstream upstream, long sentAt, UpstreamResponse response) {
+        long now = mClock.getAsLong();
+        exchange.endAttempt();
+        String load = response.header(mWire.headers().load());
+        if (load != null) {
+            mWire.load(load).ifPresent(report -> upstream.load().onReport(report, now));
+        }
+        boolean notRun = response.header(mWire.headers().notExecuted()) != null;
+        if (notRun || response.status() == 421) {
+            upstream.load().onRejected();
+            onRejected(exchange, upstream, response);
+            return;
+        }
+        boolean failed = response.status() >= 500;
+        upstream.load().onCompleted(now - sentAt, failed);
+        if (exchange.isKeyed() && !failed) {
+            mKeyWork.add(exchange.service(), exchange.key(), upstream.entry().life(), now - sentAt);
+        }
+        exchange.setMayHaveRun();
+        boolean unsigned =
+                response.status() < 300 && response.header(mWire.headers().signature()) == null;
+        if (exchange.isEnded()) {
+            return;
+        }
+        if ((failed || unsigned) && resend(exchange, now)) {
+            return;
+        }
+        if (unsigned) {
+            fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
+        } else {
+            end(exchange);
+            mMetrics.onAnswered(now - exchange.arrivedAt(), now <= exchange.goalAt());
+            exchange.answer().respond(response);
+        }
+    }
+
+    private void onRejected(Exchange exchange, Upstream upstream, UpstreamResponse response) {
+        long now = mClock.getAsLong();
+        mLog.write(
+                Part.REQUEST,
+                "Server did not run the request",
+                "id",
+                exchange.id(),
+                "server",
+                upstream.entry().life(),
+                "status",
+                response.status(),
+                "key",
+                exchange.key(),
+                "sends",
+                exchange.sends());
+        if (exchange.isEnded()) {
+            return;
+        }
+        exchange.setWaitReason(ResultCode.REFUSED_BY_SERVER);
+        boolean again = exchange.sends() < MAX_SENDS && budget(exchange.service()).tryWithdraw();
+        if (!again) {
+            fail(exchange, notRunCode(exchange), retryAfter(exchange));
+            return;
+        }
+        if (exchange.isKeyed()) {
+            exchange.setNotBefore(now + RESEND_PAUSE_NANOS * exchange.sends());
+        }
+        place(exchange);
+    }
+
+    private static ResultCode notRunCode(Exchange exchange) {
+        return exchange.mayHaveRun() ? ResultCode.OUTCOME_UNKNOWN : ResultCode.REFUSED_BY_SERVER;
+    }
+
+    private void onNotSent(Exchange exchange, Upstream upstream, Throwable cause) {
+        long now = mClock.getAsLong();
+        exchange.endAttempt();
+        upstream.load().onNoAnswer(now);
+        mLog.write(
+                Part.SERVER,
+                "No connection to the server",
+                "server",
+                upstream.entry().life(),
+                "cause",
+                cause.getMessage());
+        mOnUnreachable.accept(upstream.entry().life());
+        exchange.setWaitReason(ResultCode.CONNECT_FAILED);
+        if (exchange.sends() < MAX_SENDS) {
+            place(exchange);
+        } else if (!exchange.isEnded()) {
+            fail(exchange, exchange.waitReason(), retryAfter(exchange));
+        }
+    }
+
+    private void onBroken(Exchange exchange, Upstream upstream, String cause) {
+        long now = mClock.getAsLong();
+        exchange.endAttempt();
+        exchange.setMayHaveRun();
+        upstream.load().onNoAnswer(now);
+        mLog.write(
+                Part.REQUEST,
+                "No usable response",
+                "id",
+                exchange.id(),
+                "server",
+                upstream.entry().life(),
+                "cause",
+                cause);
+        if (!exchange.isEnded() && !resend(exchange, now)) {
+            fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
+        }
+    }
+
+    /** Sends a request again that may have run, if it may; returns whether it is taken care of. */
+    private boolean resend(Exchange exchange, long now) {
+        boolean may =
+                exchange.route().kind().mayRepeat()
+                        && exchange.tried().size() < exchange.route().attempts()
+                        && exchange.sends() < MAX_SENDS
+                        && !isHopeless(exchange, now)
+                        && budget(exchange.service()).tryWithdraw();
+        if (may) {
+            place(exchange);
+        }
+        return may;
+    }
+
+    private void onDeadline(Exchange exchange) {
+        if (exchange.isEnded()) {
+            return;
+        }
+        boolean sent = exchange.attempt().isPresent() || exchange.mayHaveRun();
+        cancel(exchange);
+        fail(
+                exchange,
+                sent ? ResultCode.TIMED_OUT : ResultCode.DEADLINE_UNREACHABLE,
+                sent ? 0 : retryAfter(exchange));
+    }
+
+    /** Gives a request up because its caller has left. */
+    void abandon(Exchange exchange) {
+        if (exchange.isEnded()) {
+            return;
+        }
+        cancel(exchange);
+        end(exchange);
+        mMetrics.abandoned().inc();
+        mLog.write(Part.REQUEST, "Caller has left", "id", exchange.id());
+    }
+
+    /** Ends the work at the server; work that must not be repeated is left to its deadline. */
+    private void cancel(Exchange exchange) {
+        if (exchange.attempt().isPresent() && exchange.route().kind().mayRepeat()) {
+            Exchange.Attempt attempt = exchange.attempt().get();
+            attempt.upstream().load().onCancelled();
+            attempt.connection().cancel();
+            exchange.endAttempt();
+        }
+    }
+
+    private void fail(Exchange exchange, ResultCode code, double retryAfterSeconds) {
+        end(exchange);
+        ResultCode honest =
+                exchange.mayHaveRun() && code.outcome() == Outcome.NOT_RUN
+                        ? ResultCode.OUTCOME_UNKNOWN
+                        : code;
+        mMetrics.onFailed(honest);
+        mLog.write(
+                Part.REQUEST,
+                "Request failed",
+                "id",
+                exchange.id(),
+                "result",
+                honest,
+                "service",
+                exchange.service(),
+                "key",
+                exchange.key(),
+                "waited_ms",
+                (mClock.getAsLong() - exchange.arrivedAt()) / MILLI_NANOS,
+                "sends",
+                exchange.sends(),
+                "waiting",
+                mWaiting.size());
+        exchange.answer().fail(honest, retryAfterSeconds);
+    }
+
+    private void end(Exchange exchange) {
+        exchange.end();
+        mInProgress--;
+        schedulePump();
+    }
+
+    private void schedulePump() {
+        if (!mPumpScheduled && !mWaiting.isEmpty()) {
+            mPumpScheduled = true;
+            mThread.schedule(
+                    () -> {
+                        mPumpScheduled = false;
+                        pump();
+                    },
+                    PUMP_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void pump() {
+        if (mWaiting.isEmpty()) {
+            return;
+        }
+        List<Exchange> batch = new ArrayList<>(mWaiting);
+        mWaiting.clear();
+        batch.removeIf(e -> e.isEnded());
+        batch.sort(
+                (a, b) ->
+                        a.route().priority() != b.route().priority()
+                                ? Integer.compare(a.route().priority(), b.route().priority())
+                                : Long.compare(a.goalAt(), b.goalAt()));
+        for (Exchange exchange : batch) {
+            exchange.setWaiting(false);
+            place(exchange);
+        }
+        schedulePump();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -0,0 +1,241 @@
+package org.geraniumusher.entry;
+
+import com.google.common.collect.ImmutableMap;
+
+import org.geraniumusher.entry.StoreResult.Changes;
+import org.geraniumusher.entry.StoreResult.HistoryGone;
+import org.geraniumusher.entry.StoreResult.Page;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Keeps a copy of the objects of one kind by a list and watches after it.
+ *
+ * <p>Invariant: the copy is the state of the store at one revision, which never decreases. While
+ * the store does not answer, the copy of a peer is taken if its revision is higher. Confined to the
+ * event loop.
+ */
+final class KindMirror {
+    /** Longest wait of a watch. A watch whose history was dropped may wait in vain until then. */
+    private static final long WATCH_MILLIS = 10_000;
+
+    /**
+     * Wait of the watches of one kind that stands for all: when its history is gone, so is that of
+     * the others. Short against the bounds for configurations and leaving servers.
+     */
+    private static final long SENTINEL_WATCH_MILLIS = 2_000;
+
+    /** Pause after changes, so that those which come together cost one call. */
+    private static final long SETTLE_MILLIS = 60;
+
+    private static final long RETRY_MILLIS = 250;
+
+    private final StoreKind mKind;
+    private final Store mStore;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final DecisionLog mLog;
+    private final Runnable mOnChange;
+    private final Runnable mOnHistoryGone;
+    private final Map<String, StoreObject> mListing = new HashMap<>();
+    private ImmutableMap<String, StoreObject> mObjects = ImmutableMap.of();
+    private long mRevision = -1;
+    private long mGeneration;
+    private boolean mListed;
+    private boolean mReachable;
+    private long mUnreachableSince;
+
+    KindMirror(
+            StoreKind kind,
+            Store store,
+            EventThread thread,
+            LongSupplier clock,
+            DecisionLog log,
+            Runnable onChange,
+            Runnable onHistoryGone) {
+        mKind = kind;
+        mStore = store;
+        mThread = thread;
+        mClock = clock;
+        mLog = log;
+        mOnChange = onChange;
+        mOnHistoryGone = onHistoryGone;
+        mUnreachableSince = clock.getAsLong();
+    }
+
+    /** Begins again with a list; calls in progress are ignored. */
+    void start() {
+        mGeneration++;
+        mListing.clear();
+        list("");
+    }
+
+    StoreKind kind() {
+        return mKind;
+    }
+
+    /** Reports whether a whole state was seen, from the store or from a peer. */
+    boolean isKnown() {
+        return mRevision >= 0;
+    }
+
+    long revision() {
+        return mRevision;
+    }
+
+    ImmutableMap<String, StoreObject> objects() {
+        return mObjects;
+    }
+
+    /** Reports whether the last call to the store was answered. */
+    boolean isReachable() {
+        return mReachable;
+    }
+
+    /** Returns the time since which the store does not answer; only then is it of use. */
+    long unreachableSince() {
+        return mUnreachableSince;
+    }
+
+    /** Takes the copy of a peer if it is newer; its objects must be a whole state. */
+    void adopt(long revision, Map<String, StoreObject> objects) {
+        if (!mReachable && revision > mRevision) {
+            mLog.write(
+                    DecisionLog.Part.STORE,
+                    "Took objects from a peer",
+                    "kind",
+                    mKind,
+                    "revision",
+                    revision);
+            mRevision = revision;
+            mObjects = ImmutableMap.copyOf(objects);
+            mListed = false;
+            mOnChange.run();
+        }
+    }
+
+    private void list(String after) {
+        long generation = mGeneration;
+        mStore.list(mKind, after, false)
+                .thenAccept(
+                        result ->
+                                mThread.execute(() -> ifCurrent(generation, () -> onPage(result))));
+    }
+
+    private void ifCurrent(long generation, Runnable task) {
+        if (generation == mGeneration) {
+            task.run();
+        }
+    }
+
+    private void scheduleCurrent(Runnable task, long millis) {
+        long generation = mGeneration;
+        mThread.schedule(() -> ifCurrent(generation, task), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void onPage(StoreResult result) {
+        if (!(result instanceof Page page)) {
+            onUnusable(result);
+            scheduleCurrent(this::start, RETRY_MILLIS);
+            return;
+        }
+        onAnswer();
+        page.objects().forEach(o -> mListing.put(o.name(), o));
+        if (page.more() && !page.objects().isEmpty()) {
+            list(page.objects().get(page.objects().size() - 1).name());
+            return;
+        }
+        if (page.revision() >= mRevision) {
+            mRevision = page.revision();
+            mObjects = ImmutableMap.copyOf(mListing);
+            mListed = true;
+            mOnChange.run();
+            watch();
+        } else {
+            scheduleCurrent(this::start, RETRY_MILLIS);
+        }
+        mListing.clear();
+    }
+
+    private void watch() {
+        long generation = mGeneration;
+        long wait = mKind == StoreKind.SERVERS ? SENTINEL_WATCH_MILLIS : WATCH_MILLIS;
+        mStore.watch(mKind, mRevision, wait)
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () -> ifCurrent(generation, () -> onChanges(result))));
+    }
+
+    private void onChanges(StoreResult result) {
+        if (result instanceof Changes changes) {
+            onAnswer();
+            if (!mListed) {
+                start();
+                return;
+            }
+            apply(changes);
+            if (changes.changes().isEmpty() || mKind == StoreKind.RANGES) {
+                watch();
+            } else {
+                scheduleCurrent(this::watch, SETTLE_MILLIS);
+            }
+        } else if (result instanceof HistoryGone) {
+            onAnswer();
+            mLog.write(
+                    DecisionLog.Part.STORE,
+                    "History is gone, listing again",
+                    "kind",
+                    mKind,
+                    "revision",
+                    mRevision);
+            mOnHistoryGone.run();
+        } else {
+            onUnusable(result);
+            scheduleCurrent(mListed ? this::watch : this::start, RETRY_MILLIS);
+        }
+    }
+
+    private void apply(Changes changes) {
+        if (!changes.changes().isEmpty()) {
+            Map<String, StoreObject> next = new HashMap<>(mObjects);
+            for (StoreResult.Change change : changes.changes()) {
+                if (change.removed()) {
+                    next.remove(change.object().name());
+                } else {
+                    next.put(change.object().name(), change.object());
+                }
+            }
+            mObjects = ImmutableMap.copyOf(next);
+        }
+        mRevision = Math.max(mRevision, changes.revision());
+        if (!changes.changes().isEmpty()) {
+            mOnChange.run();
+        }
+    }
+
+    private void onAnswer() {
+        if (!mReachable) {
+            mReachable = true;
+            mLog.write(
+                    DecisionLog.Part.STORE, "Store answers", "kind", mKind, "revision", mRevision);
+        }
+    }
+
+    private void onUnusable(StoreResult result) {
+        if (mReachable) {
+            mReachable = false;
+            mUnreachableSince = mClock.getAsLong();
+            mLog.write(
+                    DecisionLog.Part.STORE,
+                    "Store does not answer",
+                    "kind",
+                    mKind,
+                    "result",
+                    result);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -0,0 +1,313 @@
+package org.geraniumusher.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import io.netty.channel.EventLoopGroup;
+
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.entry.KeyWork.Sample;
+import org.geraniumusher.http.HttpCall;
+import org.geraniumusher.http.HttpClient;
+import org.geraniumusher.http.HttpReply;
+import org.geraniumusher.http.HttpServer;
+import org.geraniumusher.http.Responder;
+import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.model.Address;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Speaks with the other daemons: reports the work of keys to the coordinator, keeps the list of
+ * daemons, and copies the objects of the store from a peer while the store does not answer.
+ * Confined to the event loop.
+ */
+final class PeerService implements AutoCloseable {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration TIMEOUT = Duration.ofMillis(700);
+    private static final long TICK_MILLIS = 500;
+    private static final long REPORT_NANOS = 1_000_000_000L;
+    private static final long LIST_NANOS = 5_000_000_000L;
+
+    /** A watch that ended is begun again within this time if the store is there. */
+    private static final long STORE_AWAY_NANOS = 400_000_000L;
+
+    private final EntrySettings mSettings;
+    private final long mIncarnation;
+    private final Directory mDirectory;
+    private final Store mStore;
+    private final Wire mWire;
+    private final CoordinatorDuty mCoordinator;
+    private final Dispatcher mDispatcher;
+    private final KeyWork mKeyWork;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final DecisionLog mLog;
+    private final HttpClient mClient;
+    private final HttpServer mServer;
+    private final Random mRandom;
+    private final Set<Address> mPeers = new LinkedHashSet<>();
+    private long mNextReport;
+    private long mNextList;
+    private boolean mRegistered;
+    private boolean mRegistering;
+
+    PeerService(
+            EntrySettings settings,
+            long incarnation,
+            Directory directory,
+            Store store,
+            Wire wire,
+            CoordinatorDuty coordinator,
+            Dispatcher dispatcher,
+            KeyWork keyWork,
+            EventLoopGroup group,
+            EventThread thread,
+            LongSupplier clock,
+            DecisionLog log) {
+        mSettings = settings;
+        mIncarnation = incarnation;
+        mDirectory = directory;
+        mStore = store;
+        mWire = wire;
+        mCoordinator = coordinator;
+        mDispatcher = dispatcher;
+        mKeyWork = keyWork;
+        mThread = thread;
+        mClock = clock;
+        mLog = log;
+        mClient = HttpClient.create(group);
+        mRandom = new Random(incarnation);
+        mPeers.addAll(settings.seeds());
+        mServer =
+                HttpServer.create(
+                        group,
+                        settings.peers(),
+                        (call, responder) -> mThread.execute(() -> answer(call, responder)));
+    }
+
+    void start() {
+        tick();
+    }
+
+    private void tick() {
+        long now = mClock.getAsLong();
+        if (now >= mNextReport) {
+            mNextReport = now + REPORT_NANOS;
+            reportWork();
+        }
+        if (!mRegistered && !mRegistering) {
+            register();
+        }
+        if (now >= mNextList) {
+            mNextList = now + LIST_NANOS;
+            listDaemons();
+        }
+        for (KindMirror mirror : mDirectory.mirrors()) {
+            if (!mirror.isReachable() && now - mirror.unreachableSince() > STORE_AWAY_NANOS) {
+                copyFromPeer(mirror);
+            }
+        }
+        mThread.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void register() {
+        mRegistering = true;
+        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        spec.put("peer", mSettings.peers().toString());
+        spec.put("incarnation", mIncarnation);
+        mStore.create(StoreKind.DAEMONS, mSettings.name(), spec)
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () -> {
+                                            mRegistering = false;
+                                            onRegistered(result, spec);
+                                        }));
+    }
+
+    private void onRegistered(StoreResult result, ObjectNode spec) {
+        if (result instanceof StoreResult.Written) {
+            mRegistered = true;
+        } else if (result instanceof StoreResult.Conflict conflict) {
+            mRegistered = conflict.object().spec().path("peer").equals(spec.path("peer"));
+            if (!mRegistered) {
+                mRegistering = true;
+                mStore.replace(
+                                StoreKind.DAEMONS,
+                                mSettings.name(),
+                                spec,
+                                conflict.object().revision())
+                        .thenAccept(
+                                again ->
+                                        mThread.execute(
+                                                () -> {
+                                                    mRegistering = false;
+                                                    mRegistered =
+                                                            again instanceof StoreResult.Written;
+                                                }));
+            }
+        }
+    }
+
+    private void listDaemons() {
+        mStore.list(StoreKind.DAEMONS, "", true)
+                .thenAccept(result -> mThread.execute(() -> onDaemons(result)));
+    }
+
+    private void onDaemons(StoreResult result) {
+        if (result instanceof StoreResult.Page page) {
+            for (StoreObject object : page.objects()) {
+                try {
+                    mPeers.add(Address.of(object.spec().path("peer").asText()));
+                } catch (IllegalArgumentException e) {
+                    mLog.write(
+                            Part.PEER,
+                            "Entry of a daemon cannot be read",
+                            "daemon",
+                            object.name(),
+                            "reason",
+                            e.getMessage());
+                }
+            }
+            if (!page.objects().isEmpty()) {
+                mDispatcher.setDaemons(page.objects().size());
+            }
+        }
+    }
+
+    private void copyFromPeer(KindMirror mirror) {
+        List<Address> others = new ArrayList<>(mPeers);
+        others.remove(mSettings.peers());
+        if (others.isEmpty()) {
+            return;
+        }
+        Address peer = others.get(mRandom.nextInt(others.size()));
+        HttpCall call =
+                HttpCall.of(
+                        "GET", "/objects/" + mirror.kind() + "?newer_than=" + mirror.revision());
+        mClient.call(peer, call, TIMEOUT)
+                .whenComplete(
+                        (reply, error) -> {
+                            if (error == null && reply.status() == 200) {
+                                mThread.execute(() -> onCopy(mirror, peer, reply));
+                            }
+                        });
+    }
+
+    private void onCopy(KindMirror mirror, Address peer, HttpReply reply) {
+        try {
+            JsonNode copy = MAPPER.readTree(reply.body());
+            Map<String, StoreObject> objects = new HashMap<>();
+            for (JsonNode content : copy.path("objects")) {
+                StoreObject object = mWire.object(content);
+                objects.put(object.name(), object);
+            }
+            mirror.adopt(copy.path("revision").asLong(-1), objects);
+        } catch (IOException | IllegalArgumentException e) {
+            mLog.write(Part.PEER, "Copy cannot be read", "peer", peer, "reason", e.getMessage());
+        }
+    }
+
+    private void reportWork() {
+        Map<String, List<Sample>> work = mKeyWork.takeAll();
+        if (mCoordinator.isActing()) {
+            work.forEach(mCoordinator::onSamples);
+            return;
+        }
+        CoordinatorRecord coordinator = mCoordinator.coordinator().orElse(null);
+        if (work.isEmpty() || coordinator == null || coordinator.isVacant()) {
+            return;
+        }
+        Address address = Address.of(coordinator.peerAddress());
+        mClient.call(address, HttpCall.of("POST", "/work", encode(work)), TIMEOUT)
+                .exceptionally(
+                        error -> {
+                            mLog.write(
+                                    Part.PEER,
+                                    "Coordinator does not answer",
+                                    "coordinator",
+                                    coordinator.daemon(),
+                                    "cause",
+                                    error.getMessage());
+                            return null;
+                        });
+    }
+
+    private static String encode(Map<String, List<Sample>> work) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        work.forEach(
+                (service, samples) -> {
+                    ArrayNode list = root.putArray(service);
+                    for (Sample s : samples) {
+                        list.addArray().add(s.key()).add(s.life()).add(s.tookNanos() / 1_000_000);
+                    }
+                });
+        return root.toString();
+    }
+
+    private void answer(HttpCall call, Responder responder) {
+        try {
+            if (call.method().equals("POST") && call.path().equals("/work")) {
+                takeWork(MAPPER.readTree(call.body()));
+                responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.path().startsWith("/objects/")) {
+                responder.reply(copyOf(call));
+            } else {
+                responder.reply(HttpReply.of(404, "{}"));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            mLog.write(Part.PEER, "Call cannot be read", "uri", call.uri(), "reason", e);
+            responder.reply(HttpReply.of(400, "{}"));
+        }
+    }
+
+    private void takeWork(JsonNode work) {
+        work.fields()
+                .forEachRemaining(
+                        service -> {
+                            List<Sample> samples = new ArrayList<>();
+                            for (JsonNode sample : service.getValue()) {
+                                samples.add(
+                                        new Sample(
+                                                sample.path(0).asInt(),
+                                                sample.path(1).asText(),
+                                                sample.path(2).asLong() * 1_000_000));
+                            }
+                            mCoordinator.onSamples(service.getKey(), samples);
+                        });
+    }
+
+    private HttpReply copyOf(HttpCall call) throws JsonProcessingException {
+        StoreKind kind = StoreKind.valueOf(call.path().substring("/objects/".length()));
+        KindMirror mirror = mDirectory.mirror(kind);
+        long known = Long.parseLong(call.query("newer_than").orElse("-1"));
+        if (mirror == null || mirror.revision() <= known) {
+            return HttpReply.of(204, "");
+        }
+        ObjectNode copy = JsonNodeFactory.instance.objectNode();
+        copy.put("revision", mirror.revision());
+        ArrayNode objects = copy.putArray("objects");
+        mirror.objects().values().forEach(o -> objects.add(o.content()));
+        return new HttpReply(200, MAPPER.writeValueAsBytes(copy));
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -0,0 +1,329 @@
+package org.geraniumusher.entry;
+
+import com.google.common.collect.ImmutableList;
+
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.entry.KeyWork.Sample;
+import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.KeyLoad;
+import org.geraniumusher.keyrange.KeyRange;
+import org.geraniumusher.keyrange.RangeCoordinator;
+import org.geraniumusher.keyrange.RangeServer;
+import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.traffic.ServerEntry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * Makes the calls of the coordinator of one service and passes their results to it. Confined to the
+ * event loop.
+ */
+final class RangeDuty implements RangeCoordinator.Port {
+    /** Servers that register at about the same time are all given keys at first. */
+    private static final long SETTLE_NANOS = 1_000_000_000L;
+
+    /** Refused connections in a row that prove the end of a server; one may be a full queue. */
+    private static final int REFUSALS_OF_GONE = 2;
+
+    /** Requests a second times this is what the decaying count holds. */
+    private static final double COUNTED_SECONDS = KeyLoad.HALF_LIFE_NANOS / 1e9 / Math.log(2);
+
+    private static final double COLD_CAPACITY = 0.4;
+    private static final double SPEED_SMOOTHING = 0.05;
+    private static final double MIN_SPEED = 0.4;
+    private static final double MAX_SPEED = 1.6;
+
+    private final String mService;
+    private final long mHoldNanos;
+    private final Directory mDirectory;
+    private final Store mStore;
+    private final ServerControl mControl;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
+    private final KeyLoad mLoad;
+    private final RangeCoordinator mCoordinator;
+    private final Map<String, ServerEntry> mKnown = new HashMap<>();
+    private final Map<String, Integer> mRefusals = new HashMap<>();
+    private final Map<String, Double> mTook = new HashMap<>();
+    private final Map<String, Long> mColdUntil = new HashMap<>();
+    private double mMeanTook;
+    private boolean mReading;
+    private long mServersChangedAt;
+    private ImmutableList<String> mLastLives = ImmutableList.of();
+
+    RangeDuty(
+            String service,
+            EntrySettings settings,
+            Directory directory,
+            Store store,
+            ServerControl control,
+            EventThread thread,
+            LongSupplier clock,
+            DecisionLog log,
+            EntryMetrics metrics) {
+        mService = service;
+        mHoldNanos = settings.maxHoldNanos();
+        mDirectory = directory;
+        mStore = store;
+        mControl = control;
+        mThread = thread;
+        mClock = clock;
+        mLog = log;
+        mMetrics = metrics;
+        mLoad = KeyLoad.create(clock.getAsLong());
+        mCoordinator = RangeCoordinator.create(this, mHoldNanos, mLoad);
+    }
+
+    /** Does what is due; only with authority. */
+    void tick() {
+        long now = mClock.getAsLong();
+        updateServers(now);
+        if (!mCoordinator.isStarted()) {
+            startTerm(now);
+            return;
+        }
+        mCoordinator.tick(now);
+    }
+
+    void stop() {
+        mCoordinator.stop();
+    }
+
+    private void startTerm(long now) {
+        if (mReading || mLastLives.isEmpty() || now - mServersChangedAt < settleNanos()) {
+            return;
+        }
+        mReading = true;
+        mStore.read(StoreKind.RANGES, mService)
+                .thenAccept(result -> mThread.execute(() -> onTableRead(result)));
+    }
+
+    private long settleNanos() {
+        return mDirectory.table(mService).isPresent() ? 0 : SETTLE_NANOS;
+    }
+
+    private void onTableRead(StoreResult result) {
+        mReading = false;
+        long now = mClock.getAsLong();
+        if (result instanceof StoreResult.Written found) {
+            mCoordinator.start(Optional.of(decode(found.object())), now);
+        } else if (result instanceof StoreResult.NotFound) {
+            mCoordinator.start(Optional.empty(), now);
+        } else {
+            return;
+        }
+        mLog.write(Part.OWNERSHIP, "Coordinates the service", "service", mService);
+        mCoordinator.tick(now);
+    }
+
+    private static RangeTable decode(StoreObject object) {
+        return RangeTableCodec.decode(object.revision(), object.spec());
+    }
+
+    private void updateServers(long now) {
+        Map<String, ServerEntry> present = new HashMap<>();
+        for (ServerEntry entry : mDirectory.servers().values()) {
+            if (entry.service().equals(mService)) {
+                present.put(entry.life(), entry);
+                noteEntry(entry, now);
+            }
+        }
+        List<RangeServer> servers = new ArrayList<>();
+        for (ServerEntry entry : mKnown.values()) {
+            boolean listed = present.containsKey(entry.life());
+            boolean mayTake =
+                    listed
+                            && !entry.leaving()
+                            && !mDirectory.evacuated().contains(entry.dataCentre());
+            if (listed || mDirectory.mayRegisterAgain(now)) {
+                boolean usable = mayTake || !listed && !entry.leaving();
+                servers.add(new RangeServer(entry.life(), capacity(entry, now), usable));
+            }
+        }
+        servers.sort((a, b) -> a.life().compareTo(b.life()));
+        ImmutableList<String> lives =
+                servers.stream().map(RangeServer::life).collect(ImmutableList.toImmutableList());
+        if (!lives.equals(mLastLives)) {
+            mLastLives = lives;
+            mServersChangedAt = now;
+        }
+        mCoordinator.onServers(servers);
+    }
+
+    private void noteEntry(ServerEntry entry, long now) {
+        ServerEntry known = mKnown.put(entry.life(), entry);
+        if (entry.coldNanos() > 0 && !entry.equals(known)) {
+            mColdUntil.put(entry.life(), now + entry.coldNanos());
+        }
+        if (known == null) {
+            // A newer life under the same id proves that the earlier one has ended.
+            for (ServerEntry other : mKnown.values()) {
+                if (other.id().equals(entry.id()) && other.bornMillis() < entry.bornMillis()) {
+                    mCoordinator.onGone(other.life());
+                }
+            }
+        }
+    }
+
+    private double capacity(ServerEntry entry, long now) {
+        double took = mTook.getOrDefault(entry.life(), mMeanTook);
+        double speed = took <= 0 ? 1 : mMeanTook / took;
+        speed = Math.max(MIN_SPEED, Math.min(MAX_SPEED, speed));
+        boolean cold = now < mColdUntil.getOrDefault(entry.life(), now);
+        return entry.slots() * speed * COUNTED_SECONDS * (cold ? COLD_CAPACITY : 1);
+    }
+
+    /** Takes requests that daemons report. */
+    void onSamples(List<Sample> samples) {
+        long now = mClock.getAsLong();
+        for (Sample sample : samples) {
+            double seconds = sample.tookNanos() / 1e9;
+            mMeanTook = mMeanTook == 0 ? seconds : mMeanTook + 0.01 * (seconds - mMeanTook);
+            mTook.merge(
+                    sample.life(), seconds, (old, took) -> old + SPEED_SMOOTHING * (took - old));
+            mLoad.add(sample.key(), mMeanTook, now);
+        }
+    }
+
+    /** Looks at once whether a server still answers. */
+    void verify(String life) {
+        mCoordinator.verify(life, mClock.getAsLong());
+    }
+
+    @Override
+    public void write(ImmutableList<Assignment> assignments, long expectedRevision) {
+        var spec = RangeTableCodec.encode(assignments);
+        var call =
+                expectedRevision == 0
+                        ? mStore.create(StoreKind.RANGES, mService, spec)
+                        : mStore.replace(StoreKind.RANGES, mService, spec, expectedRevision);
+        long moving = assignments.stream().filter(Assignment::isMoving).count();
+        mLog.write(
+                Part.OWNERSHIP,
+                "Writes the table",
+                "service",
+                mService,
+                "ranges",
+                assignments.size(),
+                "moving",
+                moving,
+                "expected_revision",
+                expectedRevision);
+        call.thenAccept(result -> mThread.execute(() -> onWriteResult(result)));
+    }
+
+    private void onWriteResult(StoreResult result) {
+        long now = mClock.getAsLong();
+        mMetrics.onCall("table_write", result.getClass().getSimpleName());
+        if (result instanceof StoreResult.Written written) {
+            mCoordinator.onWritten(written.object().revision(), now);
+        } else if (result instanceof StoreResult.Conflict conflict) {
+            mCoordinator.onWriteConflict(decode(conflict.object()), now);
+        } else {
+            mLog.write(Part.OWNERSHIP, "Table was not written", "result", result);
+            mCoordinator.onWriteUnknown(now);
+        }
+        mCoordinator.tick(now);
+    }
+
+    @Override
+    public void grant(Assignment assignment, Optional<String> handover) {
+        ServerEntry server = mKnown.get(assignment.owner());
+        if (server == null) {
+            mThread.execute(() -> mCoordinator.onGrantUnknown(assignment, mClock.getAsLong()));
+            return;
+        }
+        mControl.grant(server, assignment.range(), assignment.fence(), mHoldNanos, handover)
+                .thenAccept(
+                        result -> mThread.execute(() -> onGrantResult(assignment, server, result)));
+    }
+
+    private void onGrantResult(Assignment assignment, ServerEntry server, GrantResult result) {
+        long now = mClock.getAsLong();
+        mMetrics.onCall("grant", result.getClass().getSimpleName());
+        boolean moving = assignment.isMoving();
+        if (result instanceof GrantResult.Done) {
+            mRefusals.remove(server.life());
+            mCoordinator.onGranted(assignment, now);
+        } else {
+            logFailure("Grant failed", assignment.range(), server, result);
+            noteProof(server, result);
+            if (result instanceof GrantResult.Fenced) {
+                mCoordinator.onGrantFenced(assignment);
+            } else {
+                mCoordinator.onGrantUnknown(assignment, now);
+            }
+        }
+        if (moving || !(result instanceof GrantResult.Done)) {
+            mCoordinator.tick(now);
+        }
+    }
+
+    private void logFailure(String event, KeyRange range, ServerEntry server, GrantResult result) {
+        mLog.write(
+                Part.OWNERSHIP,
+                event,
+                "service",
+                mService,
+                "server",
+                server.life(),
+                "range",
+                range,
+                "result",
+                result);
+    }
+
+    private void noteProof(ServerEntry server, GrantResult result) {
+        boolean gone = result instanceof GrantResult.OtherServer;
+        if (result instanceof GrantResult.ConnectionRefused) {
+            gone = mRefusals.merge(server.life(), 1, Integer::sum) >= REFUSALS_OF_GONE;
+        }
+        if (gone) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Server has ended",
+                    "service",
+                    mService,
+                    "server",
+                    server.life(),
+                    "proof",
+                    result);
+            mCoordinator.onGone(server.life());
+        }
+    }
+
+    @Override
+    public void release(String life, KeyRange range, long fence) {
+        ServerEntry server = mKnown.get(life);
+        if (server == null) {
+            // The address of the server is not known: its hold must run out.
+            return;
+        }
+        mControl.release(server, range, fence)
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () -> onReleaseResult(server, range, fence, result)));
+    }
+
+    private void onReleaseResult(
+            ServerEntry server, KeyRange range, long fence, GrantResult result) {
+        long now = mClock.getAsLong();
+        mMetrics.onCall("release", result.getClass().getSimpleName());
+        if (result instanceof GrantResult.Done done) {
+            mCoordinator.onReleased(server.life(), range, fence, done.handover());
+        } else {
+            logFailure("Release failed", range, server, result);
+            noteProof(server, result);
+            mCoordinator.onReleaseUnknown(server.life(), range, fence, now);
+        }
+        mCoordinator.tick(now);
+    }
+}
