--- a/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -56,6 +56,9 @@
 public final class HttpClient {
     private static final int MAX_IDLE_PER_ADDRESS = 4;
 
+    /** A peer that does not accept a connection in this time is not there. */
+    private static final long MAX_CONNECT_MILLIS = 1_000;
+
     private final EventLoopGroup mGroup;
     private final Map<Address, Queue<ReplyHandler>> mIdle = new ConcurrentHashMap<>();
 
@@ -180,11 +183,15 @@
                 .option(KeepAliveProbes.IDLE, KeepAliveProbes.IDLE_SECONDS)
                 .option(KeepAliveProbes.INTERVAL, KeepAliveProbes.INTERVAL_SECONDS)
                 .option(KeepAliveProbes.COUNT, KeepAliveProbes.MAX_LOST)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis(timeout))
                 .handler(initializer)
                 .connect(address.host(), address.port());
     }
 
+    private static int connectMillis(Duration timeout) {
+        return (int) Math.min(timeout.toMillis(), MAX_CONNECT_MILLIS);
+    }
+
     private static void sendWhenOpen(
             ChannelFuture connecting,
             Address address,
--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -16,14 +16,17 @@
  * <p>Not thread-safe.
  */
 public final class CoordinatorElection {
-    /** How long a coordinator acts after a write; the store may be away for a little less. */
-    public static final long AUTHORITY_NANOS = 6_000_000_000L;
+    /** How long a coordinator acts after a write. */
+    public static final long AUTHORITY_NANOS = 4_500_000_000L;
 
     /** How often the coordinator renews its record. */
-    public static final long RENEWAL_NANOS = 2_500_000_000L;
+    public static final long RENEWAL_NANOS = 1_500_000_000L;
+
+    /** Age of the last write from which the store counts as away. */
+    private static final long STORE_AWAY_NANOS = 2_300_000_000L;
 
     /** Authority plus a clock rate difference of 2% and time for a write in flight. */
-    public static final long TAKEOVER_NANOS = 6_500_000_000L;
+    public static final long TAKEOVER_NANOS = 4_800_000_000L;
 
     private final String mDaemon;
     private final long mIncarnation;
@@ -72,6 +75,12 @@
         return mHasAuthority && nowNanos < mAuthorityUntil;
     }
 
+    /** Reports whether this daemon has authority, but its last write is older than it should be. */
+    public boolean isStoreAway(long nowNanos) {
+        return hasAuthority(nowNanos)
+                && nowNanos - (mAuthorityUntil - AUTHORITY_NANOS) > STORE_AWAY_NANOS;
+    }
+
     /** Reports whether this daemon should write itself into the record now. */
     public boolean shouldWrite(long nowNanos) {
         if (!mKnown) {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -27,7 +27,14 @@
  * thread-safe.
  */
 public final class RangeCoordinator {
-    private static final long RENEWAL_NANOS = 1_500_000_000L;
+    private static final long RENEWAL_NANOS = 1_000_000_000L;
+
+    /**
+     * Hold of a grant while the store answers. The keys of a server that falls silent are without
+     * an owner for this long; a coordinator that is lost must be replaced within it.
+     */
+    private static final long HOLD_NANOS = 4_000_000_000L;
+
     private static final long RETRY_NANOS = 300_000_000L;
 
     /** Time for a call to reach a server on links without a fault. */
@@ -46,20 +53,21 @@
         /** Writes the table if its revision in the store is {@code expectedRevision}. */
         void write(ImmutableList<Assignment> assignments, long expectedRevision);
 
-        /** Grants the range of an assignment to its owner. */
-        void grant(Assignment assignment, Optional<String> handover);
+        /** Grants the range of an assignment to its owner for {@code holdNanos}. */
+        void grant(Assignment assignment, long holdNanos, Optional<String> handover);
 
         /** Asks a life of a server to release a range. */
         void release(String life, KeyRange range, long fence);
     }
 
     private final Port mPort;
-    private final long mHoldNanos;
+    private final long mMaxHoldNanos;
     private final KeyLoad mLoad;
     private final Map<String, RangeServer> mServers = new LinkedHashMap<>();
     private final Set<String> mGone = new HashSet<>();
     private final Map<LeaseKey, Lease> mLeases = new HashMap<>();
     private RangeTable mTable;
+    private long mHoldNanos;
     private boolean mStarted;
     private boolean mRestamp;
     private ImmutableList<Assignment> mWriting;
@@ -69,15 +77,24 @@
 
     private record LeaseKey(KeyRange range, long fence) {}
 
-    private RangeCoordinator(Port port, long holdNanos, KeyLoad load) {
+    private RangeCoordinator(Port port, long maxHoldNanos, KeyLoad load) {
         mPort = port;
-        mHoldNanos = holdNanos;
+        mMaxHoldNanos = maxHoldNanos;
+        mHoldNanos = Math.min(HOLD_NANOS, maxHoldNanos);
         mLoad = load;
     }
 
-    /** Returns a coordinator that grants ranges for {@code holdNanos} at a time. */
-    public static RangeCoordinator create(Port port, long holdNanos, KeyLoad load) {
-        return new RangeCoordinator(checkNotNull(port), holdNanos, checkNotNull(load));
+    /** Returns a coordinator of which no grant is longer than {@code maxHoldNanos}. */
+    public static RangeCoordinator create(Port port, long maxHoldNanos, KeyLoad load) {
+        return new RangeCoordinator(checkNotNull(port), maxHoldNanos, checkNotNull(load));
+    }
+
+    /**
+     * Tells whether the store answers. While it does not, no other daemon can take over, so grants
+     * get the longest hold and outlast the authority of this daemon.
+     */
+    public void setStoreAway(boolean away) {
+        mHoldNanos = away ? mMaxHoldNanos : Math.min(HOLD_NANOS, mMaxHoldNanos);
     }
 
     /** Begins a term with the table in the store, or none when the service has no table yet. */
@@ -205,14 +222,14 @@
                             .filter(l -> l.assignment().range().overlaps(assignment.range()))
                             .flatMap(l -> l.holdOf(life, nowNanos).stream())
                             .reduce(Lease.Hold::max)
-                            .orElse(new Lease.Hold(holdEnd(nowNanos), 0));
+                            .orElse(new Lease.Hold(holdEnd(nowNanos, mMaxHoldNanos), 0));
             created.addHolder(life, hold);
         }
         return created;
     }
 
-    private long holdEnd(long sentNanos) {
-        return sentNanos + (long) (mHoldNanos * CLOCK_FACTOR) + ARRIVAL_NANOS;
+    private static long holdEnd(long sentNanos, long holdNanos) {
+        return sentNanos + (long) (holdNanos * CLOCK_FACTOR) + ARRIVAL_NANOS;
     }
 
     private void advance(Lease lease, long nowNanos) {
@@ -222,8 +239,8 @@
             mPort.release(life, assignment.range(), assignment.fence());
         }
         if (lease.isGrantDue(nowNanos) && !mGone.contains(assignment.owner())) {
-            lease.onSent(holdEnd(nowNanos));
-            mPort.grant(assignment, lease.handover());
+            lease.onSent(holdEnd(nowNanos, mHoldNanos));
+            mPort.grant(assignment, mHoldNanos, lease.handover());
         }
     }
 
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeTableTest.java
@@ -0,0 +1,60 @@
+package org.geraniumusher.keyrange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+
+/** Guards against tables with gaps, overlaps or fences that are not the revision. */
+final class RangeTableTest {
+    private static Assignment assignment(int first, int last, String owner) {
+        return Assignment.of(new KeyRange(first, last), owner);
+    }
+
+    @Test
+    void of_unstamped_getsTheRevisionAsFence() {
+        Assignment old = new Assignment(new KeyRange(0, 9), "a", 3, ImmutableList.of());
+
+        RangeTable table = RangeTable.of(8, List.of(assignment(10, 65_535, "b"), old));
+
+        assertThat(table.find(0).fence()).isEqualTo(3);
+        assertThat(table.find(10).fence()).isEqualTo(8);
+    }
+
+    @Test
+    void of_gap_isRefused() {
+        assertThrows(
+                IllegalArgumentException.class,
+                () ->
+                        RangeTable.of(
+                                1, List.of(assignment(0, 9, "a"), assignment(11, 65_535, "b"))));
+    }
+
+    @Test
+    void of_overlap_isRefused() {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> RangeTable.of(1, List.of(assignment(0, 9, "a"), assignment(9, 65_535, "b"))));
+    }
+
+    @Test
+    void find_eachEdge_isTheRangeOfTheKey() {
+        RangeTable table =
+                RangeTable.of(
+                        1,
+                        List.of(
+                                assignment(0, 9, "a"),
+                                assignment(10, 10, "b"),
+                                assignment(11, 65_535, "c")));
+
+        assertThat(table.find(9).owner()).isEqualTo("a");
+        assertThat(table.find(10).owner()).isEqualTo("b");
+        assertThat(table.find(11).owner()).isEqualTo("c");
+        assertThat(table.find(65_535).owner()).isEqualTo("c");
+    }
+}
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -25,7 +25,7 @@
     private static final String RECORD = "coordinator";
     private static final long ACTING_TICK_MILLIS = 100;
     private static final long WATCHING_TICK_MILLIS = 500;
-    private static final long POLL_NANOS = 2_000_000_000L;
+    private static final long POLL_NANOS = 1_000_000_000L;
 
     private final EntrySettings mSettings;
     private final long mIncarnation;
@@ -137,7 +137,8 @@
                                 c.services().values().stream()
                                         .filter(ServiceRule::keyed)
                                         .forEach(s -> duty(s.name())));
-        mServices.values().forEach(RangeDuty::tick);
+        boolean storeAway = mElection.isStoreAway(now);
+        mServices.values().forEach(s -> s.tick(storeAway));
     }
 
     /** Follows a change of the directory without waiting for the next tick. */
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -40,7 +40,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration TIMEOUT = Duration.ofMillis(700);
     private static final long TICK_MILLIS = 500;
-    private static final long REPORT_NANOS = 1_000_000_000L;
+    private static final long REPORT_NANOS = 500_000_000L;
     private static final long LIST_NANOS = 5_000_000_000L;
 
     /** A watch that ended is begun again within this time if the store is there. */
--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -39,7 +39,6 @@
     private static final double MAX_SPEED = 1.6;
 
     private final String mService;
-    private final long mHoldNanos;
     private final Directory mDirectory;
     private final Store mStore;
     private final ServerControl mControl;
@@ -69,7 +68,6 @@
             DecisionLog log,
             EntryMetrics metrics) {
         mService = service;
-        mHoldNanos = settings.maxHoldNanos();
         mDirectory = directory;
         mStore = store;
         mControl = control;
@@ -78,12 +76,13 @@
         mLog = log;
         mMetrics = metrics;
         mLoad = KeyLoad.create(clock.getAsLong());
-        mCoordinator = RangeCoordinator.create(this, mHoldNanos, mLoad);
+        mCoordinator = RangeCoordinator.create(this, settings.maxHoldNanos(), mLoad);
     }
 
     /** Does what is due; only with authority. */
-    void tick() {
+    void tick(boolean storeAway) {
         long now = mClock.getAsLong();
+        mCoordinator.setStoreAway(storeAway);
         updateServers(now);
         if (!mCoordinator.isStarted()) {
             startTerm(now);
@@ -234,13 +233,13 @@
     }
 
     @Override
-    public void grant(Assignment assignment, Optional<String> handover) {
+    public void grant(Assignment assignment, long holdNanos, Optional<String> handover) {
         ServerEntry server = mKnown.get(assignment.owner());
         if (server == null) {
             mThread.execute(() -> mCoordinator.onGrantUnknown(assignment, mClock.getAsLong()));
             return;
         }
-        mControl.grant(server, assignment.range(), assignment.fence(), mHoldNanos, handover)
+        mControl.grant(server, assignment.range(), assignment.fence(), holdNanos, handover)
                 .thenAccept(
                         result -> mThread.execute(() -> onGrantResult(assignment, server, result)));
     }
