Call the store less while it does not answer

Change: only the sentinel kind is tried every 400 ms, the others resume when it gets an answer; watches of the others wait 20 s; changes of server entries are read together after 120 ms.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -60,8 +60,16 @@
                     decode.run();
                     mListeners.forEach(Runnable::run);
                 };
+        Runnable onReachable =
+                () -> {
+                    if (kind == StoreKind.SERVERS) {
+                        mMirrors.values().forEach(KindMirror::resume);
+                    }
+                };
         mMirrors.put(
-                kind, new KindMirror(kind, store, thread, mClock, mLog, onChange, this::start));
+                kind,
+                new KindMirror(
+                        kind, store, thread, mClock, mLog, onChange, this::start, onReachable));
     }
 
     /** Lists all kinds, at the start and when the store has dropped its history. */
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -20,7 +20,7 @@
  */
 final class KindMirror {
     /** Longest wait of a watch. A watch whose history was dropped may wait in vain until then. */
-    private static final long WATCH_MILLIS = 10_000;
+    private static final long WATCH_MILLIS = 20_000;
 
     /**
      * Wait of the watches of one kind that stands for all: when its history is gone, so is that of
@@ -29,9 +29,16 @@
     private static final long SENTINEL_WATCH_MILLIS = 2_000;
 
     /** Pause after changes, so that those which come together cost one call. */
-    private static final long SETTLE_MILLIS = 60;
+    private static final long SETTLE_MILLIS = 120;
 
-    private static final long RETRY_MILLIS = 250;
+    /** Pause after a first call that failed: the connection may have been reset. */
+    private static final long FIRST_RETRY_MILLIS = 100;
+
+    /** Pause between the calls of the sentinel while the store is away; each call is priced. */
+    private static final long SENTINEL_RETRY_MILLIS = 400;
+
+    /** Pause of the other kinds, which are begun again when the sentinel gets an answer. */
+    private static final long RETRY_MILLIS = 3_000;
 
     private final StoreKind mKind;
     private final Store mStore;
@@ -40,6 +47,7 @@
     private final DecisionLog mLog;
     private final Runnable mOnChange;
     private final Runnable mOnHistoryGone;
+    private final Runnable mOnReachable;
     private final Map<String, StoreObject> mListing = new HashMap<>();
     private ImmutableMap<String, StoreObject> mObjects = ImmutableMap.of();
     private long mRevision = -1;
@@ -47,6 +55,7 @@
     private boolean mListed;
     private boolean mReachable;
     private long mUnreachableSince;
+    private int mFailures;
 
     KindMirror(
             StoreKind kind,
@@ -55,7 +64,8 @@
             LongSupplier clock,
             DecisionLog log,
             Runnable onChange,
-            Runnable onHistoryGone) {
+            Runnable onHistoryGone,
+            Runnable onReachable) {
         mKind = kind;
         mStore = store;
         mThread = thread;
@@ -63,6 +73,7 @@
         mLog = log;
         mOnChange = onChange;
         mOnHistoryGone = onHistoryGone;
+        mOnReachable = onReachable;
         mUnreachableSince = clock.getAsLong();
     }
 
@@ -100,6 +111,30 @@
         return mUnreachableSince;
     }
 
+    /** Calls at once because another kind got an answer. */
+    void resume() {
+        if (!mReachable) {
+            mGeneration++;
+            retry();
+        }
+    }
+
+    private void retry() {
+        if (mListed) {
+            watch();
+        } else {
+            start();
+        }
+    }
+
+    private void retryLater() {
+        long pause =
+                mFailures == 1
+                        ? FIRST_RETRY_MILLIS
+                        : mKind == StoreKind.SERVERS ? SENTINEL_RETRY_MILLIS : RETRY_MILLIS;
+        scheduleCurrent(this::retry, pause);
+    }
+
     /** Takes the copy of a peer if it is newer; its objects must be a whole state. */
     void adopt(long revision, Map<String, StoreObject> objects) {
         if (!mReachable && revision > mRevision) {
@@ -139,7 +174,7 @@
     private void onPage(StoreResult result) {
         if (!(result instanceof Page page)) {
             onUnusable(result);
-            scheduleCurrent(this::start, RETRY_MILLIS);
+            retryLater();
             return;
         }
         onAnswer();
@@ -155,7 +190,7 @@
             mOnChange.run();
             watch();
         } else {
-            scheduleCurrent(this::start, RETRY_MILLIS);
+            scheduleCurrent(this::start, FIRST_RETRY_MILLIS);
         }
         mListing.clear();
     }
@@ -195,7 +230,7 @@
             mOnHistoryGone.run();
         } else {
             onUnusable(result);
-            scheduleCurrent(mListed ? this::watch : this::start, RETRY_MILLIS);
+            retryLater();
         }
     }
 
@@ -222,10 +257,13 @@
             mReachable = true;
             mLog.write(
                     DecisionLog.Part.STORE, "Store answers", "kind", mKind, "revision", mRevision);
+            mOnReachable.run();
         }
+        mFailures = 0;
     }
 
     private void onUnusable(StoreResult result) {
+        mFailures++;
         if (mReachable) {
             mReachable = false;
             mUnreachableSince = mClock.getAsLong();
