--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -119,6 +119,11 @@
                 .forEach(l -> l.callSoon(nowNanos));
     }
 
+    /** Returns the table as last written or read. */
+    public Optional<RangeTable> table() {
+        return Optional.ofNullable(mTable);
+    }
+
     /** Reports whether a term has begun. */
     public boolean isStarted() {
         return mStarted;
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -38,6 +38,7 @@
     private final EntryMetrics mMetrics;
     private final CoordinatorElection mElection;
     private final Map<String, RangeDuty> mServices = new HashMap<>();
+    private RangeDuty.Publisher mPublisher = (service, old, next) -> {};
     private boolean mCalling;
     private long mNextPoll;
     private long mNextWrite;
@@ -71,6 +72,11 @@
         return mSettings.name() + "/" + mSettings.peers().host();
     }
 
+    /** Sets who is told of each table that this daemon writes. */
+    void setPublisher(RangeDuty.Publisher publisher) {
+        mPublisher = publisher;
+    }
+
     void start() {
         mNextPoll = mClock.getAsLong();
         tick();
@@ -154,6 +160,7 @@
                 s ->
                         new RangeDuty(
                                 s,
+                                mPublisher,
                                 mSettings,
                                 mDirectory,
                                 mStore,
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -31,6 +31,7 @@
     private static final int MAX_LOGGED_CHARS = 400;
 
     private final Wire mWire;
+    private final TableBook mTables;
     private final DecisionLog mLog;
     private final LongSupplier mClock;
     private final Map<StoreKind, KindMirror> mMirrors = new EnumMap<>(StoreKind.class);
@@ -40,7 +41,6 @@
     private long mConfigurationRevision = -1;
     private ImmutableMap<String, ServerEntry> mServers = ImmutableMap.of();
     private ImmutableSet<String> mEvacuated = ImmutableSet.of();
-    private ImmutableMap<String, RangeTable> mTables = ImmutableMap.of();
 
     private record Decoded(long revision, Optional<ServerEntry> entry) {}
 
@@ -51,7 +51,7 @@
         addMirror(StoreKind.CONFIGURATION, store, thread, this::decodeConfiguration);
         addMirror(StoreKind.EVACUATIONS, store, thread, this::decodeEvacuations);
         addMirror(StoreKind.SERVERS, store, thread, this::decodeServers);
-        addMirror(StoreKind.RANGES, store, thread, this::decodeTables);
+        mTables = new TableBook(store, thread, log, () -> mListeners.forEach(Runnable::run));
     }
 
     private void addMirror(StoreKind kind, Store store, EventThread thread, Runnable decode) {
@@ -69,14 +69,25 @@
         mMirrors.put(
                 kind,
                 new KindMirror(
-                        kind, store, thread, mClock, mLog, onChange, this::start, onReachable));
+                        kind, store, thread, mClock, mLog, onChange, this::list, onReachable));
     }
 
-    /** Lists all kinds, at the start and when the store has dropped its history. */
     void start() {
+        list();
+        mTables.start();
+    }
+
+    /**
+     * Lists all kinds that are watched, at the start and when the store has dropped its history.
+     */
+    private void list() {
         mMirrors.values().forEach(KindMirror::start);
     }
 
+    TableBook tables() {
+        return mTables;
+    }
+
     /** Adds a task that runs after each change. */
     void addListener(Runnable listener) {
         mListeners.add(listener);
@@ -93,6 +104,7 @@
     /** Reports whether everything that a request needs is known. */
     boolean isComplete() {
         return mConfiguration.isPresent()
+                && mTables.isKnown()
                 && mMirrors.values().stream().allMatch(KindMirror::isKnown);
     }
 
@@ -110,7 +122,7 @@
     }
 
     Optional<RangeTable> table(String service) {
-        return Optional.ofNullable(mTables.get(service));
+        return mTables.table(service);
     }
 
     private void decodeConfiguration() {
@@ -184,29 +196,6 @@
         }
     }
 
-    private void decodeTables() {
-        ImmutableMap.Builder<String, RangeTable> next = ImmutableMap.builder();
-        for (StoreObject object : mMirrors.get(StoreKind.RANGES).objects().values()) {
-            RangeTable known = mTables.get(object.name());
-            if (known != null && known.revision() == object.revision()) {
-                next.put(object.name(), known);
-                continue;
-            }
-            try {
-                next.put(object.name(), RangeTableCodec.decode(object.revision(), object.spec()));
-            } catch (IllegalArgumentException e) {
-                mLog.write(
-                        Part.OWNERSHIP,
-                        "Table of key ranges cannot be read",
-                        "service",
-                        object.name(),
-                        "reason",
-                        e.getMessage());
-            }
-        }
-        mTables = next.buildOrThrow();
-    }
-
     /** Reports whether an entry that is missing now may only have lapsed with the store away. */
     boolean mayRegisterAgain(long nowNanos) {
         KindMirror servers = mMirrors.get(StoreKind.SERVERS);
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -29,7 +29,7 @@
     private static final long SENTINEL_WATCH_MILLIS = 2_000;
 
     /** Pause after changes, so that those which come together cost one call. */
-    private static final long SETTLE_MILLIS = 120;
+    private static final long SETTLE_MILLIS = 300;
 
     /** Pause after a first call that failed: the connection may have been reset. */
     private static final long FIRST_RETRY_MILLIS = 100;
@@ -213,7 +213,7 @@
                 return;
             }
             apply(changes);
-            if (changes.changes().isEmpty() || mKind == StoreKind.RANGES) {
+            if (changes.changes().isEmpty()) {
                 watch();
             } else {
                 scheduleCurrent(this::watch, SETTLE_MILLIS);
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -17,6 +17,7 @@
 import org.geraniumusher.http.HttpServer;
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.Address;
 
 import java.io.IOException;
@@ -26,6 +27,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -93,6 +95,7 @@
         mClient = HttpClient.create(group);
         mRandom = new Random(incarnation);
         mPeers.addAll(settings.seeds());
+        coordinator.setPublisher(this::publish);
         mServer =
                 HttpServer.create(
                         group,
@@ -117,6 +120,9 @@
             mNextList = now + LIST_NANOS;
             listDaemons();
         }
+        if (!mDirectory.tables().isKnown()) {
+            otherPeer().ifPresent(this::fetchTables);
+        }
         for (KindMirror mirror : mDirectory.mirrors()) {
             if (!mirror.isReachable() && now - mirror.unreachableSince() > STORE_AWAY_NANOS) {
                 copyFromPeer(mirror);
@@ -190,13 +196,98 @@
         }
     }
 
-    private void copyFromPeer(KindMirror mirror) {
+    private Optional<Address> otherPeer() {
         List<Address> others = new ArrayList<>(mPeers);
         others.remove(mSettings.peers());
-        if (others.isEmpty()) {
-            return;
+        return others.isEmpty()
+                ? Optional.empty()
+                : Optional.of(others.get(mRandom.nextInt(others.size())));
+    }
+
+    /** Sends what changed in a table to all daemons. */
+    private void publish(String service, Optional<RangeTable> old, RangeTable next) {
+        mDirectory.tables().offer(service, next);
+        ObjectNode body =
+                RangeTableCodec.encode(
+                        old.map(o -> TableBook.changes(o, next)).orElse(next.assignments()));
+        body.put("service", service);
+        body.put("base", old.map(RangeTable::revision).orElse(-1L));
+        body.put("revision", next.revision());
+        body.put("sender", mSettings.peers().toString());
+        String text = body.toString();
+        for (Address peer : mPeers) {
+            if (!peer.equals(mSettings.peers())) {
+                // A daemon that misses this finds the table by its next poll of the store.
+                mClient.call(peer, HttpCall.of("POST", "/table", text), TIMEOUT);
+            }
+        }
+    }
+
+    private void takeTable(JsonNode body) {
+        String service = body.path("service").asText();
+        boolean complete =
+                mDirectory
+                        .tables()
+                        .offerChanges(
+                                service,
+                                body.path("base").asLong(),
+                                body.path("revision").asLong(),
+                                RangeTableCodec.decodeAssignments(body));
+        if (!complete) {
+            fetchTables(Address.of(body.path("sender").asText()));
+        }
+    }
+
+    private void fetchTables(Address peer) {
+        mClient.call(peer, HttpCall.of("GET", "/tables"), TIMEOUT)
+                .whenComplete(
+                        (reply, error) -> {
+                            if (error == null && reply.status() == 200) {
+                                mThread.execute(() -> onTables(peer, reply));
+                            }
+                        });
+    }
+
+    private void onTables(Address peer, HttpReply reply) {
+        try {
+            MAPPER.readTree(reply.body())
+                    .fields()
+                    .forEachRemaining(
+                            e ->
+                                    mDirectory
+                                            .tables()
+                                            .offer(
+                                                    e.getKey(),
+                                                    RangeTableCodec.decode(
+                                                            e.getValue().path("revision").asLong(),
+                                                            e.getValue())));
+            mDirectory.tables().setKnown();
+        } catch (IOException | IllegalArgumentException e) {
+            mLog.write(Part.PEER, "Tables cannot be read", "peer", peer, "reason", e.getMessage());
+        }
+    }
+
+    private HttpReply allTables() {
+        if (!mDirectory.tables().isKnown()) {
+            return HttpReply.of(204, "");
         }
-        Address peer = others.get(mRandom.nextInt(others.size()));
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        mDirectory
+                .tables()
+                .tables()
+                .forEach(
+                        (service, table) -> {
+                            ObjectNode encoded = RangeTableCodec.encode(table.assignments());
+                            body.set(service, encoded.put("revision", table.revision()));
+                        });
+        return HttpReply.of(200, body.toString());
+    }
+
+    private void copyFromPeer(KindMirror mirror) {
+        otherPeer().ifPresent(peer -> copyFrom(peer, mirror));
+    }
+
+    private void copyFrom(Address peer, KindMirror mirror) {
         HttpCall call =
                 HttpCall.of(
                         "GET", "/objects/" + mirror.kind() + "?newer_than=" + mirror.revision());
@@ -265,6 +356,11 @@
             if (call.method().equals("POST") && call.path().equals("/work")) {
                 takeWork(MAPPER.readTree(call.body()));
                 responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.method().equals("POST") && call.path().equals("/table")) {
+                takeTable(MAPPER.readTree(call.body()));
+                responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.path().equals("/tables")) {
+                responder.reply(allTables());
             } else if (call.path().startsWith("/objects/")) {
                 responder.reply(copyOf(call));
             } else {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -5,6 +5,7 @@
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.entry.KeyWork.Sample;
 import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.EndProofs;
 import org.geraniumusher.keyrange.KeyLoad;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.keyrange.RangeCoordinator;
@@ -27,9 +28,6 @@
     /** Servers that register at about the same time are all given keys at first. */
     private static final long SETTLE_NANOS = 1_000_000_000L;
 
-    /** Refused connections in a row that prove the end of a server; one may be a full queue. */
-    private static final int REFUSALS_OF_GONE = 2;
-
     /** Requests a second times this is what the decaying count holds. */
     private static final double COUNTED_SECONDS = KeyLoad.HALF_LIFE_NANOS / 1e9 / Math.log(2);
 
@@ -38,7 +36,13 @@
     private static final double MIN_SPEED = 0.4;
     private static final double MAX_SPEED = 1.6;
 
+    /** Takes a table that was written, and the one before, if there was any. */
+    interface Publisher {
+        void publish(String service, Optional<RangeTable> old, RangeTable next);
+    }
+
     private final String mService;
+    private final Publisher mPublisher;
     private final Directory mDirectory;
     private final Store mStore;
     private final ServerControl mControl;
@@ -49,16 +53,18 @@
     private final KeyLoad mLoad;
     private final RangeCoordinator mCoordinator;
     private final Map<String, ServerEntry> mKnown = new HashMap<>();
-    private final Map<String, Integer> mRefusals = new HashMap<>();
+    private final EndProofs mProofs = EndProofs.create();
     private final Map<String, Double> mTook = new HashMap<>();
     private final Map<String, Long> mColdUntil = new HashMap<>();
     private double mMeanTook;
     private boolean mReading;
+    private Optional<RangeTable> mPublished = Optional.empty();
     private long mServersChangedAt;
     private ImmutableList<String> mLastLives = ImmutableList.of();
 
     RangeDuty(
             String service,
+            Publisher publisher,
             EntrySettings settings,
             Directory directory,
             Store store,
@@ -68,6 +74,7 @@
             DecisionLog log,
             EntryMetrics metrics) {
         mService = service;
+        mPublisher = publisher;
         mDirectory = directory;
         mStore = store;
         mControl = control;
@@ -229,9 +236,18 @@
             mLog.write(Part.OWNERSHIP, "Table was not written", "result", result);
             mCoordinator.onWriteUnknown(now);
         }
+        publish();
         mCoordinator.tick(now);
     }
 
+    private void publish() {
+        Optional<RangeTable> next = mCoordinator.table();
+        if (next.isPresent() && !next.equals(mPublished)) {
+            mPublisher.publish(mService, mPublished, next.get());
+            mPublished = next;
+        }
+    }
+
     @Override
     public void grant(Assignment assignment, long holdNanos, Optional<String> handover) {
         ServerEntry server = mKnown.get(assignment.owner());
@@ -249,7 +265,7 @@
         mMetrics.onCall("grant", result.getClass().getSimpleName());
         boolean moving = assignment.isMoving();
         if (result instanceof GrantResult.Done) {
-            mRefusals.remove(server.life());
+            mProofs.onAnswered(server.life());
             mCoordinator.onGranted(assignment, now);
         } else {
             logFailure("Grant failed", assignment.range(), server, result);
@@ -279,10 +295,17 @@
                 result);
     }
 
+    private boolean isListedAsReady(String life) {
+        ServerEntry entry = mDirectory.servers().get(life);
+        return entry != null
+                && !entry.leaving()
+                && mDirectory.mirror(StoreKind.SERVERS).isReachable();
+    }
+
     private void noteProof(ServerEntry server, GrantResult result) {
         boolean gone = result instanceof GrantResult.OtherServer;
         if (result instanceof GrantResult.ConnectionRefused) {
-            gone = mRefusals.merge(server.life(), 1, Integer::sum) >= REFUSALS_OF_GONE;
+            gone = mProofs.onConnectionRefused(server.life(), isListedAsReady(server.life()));
         }
         if (gone) {
             mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/RangeTableCodec.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeTableCodec.java
@@ -19,7 +19,7 @@
 final class RangeTableCodec {
     private RangeTableCodec() {}
 
-    static JsonNode encode(List<Assignment> assignments) {
+    static ObjectNode encode(List<Assignment> assignments) {
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
         ArrayNode ranges = spec.putArray("ranges");
         for (Assignment a : assignments) {
@@ -37,8 +37,12 @@
     }
 
     static RangeTable decode(long revision, JsonNode spec) {
+        return RangeTable.of(revision, decodeAssignments(spec));
+    }
+
+    static List<Assignment> decodeAssignments(JsonNode spec) {
         JsonNode ranges = spec.path("ranges");
-        checkArgument(ranges.isArray(), "no ranges in revision %s", revision);
+        checkArgument(ranges.isArray(), "no ranges in %s", spec);
         List<Assignment> assignments = new ArrayList<>();
         for (JsonNode range : ranges) {
             ImmutableList.Builder<String> previous = ImmutableList.builder();
@@ -50,6 +54,6 @@
                             range.path("fence").asLong(),
                             previous.build()));
         }
-        return RangeTable.of(revision, assignments);
+        return assignments;
     }
 }
