Log each answer with its inputs, and end a daemon that cannot bind

Cause: the build of a second copy hung: its training run found the ports in use, the main thread ended and the event loop kept the process. A daemon on a machine would have hung in the same way. A log line for each answered request, in time or late, with server, times, sends, configuration version and table revision; failures also name the owner of the key and its load.

--- a/daemon/src/main/java/org/geraniumusher/http/TcpListener.java
+++ b/daemon/src/main/java/org/geraniumusher/http/TcpListener.java
@@ -4,6 +4,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -54,8 +55,11 @@
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.AUTO_READ, autoRead)
                         .childHandler(new Initializer(connections, pipeline));
-        return new TcpListener(
-                bootstrap.bind(host, port).syncUninterruptibly().channel(), connections);
+        ChannelFuture bound = bootstrap.bind(host, port).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IllegalStateException("cannot bind " + host + ":" + port, bound.cause());
+        }
+        return new TcpListener(bound.channel(), connections);
     }
 
     /** Returns the bound address. */
--- a/entry/src/main/java/org/geraniumusher/entry/DecisionLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/DecisionLog.java
@@ -27,8 +27,10 @@
     public enum Part {
         /** Start, stop and settings. */
         DAEMON(100),
-        /** Requests. */
-        REQUEST(20),
+        /** Requests that failed, were refused, sent again or given up. */
+        REQUEST(30),
+        /** Requests that were answered; apart, so that they do not crowd out the failures. */
+        ANSWER(20),
         /** Backend servers. */
         SERVER(20),
         /** The store and what was read from it. */
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -24,6 +24,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -450,10 +451,65 @@
         } else {
             end(exchange);
             mMetrics.onAnswered(now - exchange.arrivedAt(), now <= exchange.goalAt());
+            logAnswer(exchange, upstream, response, now - sentAt);
             exchange.answer().respond(response);
         }
     }
 
+    private void logAnswer(
+            Exchange exchange, Upstream upstream, UpstreamResponse response, long tookNanos) {
+        long now = mClock.getAsLong();
+        mLog.write(
+                Part.ANSWER,
+                now <= exchange.goalAt() ? "Answered in time" : "Answered late",
+                "id",
+                exchange.id(),
+                "status",
+                response.status(),
+                "server",
+                upstream.entry().life(),
+                "key",
+                exchange.key(),
+                "at_server_ms",
+                tookNanos / MILLI_NANOS,
+                "total_ms",
+                (now - exchange.arrivedAt()) / MILLI_NANOS,
+                "asked_before_ms",
+                (exchange.arrivedAt() - exchange.firstAskedAt()) / MILLI_NANOS,
+                "sends",
+                exchange.sends(),
+                "config_version",
+                configVersion(),
+                "table_revision",
+                tableRevision(exchange));
+    }
+
+    private long configVersion() {
+        return mDirectory.configuration().map(RouterConfig::version).orElse(-1L);
+    }
+
+    private long tableRevision(Exchange exchange) {
+        return mDirectory.table(exchange.service()).map(RangeTable::revision).orElse(-1L);
+    }
+
+    /** Describes the owner of the key and what is known of its load. */
+    private String describeOwner(Exchange exchange) {
+        if (!exchange.isKeyed() || mDirectory.table(exchange.service()).isEmpty()) {
+            return "";
+        }
+        Assignment assignment = mDirectory.table(exchange.service()).get().find(exchange.key());
+        Upstream owner = mUpstreams.get(assignment.owner());
+        String load =
+                owner == null
+                        ? "unknown server"
+                        : String.format(
+                                Locale.ROOT,
+                                "load %.1f of %d slots",
+                                owner.load().expectedLoad(mClock.getAsLong()),
+                                owner.entry().slots());
+        return assignment.owner() + (assignment.isMoving() ? " (moving), " : ", ") + load;
+    }
+
     private void onRejected(Exchange exchange, Upstream upstream, UpstreamResponse response) {
         long now = mClock.getAsLong();
         mLog.write(
@@ -597,7 +653,13 @@
                 "sends",
                 exchange.sends(),
                 "waiting",
-                mWaiting.size());
+                mWaiting.size(),
+                "owner",
+                describeOwner(exchange),
+                "config_version",
+                configVersion(),
+                "table_revision",
+                tableRevision(exchange));
         exchange.answer().fail(honest, retryAfterSeconds);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -115,6 +115,10 @@
         mDeadlineAt = deadlineAt;
     }
 
+    long firstAskedAt() {
+        return mFirstAskedAt;
+    }
+
     long goalNanos() {
         return mRoute.goalNanos();
     }
