--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -225,7 +225,11 @@
                 mServices.clear();
             }
             mElection.onWritten(decode(written.object()), sentAt, now);
-            act(now);
+            if (mResigned) {
+                vacate();
+            } else {
+                act(now);
+            }
         } else if (result instanceof StoreResult.Conflict conflict) {
             mElection.onRead(Optional.of(decode(conflict.object())), now);
             dropServicesUnlessOwn();
@@ -254,20 +258,33 @@
                 object.revision());
     }
 
-    /** Gives the office up, so that another daemon takes over at once. */
-    CompletableFuture<?> resign() {
+    /**
+     * Gives the office up, so that another daemon takes over at once. When a renewal is on its way
+     * the office is given up after its answer, which tells the revision to replace.
+     */
+    void resign() {
+        boolean held = mElection.hasAuthority(mClock.getAsLong());
         mResigned = true;
-        boolean acting = mElection.hasAuthority(mClock.getAsLong());
         mActing = false;
         mServices.clear();
-        if (!acting) {
-            return CompletableFuture.completedFuture(null);
+        if (held && !mCalling) {
+            vacate();
         }
+    }
+
+    private void vacate() {
         mLog.write(Part.OWNERSHIP, "Resigns as the coordinator");
-        return mStore.replace(
-                StoreKind.COORDINATORS,
-                RECORD,
-                encode(""),
-                mElection.record().orElseThrow().revision());
+        mStore.replace(
+                        StoreKind.COORDINATORS,
+                        RECORD,
+                        encode(""),
+                        mElection.record().orElseThrow().revision())
+                .thenAccept(
+                        result ->
+                                mLog.write(
+                                        Part.OWNERSHIP,
+                                        "Resignation ended",
+                                        "result",
+                                        result.getClass().getSimpleName()));
     }
 }
