Split the dispatcher by job and share the parts of duties

Servers with their connections, forwarded requests and log lines are classes of their own; duties share one record of parts, keep-alive probes have one place. No change of behaviour.

--- a/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/daemon/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -175,14 +175,10 @@
                         pipeline.accept(channel);
                     }
                 };
-        return new Bootstrap()
+        return KeepAliveProbes.enable(new Bootstrap())
                 .group(mGroup)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(KeepAliveProbes.IDLE, KeepAliveProbes.IDLE_SECONDS)
-                .option(KeepAliveProbes.INTERVAL, KeepAliveProbes.INTERVAL_SECONDS)
-                .option(KeepAliveProbes.COUNT, KeepAliveProbes.MAX_LOST)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis(timeout))
                 .handler(initializer)
                 .connect(address.host(), address.port());
--- a/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
@@ -70,14 +70,14 @@
 
     /** Idle time before the server turned cold must not count for it. */
     @Test
-    void tryAdmit_coldAfterALongIdleTime_startsWithTheGivenShare() {
+    void tryAdmit_coldAfterLongIdleTime_startsWithTheGivenShare() {
         mLoad.onCold(1_010 * SECOND, 1_000 * SECOND);
 
         assertThat(mLoad.tryAdmit(0.5, 1_000 * SECOND + MILLI)).isFalse();
     }
 
     @Test
-    void isSuspect_noAnswer_endsAfterAPause() {
+    void isSuspect_noAnswer_endsAfterPause() {
         mLoad.onSent();
         mLoad.onNoAnswer(0);
 
--- a/decisions/src/test/java/org/geraniumusher/keyrange/KeyLoadTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/KeyLoadTest.java
@@ -19,7 +19,7 @@
     }
 
     @Test
-    void of_afterAVeryLongTime_isNothingLeft() {
+    void of_afterVeryLongTime_isNothingLeft() {
         KeyLoad load = KeyLoad.create(0);
         load.add(7, 8, 0);
 
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangePlannerTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangePlannerTest.java
@@ -58,7 +58,7 @@
 
     /** Neighbouring hot keys overload their owner: a narrow part of them must move. */
     @Test
-    void relieve_hotKeys_movesANarrowWindowOfThem() {
+    void relieve_hotKeys_movesNarrowWindowOfThem() {
         heat(2_000, 2_199, 0.05);
 
         RangeMove move = relieve(List.of(A, B), assignments("a", "b")).orElseThrow();
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -27,15 +27,14 @@
     private static final long WATCHING_TICK_MILLIS = 500;
     private static final long POLL_NANOS = 1_000_000_000L;
 
+    private final DutyParts mParts;
     private final EntrySettings mSettings;
     private final long mIncarnation;
     private final Directory mDirectory;
     private final Store mStore;
-    private final ServerControl mControl;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
-    private final EntryMetrics mMetrics;
     private final CoordinatorElection mElection;
     private final Map<String, RangeDuty> mServices = new HashMap<>();
     private RangeDuty.Publisher mPublisher = (service, old, next) -> {};
@@ -45,26 +44,16 @@
     private boolean mActing;
     private boolean mResigned;
 
-    CoordinatorDuty(
-            EntrySettings settings,
-            long incarnation,
-            Directory directory,
-            Store store,
-            ServerControl control,
-            EventThread thread,
-            LongSupplier clock,
-            DecisionLog log,
-            EntryMetrics metrics) {
-        mSettings = settings;
-        mIncarnation = incarnation;
-        mDirectory = directory;
-        mStore = store;
-        mControl = control;
-        mThread = thread;
-        mClock = clock;
-        mLog = log;
-        mMetrics = metrics;
-        mElection = CoordinatorElection.create(identity(), incarnation);
+    CoordinatorDuty(DutyParts parts) {
+        mParts = parts;
+        mSettings = parts.settings();
+        mIncarnation = parts.incarnation();
+        mDirectory = parts.directory();
+        mStore = parts.store();
+        mThread = parts.thread();
+        mClock = parts.clock();
+        mLog = parts.log();
+        mElection = CoordinatorElection.create(identity(), mIncarnation);
     }
 
     /** A daemon that comes back at another address may run beside the one that it replaces. */
@@ -155,20 +144,7 @@
     }
 
     private RangeDuty duty(String service) {
-        return mServices.computeIfAbsent(
-                service,
-                s ->
-                        new RangeDuty(
-                                s,
-                                mPublisher,
-                                mSettings,
-                                mDirectory,
-                                mStore,
-                                mControl,
-                                mThread,
-                                mClock,
-                                mLog,
-                                mMetrics));
+        return mServices.computeIfAbsent(service, s -> new RangeDuty(s, mPublisher, mParts));
     }
 
     private void poll(long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -1,15 +1,10 @@
 package org.geraniumusher.entry;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpVersion;
 
 import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.dispatch.ServerPicker;
-import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.keyrange.RangeTable;
@@ -24,7 +19,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -54,21 +48,16 @@
     /** Other daemons take the request at once. */
     private static final double STOPPED_RETRY_SECONDS = 0.02;
 
-    /** Time that work is taken to need before a server has answered. */
-    private static final long FIRST_WORK_NANOS = 300 * MILLI_NANOS;
-
     private final EntrySettings mSettings;
     private final Directory mDirectory;
     private final Wire mWire;
-    private final EventLoopGroup mGroup;
     private final EventThread mThread;
     private final LongSupplier mClock;
-    private final DecisionLog mLog;
     private final EntryMetrics mMetrics;
     private final KeyWork mKeyWork;
     private final Random mRandom;
-    private final Map<String, Upstream> mUpstreams = new HashMap<>();
-    private final Map<String, List<Upstream>> mByService = new HashMap<>();
+    private final UpstreamSet mUpstreams;
+    private final RequestLog mRequestLog;
     private final Map<String, RetryBudget> mBudgets = new HashMap<>();
     private final Map<String, Long> mLongestDeadlines = new HashMap<>();
     private final List<Exchange> mWaiting = new ArrayList<>();
@@ -91,13 +80,14 @@
         mSettings = settings;
         mDirectory = directory;
         mWire = wire;
-        mGroup = group;
         mThread = thread;
         mClock = clock;
-        mLog = log;
         mMetrics = metrics;
         mKeyWork = keyWork;
         mRandom = new Random(settings.name().hashCode());
+        mUpstreams =
+                new UpstreamSet(directory, group, clock, log, wire.headers().requestId(), mRandom);
+        mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
     }
 
     /** Takes the number of daemons, which share the bound of a cold server. */
@@ -121,69 +111,13 @@
 
     /** Follows a change of the directory. */
     void onDirectoryChange() {
-        long now = mClock.getAsLong();
-        Map<String, ServerEntry> entries = mDirectory.servers();
-        mUpstreams
-                .entrySet()
-                .removeIf(
-                        e -> {
-                            boolean gone = !entries.containsKey(e.getKey());
-                            if (gone && !mDirectory.mayRegisterAgain(now)) {
-                                e.getValue().retire(now);
-                            }
-                            return gone && e.getValue().isRetired() && !isOwner(e.getKey());
-                        });
-        for (ServerEntry entry : entries.values()) {
-            mUpstreams
-                    .computeIfAbsent(entry.life(), life -> createUpstream(entry))
-                    .update(entry, now);
-        }
-        mByService.clear();
-        for (Upstream upstream : mUpstreams.values()) {
-            mByService
-                    .computeIfAbsent(upstream.entry().service(), s -> new ArrayList<>())
-                    .add(upstream);
-        }
+        mUpstreams.update();
         pump();
     }
 
-    private boolean isOwner(String life) {
-        return mDirectory.configuration().stream()
-                .flatMap(c -> c.services().keySet().stream())
-                .flatMap(s -> mDirectory.table(s).stream())
-                .flatMap(t -> t.assignments().stream())
-                .anyMatch(a -> a.owner().equals(life));
-    }
-
-    private Upstream createUpstream(ServerEntry entry) {
-        mLog.write(
-                Part.SERVER,
-                "Server is known",
-                "server",
-                entry.life(),
-                "address",
-                entry.address(),
-                "data_centre",
-                entry.dataCentre(),
-                "leaving",
-                entry.leaving());
-        return new Upstream(
-                entry,
-                mGroup,
-                mClock,
-                mWire.headers().requestId(),
-                FIRST_WORK_NANOS,
-                mRandom.nextDouble());
-    }
-
-    Optional<Upstream> upstream(String life) {
-        return Optional.ofNullable(mUpstreams.get(life));
-    }
-
     /** Closes idle connections that the servers would soon close. */
     void closeExpired() {
-        long now = mClock.getAsLong();
-        mUpstreams.values().forEach(u -> u.closeExpired(now));
+        mUpstreams.closeExpired();
     }
 
     /** Takes a request; answers it at once or later. */
@@ -252,13 +186,7 @@
                 age = longest - left;
                 patience = Math.min(patience, left);
             } catch (NumberFormatException e) {
-                mLog.write(
-                        Part.REQUEST,
-                        "Deadline cannot be read",
-                        "id",
-                        exchange.id(),
-                        "value",
-                        value);
+                mRequestLog.badDeadline(exchange, value);
             }
         }
         exchange.setTimes(exchange.arrivedAt() - age, exchange.arrivedAt() + patience);
@@ -349,7 +277,7 @@
 
     private Optional<Upstream> choose(Exchange exchange, long now) {
         List<ServerPicker.Candidate> candidates = new ArrayList<>();
-        for (Upstream upstream : mByService.getOrDefault(exchange.service(), List.of())) {
+        for (Upstream upstream : mUpstreams.ofService(exchange.service())) {
             ServerEntry entry = upstream.entry();
             if (!upstream.isRetired() && !mDirectory.evacuated().contains(entry.dataCentre())) {
                 boolean local = entry.dataCentre().equals(mSettings.dataCentre());
@@ -391,33 +319,14 @@
                     }
                 };
         UpstreamConnection connection =
-                upstream.send(buildRequest(exchange, upstream, now), listener);
+                upstream.send(
+                        ForwardedRequests.build(exchange, upstream.entry(), mWire.headers(), now),
+                        listener);
         if (!exchange.isEnded()) {
             exchange.beginAttempt(new Exchange.Attempt(upstream, connection, now));
         }
     }
 
-    private FullHttpRequest buildRequest(Exchange exchange, Upstream upstream, long now) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        exchange.content().method(),
-                        exchange.content().uri(),
-                        Unpooled.wrappedBuffer(exchange.content().body()));
-        request.headers().set(exchange.content().headers());
-        HopHeaders.remove(request.headers());
-        long left = Math.max(1, (exchange.deadlineAt() - now) / MILLI_NANOS);
-        request.headers().set(mWire.headers().deadlineMillis(), left);
-        request.headers().set(mWire.headers().expectedServer(), upstream.entry().id());
-        if (exchange.content().body().length > 0
-                || !exchange.content().method().name().equals("GET")) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.content().body().length);
-        } else {
-            request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-        }
-        return request;
-    }
-
     private void onResponse(
             Exchange exchange, Upstream upstream, long sentAt, UpstreamResponse response) {
         long now = mClock.getAsLong();
@@ -451,80 +360,14 @@
         } else {
             end(exchange);
             mMetrics.onAnswered(now - exchange.arrivedAt(), now <= exchange.goalAt());
-            logAnswer(exchange, upstream, response, now - sentAt);
+            mRequestLog.answered(exchange, upstream, response, now - sentAt);
             exchange.answer().respond(response);
         }
     }
 
-    private void logAnswer(
-            Exchange exchange, Upstream upstream, UpstreamResponse response, long tookNanos) {
-        long now = mClock.getAsLong();
-        mLog.write(
-                Part.ANSWER,
-                now <= exchange.goalAt() ? "Answered in time" : "Answered late",
-                "id",
-                exchange.id(),
-                "status",
-                response.status(),
-                "server",
-                upstream.entry().life(),
-                "key",
-                exchange.key(),
-                "at_server_ms",
-                tookNanos / MILLI_NANOS,
-                "total_ms",
-                (now - exchange.arrivedAt()) / MILLI_NANOS,
-                "asked_before_ms",
-                (exchange.arrivedAt() - exchange.firstAskedAt()) / MILLI_NANOS,
-                "sends",
-                exchange.sends(),
-                "config_version",
-                configVersion(),
-                "table_revision",
-                tableRevision(exchange));
-    }
-
-    private long configVersion() {
-        return mDirectory.configuration().map(RouterConfig::version).orElse(-1L);
-    }
-
-    private long tableRevision(Exchange exchange) {
-        return mDirectory.table(exchange.service()).map(RangeTable::revision).orElse(-1L);
-    }
-
-    /** Describes the owner of the key and what is known of its load. */
-    private String describeOwner(Exchange exchange) {
-        if (!exchange.isKeyed() || mDirectory.table(exchange.service()).isEmpty()) {
-            return "";
-        }
-        Assignment assignment = mDirectory.table(exchange.service()).get().find(exchange.key());
-        Upstream owner = mUpstreams.get(assignment.owner());
-        String load =
-                owner == null
-                        ? "unknown server"
-                        : String.format(
-                                Locale.ROOT,
-                                "load %.1f of %d slots",
-                                owner.load().expectedLoad(mClock.getAsLong()),
-                                owner.entry().slots());
-        return assignment.owner() + (assignment.isMoving() ? " (moving), " : ", ") + load;
-    }
-
     private void onRejected(Exchange exchange, Upstream upstream, UpstreamResponse response) {
         long now = mClock.getAsLong();
-        mLog.write(
-                Part.REQUEST,
-                "Server did not run the request",
-                "id",
-                exchange.id(),
-                "server",
-                upstream.entry().life(),
-                "status",
-                response.status(),
-                "key",
-                exchange.key(),
-                "sends",
-                exchange.sends());
+        mRequestLog.rejected(exchange, upstream, response.status());
         if (exchange.isEnded()) {
             return;
         }
@@ -548,13 +391,7 @@
         long now = mClock.getAsLong();
         exchange.endAttempt();
         upstream.load().onNoAnswer(now);
-        mLog.write(
-                Part.SERVER,
-                "No connection to the server",
-                "server",
-                upstream.entry().life(),
-                "cause",
-                cause.getMessage());
+        mRequestLog.notSent(upstream, cause);
         mOnUnreachable.accept(upstream.entry().life());
         exchange.setWaitReason(ResultCode.CONNECT_FAILED);
         if (exchange.sends() < MAX_SENDS) {
@@ -569,15 +406,7 @@
         exchange.endAttempt();
         exchange.setMayHaveRun();
         upstream.load().onNoAnswer(now);
-        mLog.write(
-                Part.REQUEST,
-                "No usable response",
-                "id",
-                exchange.id(),
-                "server",
-                upstream.entry().life(),
-                "cause",
-                cause);
+        mRequestLog.broken(exchange, upstream, cause);
         if (!exchange.isEnded() && !resend(exchange, now)) {
             fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
         }
@@ -617,7 +446,7 @@
         cancel(exchange);
         end(exchange);
         mMetrics.abandoned().inc();
-        mLog.write(Part.REQUEST, "Caller has left", "id", exchange.id());
+        mRequestLog.abandoned(exchange);
     }
 
     /** Ends the work at the server; work that must not be repeated is left to its deadline. */
@@ -637,29 +466,7 @@
                         ? ResultCode.OUTCOME_UNKNOWN
                         : code;
         mMetrics.onFailed(honest);
-        mLog.write(
-                Part.REQUEST,
-                "Request failed",
-                "id",
-                exchange.id(),
-                "result",
-                honest,
-                "service",
-                exchange.service(),
-                "key",
-                exchange.key(),
-                "waited_ms",
-                (mClock.getAsLong() - exchange.arrivedAt()) / MILLI_NANOS,
-                "sends",
-                exchange.sends(),
-                "waiting",
-                mWaiting.size(),
-                "owner",
-                describeOwner(exchange),
-                "config_version",
-                configVersion(),
-                "table_revision",
-                tableRevision(exchange));
+        mRequestLog.failed(exchange, honest, mWaiting.size());
         exchange.answer().fail(honest, retryAfterSeconds);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -76,8 +76,8 @@
                         log,
                         mMetrics,
                         keyWork);
-        mCoordinator =
-                new CoordinatorDuty(
+        DutyParts duty =
+                new DutyParts(
                         settings,
                         incarnation,
                         mDirectory,
@@ -87,21 +87,9 @@
                         clock,
                         log,
                         mMetrics);
+        mCoordinator = new CoordinatorDuty(duty);
         mDispatcher.setUnreachableListener(mCoordinator::verify);
-        mPeers =
-                new PeerService(
-                        settings,
-                        incarnation,
-                        mDirectory,
-                        parts.store(),
-                        parts.wire(),
-                        mCoordinator,
-                        mDispatcher,
-                        keyWork,
-                        mGroup,
-                        thread,
-                        clock,
-                        log);
+        mPeers = new PeerService(duty, parts.wire(), mCoordinator, mDispatcher, keyWork, mGroup);
         mFront =
                 new FrontServer(
                         mDispatcher, mDirectory, parts.wire(), mGroup, clock, settings.callers());
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -69,37 +69,31 @@
     private boolean mRegistering;
 
     PeerService(
-            EntrySettings settings,
-            long incarnation,
-            Directory directory,
-            Store store,
+            DutyParts parts,
             Wire wire,
             CoordinatorDuty coordinator,
             Dispatcher dispatcher,
             KeyWork keyWork,
-            EventLoopGroup group,
-            EventThread thread,
-            LongSupplier clock,
-            DecisionLog log) {
-        mSettings = settings;
-        mIncarnation = incarnation;
-        mDirectory = directory;
-        mStore = store;
+            EventLoopGroup group) {
+        mSettings = parts.settings();
+        mIncarnation = parts.incarnation();
+        mDirectory = parts.directory();
+        mStore = parts.store();
+        mThread = parts.thread();
+        mClock = parts.clock();
+        mLog = parts.log();
         mWire = wire;
         mCoordinator = coordinator;
         mDispatcher = dispatcher;
         mKeyWork = keyWork;
-        mThread = thread;
-        mClock = clock;
-        mLog = log;
         mClient = HttpClient.create(group);
-        mRandom = new Random(incarnation);
-        mPeers.addAll(settings.seeds());
+        mRandom = new Random(mIncarnation);
+        mPeers.addAll(mSettings.seeds());
         coordinator.setPublisher(this::publish);
         mServer =
                 HttpServer.create(
                         group,
-                        settings.peers(),
+                        mSettings.peers(),
                         (call, responder) -> mThread.execute(() -> answer(call, responder)));
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -62,28 +62,18 @@
     private long mServersChangedAt;
     private ImmutableList<String> mLastLives = ImmutableList.of();
 
-    RangeDuty(
-            String service,
-            Publisher publisher,
-            EntrySettings settings,
-            Directory directory,
-            Store store,
-            ServerControl control,
-            EventThread thread,
-            LongSupplier clock,
-            DecisionLog log,
-            EntryMetrics metrics) {
+    RangeDuty(String service, Publisher publisher, DutyParts parts) {
         mService = service;
         mPublisher = publisher;
-        mDirectory = directory;
-        mStore = store;
-        mControl = control;
-        mThread = thread;
-        mClock = clock;
-        mLog = log;
-        mMetrics = metrics;
-        mLoad = KeyLoad.create(clock.getAsLong());
-        mCoordinator = RangeCoordinator.create(this, settings.maxHoldNanos(), mLoad);
+        mDirectory = parts.directory();
+        mStore = parts.store();
+        mControl = parts.control();
+        mThread = parts.thread();
+        mClock = parts.clock();
+        mLog = parts.log();
+        mMetrics = parts.metrics();
+        mLoad = KeyLoad.create(mClock.getAsLong());
+        mCoordinator = RangeCoordinator.create(this, parts.settings().maxHoldNanos(), mLoad);
     }
 
     /** Does what is due; only with authority. */
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -82,14 +82,10 @@
     void open(EventLoopGroup group, Address address, FullHttpRequest first, Listener listener) {
         mListener = listener;
         mRequestId = first.headers().get(mIdHeader);
-        new Bootstrap()
+        KeepAliveProbes.enable(new Bootstrap())
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(KeepAliveProbes.IDLE, KeepAliveProbes.IDLE_SECONDS)
-                .option(KeepAliveProbes.INTERVAL, KeepAliveProbes.INTERVAL_SECONDS)
-                .option(KeepAliveProbes.COUNT, KeepAliveProbes.MAX_LOST)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(
                         new ChannelInitializer<SocketChannel>() {
--- a/entry/src/test/java/org/geraniumusher/entry/CoordinatorDutyTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CoordinatorDutyTest.java
@@ -43,15 +43,16 @@
         Directory directory = new Directory(mStore, new NoWire(), mThread, mThread::now, mLog);
         CoordinatorDuty duty =
                 new CoordinatorDuty(
-                        settings,
-                        1,
-                        directory,
-                        mStore,
-                        new NoControl(),
-                        mThread,
-                        mThread::now,
-                        mLog,
-                        new EntryMetrics());
+                        new DutyParts(
+                                settings,
+                                1,
+                                directory,
+                                mStore,
+                                new NoControl(),
+                                mThread,
+                                mThread::now,
+                                mLog,
+                                new EntryMetrics()));
         duty.start();
         mThread.advance(600 * MILLI);
         return duty;
