Read the entry of a server before a refused connection proves its end; name the constants

Change: after a refusal the entry is read from the store; only one that is still ready counts. Limits of the dispatcher and the planner are named constants, a setting without a use is gone; no change of behaviour by these.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/EndProofs.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/EndProofs.java
@@ -34,7 +34,8 @@
     /**
      * Notes that a server refused a connection; returns whether that proves its end.
      *
-     * @param listedAsReady whether the store answers and lists this life as one that is not leaving
+     * @param listedAsReady whether a read of the store after the refusal lists this life as one
+     *     that is not leaving
      */
     public boolean onConnectionRefused(String life, boolean listedAsReady) {
         if (!listedAsReady) {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangePlanner.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangePlanner.java
@@ -29,6 +29,21 @@
     /** A window of keys is worth a move when it carries this share of the wanted load. */
     private static final double ENOUGH = 0.4;
 
+    /** A server that has no keys yet gets a first window even if it carries little. */
+    private static final double ENOUGH_FOR_JOINED = 0.1;
+
+    /** A window may carry this much more than wanted, so that a hot key can be its last. */
+    private static final double EXCESS = 1.1;
+
+    /** Source and target end below their mean, which leaves room for the next change. */
+    private static final double LEVEL_SHARE = 0.9;
+
+    /** A move takes at least this part of the load of the source away. */
+    private static final double KEPT_SHARE = 0.7;
+
+    /** Keys added to the width of a window, so that single keys do not win by width alone. */
+    private static final int MIN_WIDTH = 32;
+
     private final Map<String, RangeServer> mServers = new LinkedHashMap<>();
     private final KeyLoad mLoad;
     private final Map<String, Double> mLoads = new HashMap<>();
@@ -139,10 +154,10 @@
         if (!joined && (high < BUSY || high < mean * IMBALANCE)) {
             return Optional.empty();
         }
-        double level = Math.max(mean, (high + utilization(target)) / 2 * 0.9);
+        double level = Math.max(mean, (high + utilization(target)) / 2 * LEVEL_SHARE);
         double wanted =
                 Math.min(
-                        (high - Math.min(level, high * 0.7)) * source.capacity(),
+                        (high - Math.min(level, high * KEPT_SHARE)) * source.capacity(),
                         (level - utilization(target)) * target.capacity());
         return narrowest(movable, source.life(), wanted, joined)
                 .map(window -> new RangeMove(window, target.life()));
@@ -163,8 +178,10 @@
                 while (sum > wanted && first < last) {
                     sum -= mLoad.of(first++);
                 }
-                boolean fits = sum <= wanted * 1.1 && sum >= wanted * (any ? 0.1 : ENOUGH);
-                double density = sum / (last - first + 1 + 32);
+                boolean fits =
+                        sum <= wanted * EXCESS
+                                && sum >= wanted * (any ? ENOUGH_FOR_JOINED : ENOUGH);
+                double density = sum / (last - first + 1 + MIN_WIDTH);
                 if (fits && density > bestWork) {
                     bestWork = density;
                     best = new KeyRange(first, last);
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -177,7 +177,8 @@
         mServers = next.buildKeepingLast();
     }
 
-    private Optional<ServerEntry> decodeServer(StoreObject object) {
+    /** Decodes an entry; empty, with a log line, when it names no usable server. */
+    Optional<ServerEntry> decodeServer(StoreObject object) {
         try {
             return Optional.of(mWire.server(object));
         } catch (IllegalArgumentException e) {
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -45,6 +45,27 @@
 
     private static final int MAX_WAITING = 2_000;
 
+    /** Part of its goal for which a request may wait; the rest is for the work at the server. */
+    private static final double WAIT_SHARE = 0.5;
+
+    /** Part of its goal for which a request may wait that comes when its goal is nearly over. */
+    private static final double LATE_WAIT_SHARE = 0.25;
+
+    /** A refused caller comes back after this part of its goal at the earliest. */
+    private static final double MIN_RETRY_SHARE = 0.3;
+
+    /**
+     * Spread of the times at which refused callers come back, so that they do not come together.
+     */
+    private static final double RETRY_SPREAD_SHARE = 0.5;
+
+    /** Part of the shared bounds that is used, since daemons do not know each other's use. */
+    private static final double RESEND_SHARE_USED = 0.7;
+
+    private static final double RESEND_SLACK_USED = 0.5;
+    private static final double MIN_RESEND_BURST = 2;
+    private static final double COLD_RATE_USED = 0.9;
+
     /** Other daemons take the request at once. */
     private static final double STOPPED_RETRY_SECONDS = 0.02;
 
@@ -197,8 +218,10 @@
                 service,
                 s ->
                         RetryBudget.create(
-                                mSettings.resendShare() * 0.7,
-                                Math.max(2, 0.5 * mSettings.resendSlack() / mDaemons)));
+                                mSettings.resendShare() * RESEND_SHARE_USED,
+                                Math.max(
+                                        MIN_RESEND_BURST,
+                                        RESEND_SLACK_USED * mSettings.resendSlack() / mDaemons)));
     }
 
     private void place(Exchange exchange) {
@@ -223,15 +246,20 @@
         }
     }
 
+    /** Reports whether the request has waited so long that it would hardly be served in time. */
     private boolean isHopeless(Exchange exchange, long now) {
         long goal = exchange.goalNanos();
-        long latest = Math.max(exchange.goalAt() - goal / 2, exchange.arrivedAt() + goal / 4);
-        return now >= Math.min(latest, exchange.deadlineAt() - goal / 4);
+        long lateWait = (long) (goal * LATE_WAIT_SHARE);
+        long latest =
+                Math.max(
+                        exchange.goalAt() - (long) (goal * (1 - WAIT_SHARE)),
+                        exchange.arrivedAt() + lateWait);
+        return now >= Math.min(latest, exchange.deadlineAt() - lateWait);
     }
 
     private double retryAfter(Exchange exchange) {
         double goal = (exchange.goalNanos()) / 1e9;
-        return goal * (0.3 + 0.5 * mRandom.nextDouble());
+        return goal * (MIN_RETRY_SHARE + RETRY_SPREAD_SHARE * mRandom.nextDouble());
     }
 
     private Optional<Upstream> owner(Exchange exchange, long now) {
@@ -272,7 +300,7 @@
                         .map(c -> c.services().get(service))
                         .map(ServiceRule::coldRequestsPerSecond)
                         .orElse(0.0);
-        return rate <= 0 ? Double.MAX_VALUE : rate * 0.9 / mDaemons;
+        return rate <= 0 ? Double.MAX_VALUE : rate * COLD_RATE_USED / mDaemons;
     }
 
     private Optional<Upstream> choose(Exchange exchange, long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/EntrySettings.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntrySettings.java
@@ -24,7 +24,6 @@
     private final long mDrainNanos;
     private final double mResendShare;
     private final double mResendSlack;
-    private final double mColdFactor;
 
     private EntrySettings(Builder builder) {
         mName = checkNotNull(builder.mName, "no name");
@@ -39,7 +38,6 @@
         mDrainNanos = builder.mDrainNanos;
         mResendShare = builder.mResendShare;
         mResendSlack = builder.mResendSlack;
-        mColdFactor = builder.mColdFactor;
         checkArgument(mMaxHoldNanos > 0, "bad longest hold: %s ns", mMaxHoldNanos);
         checkArgument(mStopNanos > 0, "bad time to stop: %s ns", mStopNanos);
         checkArgument(mDrainNanos > 0, "bad time to drain: %s ns", mDrainNanos);
@@ -111,11 +109,6 @@
         return mResendSlack;
     }
 
-    /** Returns the factor by which the bound of a cold server may be exceeded. */
-    public double coldFactor() {
-        return mColdFactor;
-    }
-
     /** Builds settings. Not thread-safe. */
     public static final class Builder {
         private String mName;
@@ -130,7 +123,6 @@
         private long mDrainNanos = 2_000_000_000L;
         private double mResendShare = 0.2;
         private double mResendSlack = 20;
-        private double mColdFactor = 1.0;
 
         private Builder() {}
 
@@ -186,12 +178,6 @@
             return this;
         }
 
-        /** Sets the factor by which the bound of a cold server may be exceeded. */
-        public Builder setColdFactor(double factor) {
-            mColdFactor = factor;
-            return this;
-        }
-
         /** Returns the settings; throws when a value is missing or out of range. */
         public EntrySettings build() {
             return new EntrySettings(this);
--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -293,24 +293,42 @@
     }
 
     private void noteProof(ServerEntry server, GrantResult result) {
-        boolean gone = result instanceof GrantResult.OtherServer;
-        if (result instanceof GrantResult.ConnectionRefused) {
-            gone = mProofs.onConnectionRefused(server.life(), isListedAsReady(server.life()));
+        if (result instanceof GrantResult.OtherServer) {
+            declareGone(server, result);
+        } else if (result instanceof GrantResult.ConnectionRefused
+                && isListedAsReady(server.life())) {
+            // The copy of the entry may be seconds old; a server that leaves has told the store so.
+            mStore.read(StoreKind.SERVERS, server.id())
+                    .thenAccept(read -> mThread.execute(() -> onEntryRead(server, read, result)));
         }
-        if (gone) {
-            mLog.write(
-                    Part.OWNERSHIP,
-                    "Server has ended",
-                    "service",
-                    mService,
-                    "server",
-                    server.life(),
-                    "proof",
-                    result);
-            mCoordinator.onGone(server.life());
+    }
+
+    private void onEntryRead(ServerEntry server, StoreResult read, GrantResult refusal) {
+        boolean ready =
+                read instanceof StoreResult.Written found
+                        && mDirectory
+                                .decodeServer(found.object())
+                                .filter(e -> e.life().equals(server.life()) && !e.leaving())
+                                .isPresent();
+        if (mProofs.onConnectionRefused(server.life(), ready)) {
+            declareGone(server, refusal);
+            mCoordinator.tick(mClock.getAsLong());
         }
     }
 
+    private void declareGone(ServerEntry server, GrantResult proof) {
+        mLog.write(
+                Part.OWNERSHIP,
+                "Server has ended",
+                "service",
+                mService,
+                "server",
+                server.life(),
+                "proof",
+                proof);
+        mCoordinator.onGone(server.life());
+    }
+
     @Override
     public void release(String life, KeyRange range, long fence) {
         ServerEntry server = mKnown.get(life);
