Do not grant a range for the first time while a write replaces its owner

A write is planned from the grants sent so far. While it is in flight, the owner that it replaces could still be granted the range for the first time; the next owner then waited only for the holders known at the time of the plan, so two servers could hold the keys. Ruled out: renewals, whose holds are counted when the write is adopted. Change: a first grant is sent only if the write in flight keeps the assignment. RangeCoordinatorTest.tick_ownerIsReplacedByWriteInFlight_formerIsNotGranted fails before (granted b) and passes after; released keys are still granted beside a write that keeps them.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -243,12 +243,27 @@
         for (String life : lease.takeDueReleases(nowNanos)) {
             mPort.release(life, assignment.range(), assignment.fence());
         }
-        if (lease.isGrantDue(nowNanos) && !mGone.contains(assignment.owner())) {
+        if (lease.isGrantDue(nowNanos)
+                && !mGone.contains(assignment.owner())
+                && (lease.mayBeHeld() || isKept(assignment))) {
             lease.onSent(holdEnd(nowNanos, mHoldNanos));
             mPort.grant(assignment, mHoldNanos, lease.handover());
         }
     }
 
+    /**
+     * Reports whether the write in flight, if any, leaves the assignment as it is. Otherwise the
+     * write was planned without a first grant that is sent now, and would not wait for its hold.
+     */
+    private boolean isKept(Assignment assignment) {
+        return mWriting == null
+                || mWriting.stream()
+                        .anyMatch(
+                                a ->
+                                        a.fence() == assignment.fence()
+                                                && a.range().equals(assignment.range()));
+    }
+
     /** Notes that the owner holds the range. */
     public void onGranted(Assignment assignment, long nowNanos) {
         lease(assignment).ifPresent(l -> l.onAccepted(nowNanos + RENEWAL_NANOS));
