Let a coordinator act on results only with authority, and take a reused address as proof of an end

It met conflicts, took over the newer table and wrote again; each time both forgot which holds they knew and waited 10.3 s anew, and keys were without an owner until 32 s. Releases to addresses that other services had taken over were answered 400 all the while. Change: results of calls go on only with authority, asked in one place; a later entry of any service at the address of a server proves that the server has ended.

--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -143,8 +143,13 @@
         }
     }
 
+    private boolean mayAct() {
+        return !mResigned && mElection.hasAuthority(mClock.getAsLong());
+    }
+
     private RangeDuty duty(String service) {
-        return mServices.computeIfAbsent(service, s -> new RangeDuty(s, mPublisher, mParts));
+        return mServices.computeIfAbsent(
+                service, s -> new RangeDuty(s, mPublisher, this::mayAct, mParts));
     }
 
     private void poll(long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.entry;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.entry.KeyWork.Sample;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -47,6 +49,7 @@
 
     private final String mService;
     private final Publisher mPublisher;
+    private final BooleanSupplier mMayAct;
     private final Directory mDirectory;
     private final Store mStore;
     private final ServerControl mControl;
@@ -61,14 +64,24 @@
     private final Map<String, Double> mTook = new HashMap<>();
     private final Map<String, Long> mColdUntil = new HashMap<>();
     private double mMeanTook;
+
+    /** The entries that were last looked through; a change brings another map. */
+    private ImmutableMap<String, ServerEntry> mNoted = ImmutableMap.of();
+
     private boolean mReading;
     private Optional<RangeTable> mPublished = Optional.empty();
     private long mServersChangedAt;
     private ImmutableList<String> mLastLives = ImmutableList.of();
 
-    RangeDuty(String service, Publisher publisher, DutyParts parts) {
+    /**
+     * Creates the duty of one service.
+     *
+     * @param mayAct whether this daemon has the authority to coordinate at this moment
+     */
+    RangeDuty(String service, Publisher publisher, BooleanSupplier mayAct, DutyParts parts) {
         mService = service;
         mPublisher = publisher;
+        mMayAct = mayAct;
         mDirectory = parts.directory();
         mStore = parts.store();
         mControl = parts.control();
@@ -89,7 +102,17 @@
             startTerm(now);
             return;
         }
-        mCoordinator.tick(now);
+        act(now);
+    }
+
+    /**
+     * Lets the coordinator do what is due. Results of calls come at any time, also when the
+     * authority has run out and another daemon may coordinate.
+     */
+    private void act(long now) {
+        if (mMayAct.getAsBoolean()) {
+            mCoordinator.tick(now);
+        }
     }
 
     private void startTerm(long now) {
@@ -116,7 +139,7 @@
             return;
         }
         mLog.write(Part.OWNERSHIP, "Coordinates the service", "service", mService);
-        mCoordinator.tick(now);
+        act(now);
     }
 
     private static RangeTable decode(StoreObject object) {
@@ -124,12 +147,10 @@
     }
 
     private void updateServers(long now) {
-        Map<String, ServerEntry> present = new HashMap<>();
-        for (ServerEntry entry : mDirectory.servers().values()) {
-            if (entry.service().equals(mService)) {
-                present.put(entry.life(), entry);
-                noteEntry(entry, now);
-            }
+        ImmutableMap<String, ServerEntry> present = mDirectory.servers();
+        if (present != mNoted) {
+            mNoted = present;
+            present.values().forEach(entry -> noteEntry(entry, now));
         }
         List<RangeServer> servers = new ArrayList<>();
         for (ServerEntry entry : mKnown.values()) {
@@ -154,16 +175,25 @@
     }
 
     private void noteEntry(ServerEntry entry, long now) {
+        noteSuccessor(entry);
+        if (!entry.service().equals(mService)) {
+            return;
+        }
         ServerEntry known = mKnown.put(entry.life(), entry);
         if (entry.coldNanos() > 0 && !entry.equals(known)) {
             mColdUntil.put(entry.life(), now + entry.coldNanos());
         }
-        if (known == null) {
-            // A newer life under the same id proves that the earlier one has ended.
-            for (ServerEntry other : mKnown.values()) {
-                if (other.id().equals(entry.id()) && other.bornMillis() < entry.bornMillis()) {
-                    mCoordinator.onGone(other.life());
-                }
+    }
+
+    /**
+     * Notes the end of servers that {@code entry} follows. An id is used again, and an address is
+     * given to another server, of any service, only after the life before has ended.
+     */
+    private void noteSuccessor(ServerEntry entry) {
+        for (ServerEntry other : mKnown.values()) {
+            boolean same = other.id().equals(entry.id()) || other.address().equals(entry.address());
+            if (same && other.bornMillis() < entry.bornMillis()) {
+                mCoordinator.onGone(other.life());
             }
         }
     }
@@ -228,7 +258,7 @@
             mCoordinator.onWriteUnknown(now);
         }
         publish();
-        mCoordinator.tick(now);
+        act(now);
     }
 
     private void publish() {
@@ -268,7 +298,7 @@
             }
         }
         if (moving || !(result instanceof GrantResult.Done)) {
-            mCoordinator.tick(now);
+            act(now);
         }
     }
 
@@ -313,7 +343,7 @@
                                 .isPresent();
         if (mProofs.onConnectionRefused(server.life(), ready)) {
             declareGone(server, refusal);
-            mCoordinator.tick(mClock.getAsLong());
+            act(mClock.getAsLong());
         }
     }
 
@@ -355,6 +385,6 @@
             noteProof(server, result);
             mCoordinator.onReleaseUnknown(server.life(), range, fence, now);
         }
-        mCoordinator.tick(now);
+        act(now);
     }
 }
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWire.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWire.java
@@ -16,9 +16,14 @@
     static final String SERVICE = "keyed";
     static final Address ADDRESS = Address.of("127.0.0.1:9");
 
-    /** Returns the entry that a server writes. */
-    static ObjectNode entry(boolean leaving) {
-        return JsonNodeFactory.instance.objectNode().put("leaving", leaving);
+    /** Returns the entry that a server of {@link #SERVICE} writes. */
+    static ObjectNode entry(int port, boolean leaving) {
+        return JsonNodeFactory.instance.objectNode().put("port", port).put("leaving", leaving);
+    }
+
+    /** Returns the entry of a server of another service that started later. */
+    static ObjectNode laterEntryOfOtherService(int port) {
+        return entry(port, false).put("service", "other").put("born", 2);
     }
 
     @Override
@@ -38,8 +43,16 @@
 
     @Override
     public ServerEntry server(StoreObject object) {
-        boolean leaving = object.spec().path("leaving").asBoolean();
-        return new ServerEntry(object.name(), 1, SERVICE, ADDRESS, "z", 6, leaving, 0);
+        JsonNode spec = object.spec();
+        return new ServerEntry(
+                object.name(),
+                spec.path("born").asLong(1),
+                spec.path("service").asText(SERVICE),
+                new Address("127.0.0.1", spec.path("port").asInt()),
+                "z",
+                6,
+                spec.path("leaving").asBoolean(),
+                0);
     }
 
     @Override
