Answer the command-line tool from the entry daemon

Cause: an operator of the entry daemons could not ask for the owner of a key, the versions in force or the burn of a service level; the metrics had one latency for all routes and none for the store.

Change: the metrics address answers /admin/owner, /admin/assignments, /admin/daemons and /admin/burn with the bodies that the tool reads already. Nothing is sent between daemons until somebody asks. Latencies are kept per route, calls to the store by call, kind and result, servers by state.

--- a/daemon/src/main/java/org/geraniumusher/daemon/BurnExchange.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/BurnExchange.java
@@ -7,6 +7,7 @@
 import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.membership.Member;
 import org.geraniumusher.membership.Rendezvous;
+import org.geraniumusher.operator.ServiceLevels;
 
 import java.time.Duration;
 import java.util.List;
--- a/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/ControlDuty.java
@@ -25,6 +25,7 @@
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.Configuration;
 import org.geraniumusher.model.ShardState;
+import org.geraniumusher.operator.ServiceLevels;
 import org.geraniumusher.ownership.AuthorityAck;
 import org.geraniumusher.ownership.AuthorityRequest;
 import org.geraniumusher.ownership.LiveMember;
--- a/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/Daemon.java
@@ -20,16 +20,20 @@
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.Configuration;
 import org.geraniumusher.model.ResultCode;
+import org.geraniumusher.model.Route;
 import org.geraniumusher.model.ShardState;
 import org.geraniumusher.operator.DaemonView;
 import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.operator.OperatorServer;
+import org.geraniumusher.operator.ServiceLevels;
 import org.geraniumusher.operator.StoreObjectWriter;
 import org.geraniumusher.peer.PeerTransport;
 import org.geraniumusher.platform.ObjectApi;
 import org.geraniumusher.routing.RoutingConfiguration;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -262,12 +266,25 @@
         return mDecision.offer(task) || mClosed;
     }
 
+    static Map<String, ServiceLevels.Objective> objectives(Configuration configuration) {
+        Map<String, ServiceLevels.Objective> objectives = new HashMap<>();
+        for (Route route : configuration.routes()) {
+            if (route.objective() != null) {
+                long latency = TimeUnit.MILLISECONDS.toNanos(route.objective().latencyMillis());
+                objectives.put(
+                        route.name(),
+                        new ServiceLevels.Objective(route.objective().successShare(), latency));
+            }
+        }
+        return objectives;
+    }
+
     /** Hands decisions of the duty control to the duty decision. */
     private final class RequestConsumers implements ControlDuty.Consumers {
         @Override
         public void onConfiguration(Configuration configuration) {
             mHasConfiguration = true;
-            mServiceLevels.onConfiguration(configuration);
+            mServiceLevels.setObjectives(objectives(configuration));
             RoutingConfiguration view = RoutingConfiguration.of(configuration);
             mRequests.update(d -> d.onConfiguration(mClock.getAsLong(), view));
         }
--- a/daemon/src/main/java/org/geraniumusher/daemon/RequestDuty.java
+++ b/daemon/src/main/java/org/geraniumusher/daemon/RequestDuty.java
@@ -7,6 +7,7 @@
 import org.geraniumusher.http.HeaderNames;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.model.Route;
+import org.geraniumusher.operator.RequestObserver;
 import org.geraniumusher.routing.Dispatch;
 import org.geraniumusher.routing.ForwardedRequest;
 import org.geraniumusher.routing.GatewayReport;
--- a/daemon/src/main/java/org/geraniumusher/operator/JsonReply.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/JsonReply.java
@@ -5,18 +5,21 @@
 import org.geraniumusher.platform.Json;
 
 /** Builds replies with JSON bodies. */
-final class JsonReply {
+public final class JsonReply {
     private JsonReply() {}
 
-    static HttpReply ok(Object body) {
+    /** Returns a reply with status 200. */
+    public static HttpReply ok(Object body) {
         return of(200, body);
     }
 
-    static HttpReply of(int status, Object body) {
+    /** Returns a reply whose body is {@code body} as JSON. */
+    public static HttpReply of(int status, Object body) {
         return HttpReply.of(status, Json.write(body) + "\n");
     }
 
-    static HttpReply error(ResultCode code, String message) {
+    /** Returns the reply for a result code, with its status. */
+    public static HttpReply error(ResultCode code, String message) {
         return of(code.httpStatus(), ErrorReply.of(code, message));
     }
 }
--- a/daemon/src/main/java/org/geraniumusher/daemon/RequestObserver.java
+++ b/daemon/src/main/java/org/geraniumusher/operator/RequestObserver.java
@@ -1,7 +1,7 @@
-package org.geraniumusher.daemon;
+package org.geraniumusher.operator;
 
 /** Takes the ends of requests on the thread of the duty decision. */
-interface RequestObserver {
+public interface RequestObserver {
     /** Takes the end of a request of a caller. */
     void ended(String route, boolean succeeded, long latencyNanos);
 }
--- a/daemon/src/test/java/org/geraniumusher/daemon/BurnExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumusher/daemon/BurnExchangeTest.java
@@ -13,6 +13,7 @@
 import org.geraniumusher.model.Configuration;
 import org.geraniumusher.model.KeySource;
 import org.geraniumusher.model.Route;
+import org.geraniumusher.operator.ServiceLevels;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -32,7 +33,7 @@
 
     @BeforeEach
     void countRequest() {
-        mLevels.onConfiguration(Configuration.of().with(1, route()));
+        mLevels.setObjectives(Daemon.objectives(Configuration.of().with(1, route())));
         mLevels.ended("orders", true, 1);
     }
 
--- a/decisions/src/main/java/org/geraniumusher/traffic/RouterConfig.java
+++ b/decisions/src/main/java/org/geraniumusher/traffic/RouterConfig.java
@@ -55,6 +55,13 @@
         return mVersion;
     }
 
+    /** Returns all routes. */
+    public ImmutableList<RouteRule> routes() {
+        return mRoutesByHost.values().stream()
+                .flatMap(List::stream)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Returns the services by name. */
     public ImmutableMap<String, ServiceRule> services() {
         return mServices;
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -120,6 +120,9 @@
         mUpstreams =
                 new UpstreamSet(directory, group, clock, log, wire.headers().requestId(), mRandom);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
+        mUpstreams.registerGauges(metrics);
+        metrics.gauge("requests.in_progress", () -> mInProgress);
+        metrics.gauge("requests.waiting", mWaiting::size);
     }
 
     /** Takes the number of daemons, which share the bound of a cold server. */
@@ -155,7 +158,7 @@
     /** Takes a request; answers it at once or later. */
     void start(Exchange exchange) {
         mInProgress++;
-        mMetrics.requests().inc();
+        mMetrics.onRequest();
         if (mStopping) {
             fail(exchange, ResultCode.DRAINING, STOPPED_RETRY_SECONDS);
             return;
@@ -395,7 +398,7 @@
             fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
         } else {
             end(exchange);
-            mMetrics.onAnswered(now - exchange.arrivedAt(), now <= exchange.goalAt());
+            mMetrics.onAnswered(exchange, now);
             mRequestLog.answered(exchange, upstream, response, now - sentAt);
             exchange.answer().respond(response);
         }
@@ -477,7 +480,7 @@
         }
         cancel(exchange);
         end(exchange);
-        mMetrics.abandoned().inc();
+        mMetrics.onAbandoned();
         mRequestLog.abandoned(exchange);
     }
 
@@ -497,7 +500,7 @@
                 exchange.mayHaveRun() && code.outcome() == Outcome.NOT_RUN
                         ? ResultCode.OUTCOME_UNKNOWN
                         : code;
-        mMetrics.onFailed(honest);
+        mMetrics.onFailed(exchange, honest, mClock.getAsLong());
         mRequestLog.failed(exchange, honest, mWaiting.size());
         exchange.answer().fail(honest, retryAfterSeconds);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -6,9 +6,9 @@
 import io.netty.channel.nio.NioIoHandler;
 
 import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.http.HttpServer;
-import org.geraniumusher.operator.MetricText;
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledFuture;
@@ -42,29 +42,37 @@
     private final CoordinatorDuty mCoordinator;
     private final PeerService mPeers;
     private final FrontServer mFront;
-    private final EntryMetrics mMetrics = new EntryMetrics();
+    private final EntryMetrics mMetrics;
+    private final OperatorEndpoint mOperator;
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private volatile boolean mStopping;
     private long mStopAt;
+    private long mConfigurationVersion = -1;
 
     /** What an adapter provides. */
     public record Adapter(Wire wire, Store store, ServerControl control) {}
 
+    /** The monotonic clock, in nanoseconds, and the wall clock, in milliseconds since 1970. */
+    public record Clocks(LongSupplier monotonicNanos, LongSupplier wallMillis) {}
+
     private EntryDaemon(
             EntrySettings settings,
             DecisionLog log,
             Function<EventLoopGroup, Adapter> adapter,
-            LongSupplier clock,
+            Clocks clocks,
             long incarnation) {
+        LongSupplier clock = clocks.monotonicNanos();
         mSettings = settings;
         mClock = clock;
+        mMetrics = new EntryMetrics(settings.name(), incarnation, clock, clocks.wallMillis());
         mLog = log;
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mLoop = mGroup.next();
         Adapter parts = adapter.apply(mGroup);
         EventThread thread = new LoopThread(mLoop, log);
         KeyWork keyWork = new KeyWork();
-        mDirectory = new Directory(parts.store(), parts.wire(), thread, clock, log);
+        Store store = new MeteredStore(parts.store(), mMetrics);
+        mDirectory = new Directory(store, parts.wire(), thread, clock, log);
         mDispatcher =
                 new Dispatcher(
                         settings,
@@ -81,7 +89,7 @@
                         settings,
                         incarnation,
                         mDirectory,
-                        parts.store(),
+                        store,
                         parts.control(),
                         thread,
                         clock,
@@ -89,7 +97,19 @@
                         mMetrics);
         mCoordinator = new CoordinatorDuty(duty);
         mDispatcher.setUnreachableListener(mCoordinator::verify);
-        mPeers = new PeerService(duty, parts.wire(), mCoordinator, mDispatcher, keyWork, mGroup);
+        HttpClient client = HttpClient.create(mGroup);
+        FleetStatus fleet = new FleetStatus(duty, mCoordinator, client);
+        mPeers =
+                new PeerService(
+                        duty,
+                        parts.wire(),
+                        mCoordinator,
+                        mDispatcher,
+                        keyWork,
+                        fleet,
+                        client,
+                        mGroup);
+        mOperator = new OperatorEndpoint(duty, mCoordinator, mPeers, fleet);
         mFront =
                 new FrontServer(
                         mDispatcher, mDirectory, parts.wire(), mGroup, clock, settings.callers());
@@ -105,9 +125,9 @@
             EntrySettings settings,
             DecisionLog log,
             Function<EventLoopGroup, Adapter> adapter,
-            LongSupplier clock,
+            Clocks clocks,
             long incarnation) {
-        EntryDaemon daemon = new EntryDaemon(settings, log, adapter, clock, incarnation);
+        EntryDaemon daemon = new EntryDaemon(settings, log, adapter, clocks, incarnation);
         daemon.listen();
         daemon.mLoop.execute(daemon::begin);
         return daemon;
@@ -130,14 +150,12 @@
                                         mGroup,
                                         address,
                                         (call, responder) ->
-                                                responder.reply(
-                                                        HttpReply.of(
-                                                                200,
-                                                                MetricText.of(
-                                                                        mMetrics.registry())))));
+                                                mLoop.execute(
+                                                        () -> mOperator.answer(call, responder))));
     }
 
     private void begin() {
+        mDirectory.addListener(this::followConfiguration);
         mDirectory.addListener(mDispatcher::onDirectoryChange);
         mDirectory.addListener(mCoordinator::onDirectoryChange);
         mDirectory.start();
@@ -155,6 +173,17 @@
                 mSettings.callers());
     }
 
+    private void followConfiguration() {
+        mDirectory
+                .configuration()
+                .filter(configuration -> configuration.version() != mConfigurationVersion)
+                .ifPresent(
+                        configuration -> {
+                            mConfigurationVersion = configuration.version();
+                            mMetrics.setConfiguration(configuration);
+                        });
+    }
+
     private void keepHouse() {
         long now = mClock.getAsLong();
         mDispatcher.closeExpired();
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -1,46 +1,104 @@
 package org.geraniumusher.entry;
 
 import com.codahale.metrics.Counter;
-import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.base.Ascii;
 
+import org.geraniumusher.burn.BurnReport;
+import org.geraniumusher.burn.BurnSummary;
 import org.geraniumusher.model.ResultCode;
+import org.geraniumusher.operator.ServiceLevels;
+import org.geraniumusher.operator.ServiceLevels.Objective;
+import org.geraniumusher.traffic.RouteRule;
+import org.geraniumusher.traffic.RouterConfig;
 
-/** Counts what the daemon does, for its metrics address. Thread-safe. */
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+/** Counts what the daemon does, for its metrics and its report on service levels. Thread-safe. */
 final class EntryMetrics {
-    private static final long MILLI_NANOS = 1_000_000;
+    /** The stated target of the project: 99 in 100 requests are answered within their goal. */
+    private static final double SUCCESS_SHARE = 0.99;
 
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final Counter mRequests = mRegistry.counter("requests");
     private final Counter mAbandoned = mRegistry.counter("requests.caller_left");
     private final Counter mInTime = mRegistry.counter("requests.answered_in_time");
     private final Counter mLate = mRegistry.counter("requests.answered_late");
-    private final Histogram mLatency = mRegistry.histogram("requests.latency_ms");
+    private final ServiceLevels mLevels;
+
+    EntryMetrics(
+            String daemon, long incarnation, LongSupplier nanoClock, LongSupplier millisClock) {
+        mLevels = new ServiceLevels(daemon, incarnation, mRegistry, nanoClock, millisClock);
+    }
 
     MetricRegistry registry() {
         return mRegistry;
     }
 
-    Counter requests() {
-        return mRequests;
+    /** Shows a value that is read when the metrics are asked for, on the thread that asks. */
+    void gauge(String name, IntSupplier value) {
+        mRegistry.registerGauge(name, value::getAsInt);
+    }
+
+    /** Takes the goals of the routes as the objectives of the report on service levels. */
+    void setConfiguration(RouterConfig configuration) {
+        Map<String, Objective> objectives = new HashMap<>();
+        for (RouteRule route : configuration.routes()) {
+            objectives.put(route.name(), new Objective(SUCCESS_SHARE, route.goalNanos()));
+        }
+        mLevels.setObjectives(objectives);
     }
 
-    Counter abandoned() {
-        return mAbandoned;
+    void onRequest() {
+        mRequests.inc();
     }
 
-    void onAnswered(long nanos, boolean inTime) {
-        mLatency.update(nanos / MILLI_NANOS);
+    /** Takes a request whose caller left; it counts neither as good nor as bad. */
+    void onAbandoned() {
+        mAbandoned.inc();
+    }
+
+    void onAnswered(Exchange exchange, long now) {
+        boolean inTime = now <= exchange.goalAt();
         (inTime ? mInTime : mLate).inc();
+        mLevels.ended(exchange.route().name(), true, now - exchange.arrivedAt());
     }
 
-    void onFailed(ResultCode code) {
-        mRegistry
-                .counter("requests.failed." + code.name().toLowerCase(java.util.Locale.ROOT))
-                .inc();
+    void onFailed(Exchange exchange, ResultCode code, long now) {
+        mRegistry.counter("requests.failed." + Ascii.toLowerCase(code.name())).inc();
+        if (exchange.isRouted()) {
+            mLevels.ended(exchange.route().name(), false, now - exchange.arrivedAt());
+        }
     }
 
     void onCall(String name, String result) {
         mRegistry.counter("calls." + name + "." + result).inc();
     }
+
+    void onStoreCall(String call, StoreKind kind, StoreResult result) {
+        mRegistry
+                .counter(
+                        "store."
+                                + call
+                                + "."
+                                + Ascii.toLowerCase(kind.name())
+                                + "."
+                                + result.getClass().getSimpleName())
+                .inc();
+    }
+
+    /** Returns what this daemon has counted for the report on service levels. */
+    BurnSummary burnSummary() {
+        return mLevels.summary();
+    }
+
+    /** Reports the burn rates over this daemon and the summaries of others. */
+    BurnReport burnReport(List<BurnSummary> others) {
+        others.forEach(mLevels::accept);
+        return mLevels.report();
+    }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -83,6 +83,11 @@
         mService = service;
     }
 
+    /** Reports whether a route matched, so that {@link #route()} is known. */
+    boolean isRouted() {
+        return mRoute != null;
+    }
+
     RouteRule route() {
         return mRoute;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
 
 import io.netty.channel.EventLoopGroup;
 
@@ -56,6 +57,7 @@
     private final CoordinatorDuty mCoordinator;
     private final Dispatcher mDispatcher;
     private final KeyWork mKeyWork;
+    private final FleetStatus mFleet;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -74,6 +76,8 @@
             CoordinatorDuty coordinator,
             Dispatcher dispatcher,
             KeyWork keyWork,
+            FleetStatus fleet,
+            HttpClient client,
             EventLoopGroup group) {
         mSettings = parts.settings();
         mIncarnation = parts.incarnation();
@@ -86,7 +90,8 @@
         mCoordinator = coordinator;
         mDispatcher = dispatcher;
         mKeyWork = keyWork;
-        mClient = HttpClient.create(group);
+        mFleet = fleet;
+        mClient = client;
         mRandom = new Random(mIncarnation);
         mPeers.addAll(mSettings.seeds());
         coordinator.setPublisher(this::publish);
@@ -190,9 +195,15 @@
         }
     }
 
+    /** Returns the addresses of the other daemons, also of some that may be gone. */
+    ImmutableList<Address> others() {
+        return mPeers.stream()
+                .filter(peer -> !peer.equals(mSettings.peers()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private Optional<Address> otherPeer() {
-        List<Address> others = new ArrayList<>(mPeers);
-        others.remove(mSettings.peers());
+        List<Address> others = others();
         return others.isEmpty()
                 ? Optional.empty()
                 : Optional.of(others.get(mRandom.nextInt(others.size())));
@@ -209,11 +220,9 @@
         body.put("revision", next.revision());
         body.put("sender", mSettings.peers().toString());
         String text = body.toString();
-        for (Address peer : mPeers) {
-            if (!peer.equals(mSettings.peers())) {
-                // A daemon that misses this finds the table by its next poll of the store.
-                mClient.call(peer, HttpCall.of("POST", "/table", text), TIMEOUT);
-            }
+        for (Address peer : others()) {
+            // A daemon that misses this finds the table by its next poll of the store.
+            mClient.call(peer, HttpCall.of("POST", "/table", text), TIMEOUT);
         }
     }
 
@@ -353,6 +362,8 @@
             } else if (call.method().equals("POST") && call.path().equals("/table")) {
                 takeTable(MAPPER.readTree(call.body()));
                 responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.path().equals(FleetStatus.PATH)) {
+                responder.reply(mFleet.answer());
             } else if (call.path().equals("/tables")) {
                 responder.reply(allTables());
             } else if (call.path().startsWith("/objects/")) {
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Holds the connections and the load of all servers, and follows the directory. Confined to the
@@ -47,6 +48,21 @@
         mRandom = random;
     }
 
+    /** Shows how many servers are in which state. */
+    void registerGauges(EntryMetrics metrics) {
+        metrics.gauge("servers.usable", () -> count(u -> !u.isRetired() && !isSuspect(u)));
+        metrics.gauge("servers.suspect", () -> count(u -> !u.isRetired() && isSuspect(u)));
+        metrics.gauge("servers.leaving", () -> count(Upstream::isRetired));
+    }
+
+    private boolean isSuspect(Upstream upstream) {
+        return upstream.load().isSuspect(mClock.getAsLong());
+    }
+
+    private int count(Predicate<Upstream> condition) {
+        return (int) mUpstreams.values().stream().filter(condition).count();
+    }
+
     /** Follows a change of the directory. */
     void update() {
         long now = mClock.getAsLong();
--- a/entry/src/test/java/org/geraniumusher/entry/DutyFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DutyFixture.java
@@ -40,7 +40,7 @@
                 mThread,
                 mThread::now,
                 mLog,
-                new EntryMetrics());
+                new EntryMetrics("entry-1", 1, mThread::now, () -> 0));
     }
 
     @Override
