Wait for holds no longer than needed after a change of the coordinator, and not shorter

After the start of the traffic a hot range is divided only 2.3 s later, because the count of work has not filled yet and looks like a light load. Ruled out: lost releases; the servers were gone (connections time out). Changes: each daemon remembers from which moment a former holder is known to get no more grants; grants end at most 11.5 s after their coordinator was last confirmed by the store, and a successor counts from there; the coordinator tells the daemons of grants that the table cannot say yet; the planner divides by the seconds of work that the count holds so far. The lease of an unchanged owner inherits the bound of the former coordinator. The exchange of tables moves out of PeerService.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -35,6 +35,7 @@
     private boolean mKnown;
     private long mAuthorityUntil;
     private boolean mHasAuthority;
+    private long mFormerConfirmedBy;
 
     private CoordinatorElection(String daemon, long incarnation) {
         mDaemon = daemon;
@@ -63,6 +64,9 @@
 
     /** Takes the record that this daemon wrote with a call sent at {@code sentNanos}. */
     public void onWritten(CoordinatorRecord record, long sentNanos, long nowNanos) {
+        if (!hasAuthority(nowNanos)) {
+            mFormerConfirmedBy = mRecord == null ? nowNanos : mUnchangedSince;
+        }
         onRead(Optional.of(record), nowNanos);
         if (isOwn() && mRecord.revision() == record.revision()) {
             mHasAuthority = true;
@@ -70,6 +74,19 @@
         }
     }
 
+    /** Returns when this daemon sent its last write that the store accepted. */
+    public long confirmedAt() {
+        return mAuthorityUntil - AUTHORITY_NANOS;
+    }
+
+    /**
+     * Returns a time, not after the start of this term, by which the coordinator of the term before
+     * had sent its last write that the store accepted.
+     */
+    public long formerConfirmedBy() {
+        return mFormerConfirmedBy;
+    }
+
     /** Reports whether this daemon may grant and move ranges. */
     public boolean hasAuthority(long nowNanos) {
         return mHasAuthority && nowNanos < mAuthorityUntil;
--- a/decisions/src/main/java/org/geraniumusher/keyrange/KeyLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/KeyLoad.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.util.OptionalLong;
+
 /**
  * Counts the work of each key, where older work counts less: it halves every {@link
  * #HALF_LIFE_NANOS}. Each key also has a small even weight, so that an idle range weighs something.
@@ -11,6 +13,11 @@
     /** Long enough to smooth single requests, short enough to follow keys that turn hot. */
     public static final long HALF_LIFE_NANOS = 2_000_000_000L;
 
+    private static final double FULL_SECONDS = HALF_LIFE_NANOS / 1e9 / Math.log(2);
+
+    /** The first reports of the daemons come within this time, so that less says little. */
+    private static final double MIN_COUNTED_SECONDS = 0.7;
+
     private static final double IDLE_WEIGHT = 1e-4;
     private static final double MAX_SCALE = 1e12;
     private static final int BLOCK_KEYS = 64;
@@ -22,6 +29,7 @@
     private double mScale = 1;
     private double mTotal;
     private long mScaledAt;
+    private OptionalLong mFirstAddedAt = OptionalLong.empty();
 
     private KeyLoad(long nowNanos) {
         mScaledAt = nowNanos;
@@ -36,6 +44,9 @@
     public void add(int key, double work, long nowNanos) {
         checkArgument(KeyRange.ALL.contains(key), "bad key: %s", key);
         advance(nowNanos);
+        if (mFirstAddedAt.isEmpty()) {
+            mFirstAddedAt = OptionalLong.of(nowNanos);
+        }
         mWork[key] += work * mScale;
         mBlocks[key / BLOCK_KEYS] += work * mScale;
         mTotal += work * mScale;
@@ -61,6 +72,16 @@
         }
     }
 
+    /**
+     * Returns how many seconds of steady work the counts hold. They have decayed from the first
+     * work on, so this rises from {@link #MIN_COUNTED_SECONDS} towards 2.9 s.
+     */
+    public double countedSeconds(long nowNanos) {
+        double elapsed = nowNanos - mFirstAddedAt.orElse(nowNanos);
+        double filled = 1 - Math.pow(2, -elapsed / HALF_LIFE_NANOS);
+        return Math.max(MIN_COUNTED_SECONDS, filled * FULL_SECONDS);
+    }
+
     /** Returns the decayed work of a key. */
     public double of(int key) {
         return mWork[key] / mScale + IDLE_WEIGHT;
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -16,6 +16,7 @@
     private final Map<String, FormerHolder> mHolders = new HashMap<>();
     private Assignment mAssignment;
     private boolean mGranted;
+    private boolean mSent;
     private boolean mCalling;
     private long mNextCall;
     private long mHoldUntil;
@@ -32,6 +33,7 @@
     Lease partOf(Assignment part, long nowNanos) {
         Lease lease = new Lease(part, nowNanos);
         lease.mGranted = mGranted;
+        lease.mSent = mSent;
         lease.mHoldUntil = mHoldUntil;
         lease.mDoubtUntil = doubtUntil(nowNanos);
         lease.mNextCall = mNextCall;
@@ -50,11 +52,21 @@
         return mGranted;
     }
 
-    /** Reports whether the owner may hold the range because a grant was sent to it. */
+    /** Reports whether this coordinator has sent a grant to the owner. */
+    boolean isSent() {
+        return mSent;
+    }
+
+    /** Reports whether the owner may hold the range because somebody sent a grant to it. */
     boolean mayBeHeld() {
         return mHoldUntil != 0;
     }
 
+    /** Notes that a former coordinator may have granted the owner the range until then. */
+    void inheritHold(long holdUntil) {
+        mHoldUntil = Math.max(mHoldUntil, holdUntil);
+    }
+
     /** Reports whether the server has seen a higher fence, so that a new one is needed. */
     boolean needsNewFence() {
         return mFenced;
@@ -79,6 +91,7 @@
 
     void onSent(long holdUntil) {
         mCalling = true;
+        mSent = true;
         mHoldUntil = Math.max(mHoldUntil, holdUntil);
     }
 
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -35,6 +35,13 @@
      */
     private static final long HOLD_NANOS = 4_000_000_000L;
 
+    /**
+     * No grant lasts longer than this after its coordinator was last confirmed by the store. Covers
+     * an outage of 8 s, the longest of the operators' sites, the pause between two confirmations
+     * before it and an election after it.
+     */
+    private static final long UNCONFIRMED_NANOS = 11_500_000_000L;
+
     private static final long RETRY_NANOS = 300_000_000L;
 
     /** Time for a call to reach a server on links without a fault. */
@@ -67,7 +74,10 @@
     private final Set<String> mGone = new HashSet<>();
     private final Map<LeaseKey, Lease> mLeases = new HashMap<>();
     private RangeTable mTable;
-    private long mHoldNanos;
+    private final FormerHolders mFormerHolders;
+    private boolean mStoreAway;
+    private long mConfirmedAt;
+    private long mFormerHoldEnd;
     private boolean mStarted;
     private boolean mRestamp;
     private ImmutableList<Assignment> mWriting;
@@ -77,28 +87,51 @@
 
     private record LeaseKey(KeyRange range, long fence) {}
 
-    private RangeCoordinator(Port port, long maxHoldNanos, KeyLoad load) {
+    private RangeCoordinator(
+            Port port, long maxHoldNanos, KeyLoad load, FormerHolders formerHolders) {
         mPort = port;
         mMaxHoldNanos = maxHoldNanos;
-        mHoldNanos = Math.min(HOLD_NANOS, maxHoldNanos);
         mLoad = load;
+        mFormerHolders = formerHolders;
     }
 
-    /** Returns a coordinator of which no grant is longer than {@code maxHoldNanos}. */
-    public static RangeCoordinator create(Port port, long maxHoldNanos, KeyLoad load) {
-        return new RangeCoordinator(checkNotNull(port), maxHoldNanos, checkNotNull(load));
+    /**
+     * Returns a coordinator of which no grant is longer than {@code maxHoldNanos}.
+     *
+     * @param formerHolders what this daemon has seen in the tables of other coordinators
+     */
+    public static RangeCoordinator create(
+            Port port, long maxHoldNanos, KeyLoad load, FormerHolders formerHolders) {
+        return new RangeCoordinator(
+                checkNotNull(port), maxHoldNanos, checkNotNull(load), checkNotNull(formerHolders));
     }
 
     /**
-     * Tells whether the store answers. While it does not, no other daemon can take over, so grants
-     * get the longest hold and outlast the authority of this daemon.
+     * Tells when the store last confirmed this coordinator, and whether it answers now. While it
+     * does not, no other daemon can take over, so grants get longer holds and outlast the authority
+     * of this daemon.
      */
-    public void setStoreAway(boolean away) {
-        mHoldNanos = away ? mMaxHoldNanos : Math.min(HOLD_NANOS, mMaxHoldNanos);
+    public void setConfirmed(long confirmedAtNanos, boolean storeAway) {
+        mConfirmedAt = confirmedAtNanos;
+        mStoreAway = storeAway;
     }
 
-    /** Begins a term with the table in the store, or none when the service has no table yet. */
-    public void start(Optional<RangeTable> table, long nowNanos) {
+    private long holdNanos(long nowNanos) {
+        long hold = mStoreAway ? mConfirmedAt + UNCONFIRMED_NANOS - nowNanos : HOLD_NANOS;
+        return Math.min(hold, mMaxHoldNanos);
+    }
+
+    /**
+     * Begins a term with the table in the store, or none when the service has no table yet.
+     *
+     * @param formerConfirmedBy time by which the store last confirmed the coordinator before
+     */
+    public void start(Optional<RangeTable> table, long formerConfirmedBy, long nowNanos) {
+        mFormerHoldEnd = holdEnd(formerConfirmedBy, UNCONFIRMED_NANOS);
+        begin(table, nowNanos);
+    }
+
+    private void begin(Optional<RangeTable> table, long nowNanos) {
         mStarted = true;
         mLeases.clear();
         mWriting = null;
@@ -180,7 +213,8 @@
                         .equals(RangeTable.of(current.revision(), mWriting).assignments())) {
             adopt(current, nowNanos);
         } else {
-            start(Optional.of(current), nowNanos);
+            mFormerHoldEnd = Long.MAX_VALUE;
+            begin(Optional.of(current), nowNanos);
         }
     }
 
@@ -191,6 +225,7 @@
     }
 
     private void adopt(RangeTable table, long nowNanos) {
+        Optional<RangeTable> former = mRestamp ? Optional.of(mTable) : Optional.empty();
         mWriting = null;
         mRestamp = false;
         mTable = table;
@@ -201,12 +236,24 @@
             Lease lease = old.get(key);
             if (lease == null) {
                 lease = createLease(assignment, old.values(), nowNanos);
+                if (former.isPresent() && isOwnedIn(former.get(), assignment)) {
+                    lease.inheritHold(formerHoldEnd(nowNanos));
+                }
             }
             lease.update(assignment);
             mLeases.put(key, lease);
         }
     }
 
+    /** Reports whether a former coordinator may have granted the owner keys of the range. */
+    private static boolean isOwnedIn(RangeTable table, Assignment assignment) {
+        return table.assignments().stream()
+                .anyMatch(
+                        a ->
+                                a.owner().equals(assignment.owner())
+                                        && a.range().overlaps(assignment.range()));
+    }
+
     private Lease createLease(Assignment assignment, Collection<Lease> old, long nowNanos) {
         for (Lease lease : old) {
             if (lease.assignment().fence() == assignment.fence()
@@ -222,12 +269,24 @@
                             .filter(l -> l.assignment().range().overlaps(assignment.range()))
                             .flatMap(l -> l.holdOf(life, nowNanos).stream())
                             .reduce(Lease.Hold::max)
-                            .orElse(new Lease.Hold(holdEnd(nowNanos, mMaxHoldNanos), 0));
+                            .orElse(formerHold(life, assignment.range(), nowNanos));
             created.addHolder(life, hold);
         }
         return created;
     }
 
+    /** Bounds the hold of a life that only former coordinators have granted keys of a range. */
+    private Lease.Hold formerHold(String life, KeyRange range, long nowNanos) {
+        long lastGrant = mFormerHolders.since(life, range).orElse(nowNanos);
+        long end = Math.min(formerHoldEnd(nowNanos), holdEnd(lastGrant, mMaxHoldNanos));
+        return new Lease.Hold(end, 0);
+    }
+
+    /** Bounds all grants of former coordinators. */
+    private long formerHoldEnd(long nowNanos) {
+        return Math.min(holdEnd(nowNanos, mMaxHoldNanos), mFormerHoldEnd);
+    }
+
     private static long holdEnd(long sentNanos, long holdNanos) {
         return sentNanos + (long) (holdNanos * CLOCK_FACTOR) + ARRIVAL_NANOS;
     }
@@ -240,9 +299,10 @@
         }
         if (lease.isGrantDue(nowNanos)
                 && !mGone.contains(assignment.owner())
-                && (lease.mayBeHeld() || isKept(assignment))) {
-            lease.onSent(holdEnd(nowNanos, mHoldNanos));
-            mPort.grant(assignment, mHoldNanos, lease.handover());
+                && (lease.isSent() || isKept(assignment))) {
+            long hold = holdNanos(nowNanos);
+            lease.onSent(holdEnd(nowNanos, hold));
+            mPort.grant(assignment, hold, lease.handover());
         }
     }
 
@@ -259,6 +319,14 @@
                                                 && a.range().equals(assignment.range()));
     }
 
+    /** Returns the ranges that are granted, while the table says that they are still moving. */
+    public ImmutableList<Assignment> grantedWhileMoving() {
+        return mLeases.values().stream()
+                .filter(l -> l.isGranted() && l.assignment().isMoving())
+                .map(Lease::assignment)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Notes that the owner holds the range. */
     public void onGranted(Assignment assignment, long nowNanos) {
         lease(assignment).ifPresent(l -> l.onAccepted(nowNanos + RENEWAL_NANOS));
--- a/decisions/src/test/java/org/geraniumusher/keyrange/KeyLoadTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/KeyLoadTest.java
@@ -18,6 +18,34 @@
         assertThat(load.total()).isWithin(1e-9).of(4);
     }
 
+    /**
+     * Counts that have just begun to fill must not look like a light load: after the start of the
+     * traffic hot ranges were not divided for two seconds.
+     */
+    @Test
+    void countedSeconds_soonAfterTheFirstWork_tellTheTrueLoad() {
+        long step = 10_000_000L;
+        long start = 60_000_000_000L;
+        KeyLoad load = KeyLoad.create(0);
+        for (long now = start; now < start + 1_000_000_000L; now += step) {
+            load.add(7, 0.03, now);
+        }
+        long end = start + 1_000_000_000L;
+        load.advance(end);
+
+        assertThat(load.total() / load.countedSeconds(end)).isWithin(0.05).of(3.0);
+    }
+
+    @Test
+    void countedSeconds_afterLongTime_areThoseOfSteadyWork() {
+        KeyLoad load = KeyLoad.create(0);
+        load.add(7, 1, 0);
+
+        double seconds = load.countedSeconds(20 * KeyLoad.HALF_LIFE_NANOS);
+
+        assertThat(seconds).isWithin(0.01).of(2 / Math.log(2));
+    }
+
     @Test
     void of_afterVeryLongTime_isNothingLeft() {
         KeyLoad load = KeyLoad.create(0);
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -17,13 +17,15 @@
     private static final long FENCE = 5;
 
     private final Calls mCalls = new Calls();
+    private final FormerHolders mFormerHolders = FormerHolders.create();
     private final RangeCoordinator mCoordinator =
-            RangeCoordinator.create(mCalls, 10_000 * MILLI, KeyLoad.create(0));
+            RangeCoordinator.create(mCalls, 10_000 * MILLI, KeyLoad.create(0), mFormerHolders);
 
     /** Notes the calls that the coordinator asks for. */
     private static final class Calls implements RangeCoordinator.Port {
         private final List<ImmutableList<Assignment>> mWrites = new ArrayList<>();
         private final List<Assignment> mGrants = new ArrayList<>();
+        private final List<Long> mHolds = new ArrayList<>();
         private final List<String> mReleases = new ArrayList<>();
 
         @Override
@@ -34,6 +36,7 @@
         @Override
         public void grant(Assignment assignment, long holdNanos, Optional<String> handover) {
             mGrants.add(assignment);
+            mHolds.add(holdNanos);
         }
 
         @Override
@@ -55,7 +58,7 @@
     private void startMove() {
         servers("b", "c");
         Assignment moving = new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"));
-        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(moving))), 0);
+        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(moving))), 0, 0);
         mCoordinator.tick(0);
         mCoordinator.onWritten(10, MILLI);
     }
@@ -95,6 +98,84 @@
         assertThat(mCalls.grantedOwners()).doesNotContain("b");
     }
 
+    /**
+     * The former coordinator was last confirmed 6 s ago, so its longest grant ends 11.5 s after
+     * that. A silent former holder must not be waited for as if it had been granted keys just now.
+     */
+    @Test
+    void tick_formerCoordinatorWasConfirmedLongAgo_silentHolderIsWaitedForFromThen() {
+        servers("b", "c");
+        Assignment moving = new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"));
+        long now = 6_000 * MILLI;
+        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(moving))), 0, now);
+        mCoordinator.tick(now);
+        mCoordinator.onWritten(10, now);
+
+        mCoordinator.tick(12_000 * MILLI);
+        assertThat(mCalls.mGrants).isEmpty();
+
+        mCoordinator.tick(12_200 * MILLI);
+        assertThat(mCalls.grantedOwners()).containsExactly("b");
+    }
+
+    /**
+     * The former coordinator could not reach the store and gave longer holds than this one does.
+     * Found by RangeHistoryTest with servers that are cut off.
+     */
+    @Test
+    void tick_ownerWithHoldOfFormerCoordinatorIsLost_itsLongerHoldCounts() {
+        servers("a", "b");
+        Assignment owned = new Assignment(KeyRange.ALL, "a", FENCE, ImmutableList.of());
+        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(owned))), 0, 0);
+        mCoordinator.tick(0);
+        mCoordinator.onWritten(10, 0);
+        mCoordinator.tick(MILLI);
+        assertThat(mCalls.grantedOwners()).containsExactly("a");
+
+        servers("b");
+        mCoordinator.onGrantUnknown(mCalls.mGrants.get(0), 2 * MILLI);
+        mCoordinator.tick(2 * MILLI);
+        mCoordinator.onWritten(11, 3 * MILLI);
+        mCoordinator.tick(10_500 * MILLI);
+        assertThat(mCalls.grantedOwners()).doesNotContain("b");
+
+        mCoordinator.tick(10_700 * MILLI);
+        assertThat(mCalls.grantedOwners()).contains("b");
+    }
+
+    /** A daemon that saw the move begin under another coordinator must not wait anew. */
+    @Test
+    void tick_moveBeganUnderAnotherCoordinator_silentHolderIsWaitedForFromThen() {
+        servers("b", "c");
+        Assignment moving = new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"));
+        RangeTable table = RangeTable.of(FENCE, ImmutableList.of(moving));
+        mFormerHolders.onTable(table, true, 0);
+        long now = 10_000 * MILLI;
+        mCoordinator.start(Optional.of(table), now, now);
+        mCoordinator.tick(now);
+        mCoordinator.onWritten(10, now);
+
+        mCoordinator.tick(10_500 * MILLI);
+        assertThat(mCalls.mGrants).isEmpty();
+
+        mCoordinator.tick(10_700 * MILLI);
+        assertThat(mCalls.grantedOwners()).containsExactly("b");
+    }
+
+    /**
+     * Grants of an unconfirmed coordinator must end when its successor takes them to have ended.
+     */
+    @Test
+    void tick_storeIsAway_grantsEndAtTheBoundFromTheLastConfirmation() {
+        startMove();
+        mCoordinator.onReleased("a", KeyRange.ALL, 10, Optional.empty());
+
+        mCoordinator.setConfirmed(0, true);
+        mCoordinator.tick(4_000 * MILLI);
+
+        assertThat(mCalls.mHolds).containsExactly(7_500 * MILLI);
+    }
+
     /** A store that does not answer must not keep a move from its end. */
     @Test
     void tick_otherWriteIsInFlight_releasedKeysAreGranted() {
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
@@ -50,6 +50,24 @@
         assertThat(simulation.keysHeld()).isEqualTo(ALL_KEYS);
     }
 
+    /** The longest outage of the operators' sites, and an election after it. */
+    @Test
+    void run_storeIsAwayForEightSeconds_keysStayHeld() {
+        for (int seed = 0; seed < 10; seed++) {
+            RangeSimulation simulation = new RangeSimulation(100 + seed, 6, 3);
+            simulation.run((4_000 + 170 * seed) * MILLI);
+
+            simulation.setStoreDown(true);
+            for (int i = 0; i < 120; i++) {
+                simulation.setStoreDown(i < 80);
+                simulation.run(100 * MILLI);
+                assertWithMessage("seed %s, keys held after %s ms", seed, i * 100)
+                        .that(simulation.keysHeld())
+                        .isEqualTo(ALL_KEYS);
+            }
+        }
+    }
+
     /** A store that is away for a few seconds must not cost any key its owner. */
     @Test
     void run_storeIsAwayForFiveSeconds_keysStayHeld() {
@@ -87,6 +105,33 @@
         assertThat(owners).isAtLeast(3);
     }
 
+    /**
+     * Servers that are cut off go on with the keys that they hold, while coordinators follow one
+     * another and the store goes away: no successor may take a hold to have ended too early.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46})
+    void run_serversAreCutAndCoordinatorsChange_noKeyHasTwoHolders(long seed) {
+        Random random = new Random(seed);
+        RangeSimulation simulation = new RangeSimulation(seed, 6, 3);
+        simulation.run(2_000 * MILLI);
+        for (int step = 0; step < 80; step++) {
+            switch (random.nextInt(6)) {
+                case 0 ->
+                        simulation.restartDaemon(random.nextInt(3), random.nextInt(6_000) * MILLI);
+                case 1 -> simulation.pauseDaemon(random.nextInt(3), random.nextInt(9_000) * MILLI);
+                case 2 -> simulation.setStoreDown(random.nextInt(3) == 0);
+                case 3 -> simulation.setLostShare(0.3 * random.nextInt(2));
+                default ->
+                        simulation.cutServer(
+                                random.nextInt(6), (2_000 + random.nextInt(16_000)) * MILLI);
+            }
+            simulation.run(random.nextInt(1_500) * MILLI);
+        }
+
+        assertWithMessage("seed %s moved nothing", seed).that(simulation.moves()).isGreaterThan(5);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26})
     void run_randomFaults_noKeyHasTwoHolders(long seed) {
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +24,12 @@
     private static final long TICK_NANOS = 100 * MILLI;
 
     private final Random mRandom;
+
+    /** Separate, so that what daemons see does not change the faults of a seed. */
+    private final Random mObservations;
+
     private final Map<String, SimulatedKeyServer> mServers = new LinkedHashMap<>();
+    private final Map<String, Long> mCutUntil = new HashMap<>();
     private final List<Daemon> mDaemons = new ArrayList<>();
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
     private Optional<CoordinatorRecord> mRecord = Optional.empty();
@@ -46,6 +52,7 @@
 
     RangeSimulation(long seed, int servers, int daemons) {
         mRandom = new Random(seed);
+        mObservations = new Random(seed);
         for (int i = 0; i < servers; i++) {
             addServer("s" + i);
         }
@@ -73,6 +80,19 @@
         new ArrayList<>(mServers.values()).get(index % mServers.size()).crash();
     }
 
+    /**
+     * Cuts a server off from daemons and store, while it goes on. Its entry is gone, calls to it
+     * get no answer.
+     */
+    void cutServer(int index, long nanos) {
+        String life = new ArrayList<>(mServers.keySet()).get(index % mServers.size());
+        mCutUntil.put(life, mNow + nanos);
+    }
+
+    private boolean isCut(String life) {
+        return mNow < mCutUntil.getOrDefault(life, 0L);
+    }
+
     /** Kills a daemon; it starts again with nothing after {@code downNanos}. */
     void restartDaemon(int index, long downNanos) {
         Daemon old = mDaemons.get(index % mDaemons.size());
@@ -162,6 +182,7 @@
         private final long mIncarnation;
         private final CoordinatorElection mElection;
         private final KeyLoad mLoad = KeyLoad.create(0);
+        private final FormerHolders mFormerHolders = FormerHolders.create();
         private RangeCoordinator mCoordinator;
         private boolean mAlive = true;
         private boolean mCalling;
@@ -173,7 +194,7 @@
             mName = name;
             mIncarnation = incarnation;
             mElection = CoordinatorElection.create(name, incarnation);
-            mCoordinator = RangeCoordinator.create(this, HOLD_NANOS, mLoad);
+            mCoordinator = RangeCoordinator.create(this, HOLD_NANOS, mLoad, mFormerHolders);
         }
 
         private void whenRunning(Runnable task) {
@@ -192,6 +213,10 @@
             if (mNow < mPausedUntil) {
                 return;
             }
+            // A daemon may see a table at any time after it was written, before its writer does.
+            if (mObservations.nextBoolean()) {
+                mTable.ifPresent(t -> mFormerHolders.onTable(t, false, mNow));
+            }
             if (!mCalling && mElection.shouldWrite(mNow)) {
                 writeRecord();
             } else if (!mCalling && !mElection.hasAuthority(mNow) && mNow >= mNextPoll) {
@@ -205,10 +230,10 @@
             if (!mElection.hasAuthority(mNow)) {
                 return;
             }
-            mCoordinator.setStoreAway(mElection.isStoreAway(mNow));
+            mCoordinator.setConfirmed(mElection.confirmedAt(), mElection.isStoreAway(mNow));
             mCoordinator.onServers(
                     mServers.values().stream()
-                            .map(s -> new RangeServer(s.life(), 6, s.isUp()))
+                            .map(s -> new RangeServer(s.life(), 6, s.isUp() && !isCut(s.life())))
                             .toList());
             if (!mCoordinator.isStarted()) {
                 if (!mReading) {
@@ -219,7 +244,7 @@
                             () -> {
                                 mReading = false;
                                 if (term == mCoordinator && !term.isStarted()) {
-                                    term.start(mTable, mNow);
+                                    term.start(mTable, mElection.formerConfirmedBy(), mNow);
                                 }
                             });
                 }
@@ -257,7 +282,9 @@
                         mCalling = false;
                         if (written[0] != 0) {
                             if (newTerm) {
-                                mCoordinator = RangeCoordinator.create(this, HOLD_NANOS, mLoad);
+                                mCoordinator =
+                                        RangeCoordinator.create(
+                                                this, HOLD_NANOS, mLoad, mFormerHolders);
                             }
                             mElection.onWritten(
                                     new CoordinatorRecord(mName, mIncarnation, "peer", written[0]),
@@ -307,6 +334,7 @@
                     () -> {
                         if (written[0]) {
                             term.onWritten(revision[0], mNow);
+                            term.table().ifPresent(this::sendTable);
                         } else {
                             term.onWriteConflict(mTable.orElseThrow(), mNow);
                         }
@@ -315,19 +343,30 @@
                     () -> term.onWriteUnknown(mNow));
         }
 
+        private void sendTable(RangeTable table) {
+            for (Daemon other : mDaemons) {
+                after(
+                        (long) (5 * mObservations.nextDouble() * MILLI),
+                        () ->
+                                other.whenRunning(
+                                        () -> other.mFormerHolders.onTable(table, true, mNow)));
+            }
+        }
+
         @Override
         public void grant(Assignment assignment, long holdNanos, Optional<String> handover) {
             RangeCoordinator term = mCoordinator;
             SimulatedKeyServer server = mServers.get(assignment.owner());
             long arrival = mNow + delay();
-            boolean lost = mRandom.nextDouble() < mLostShare;
+            boolean cut = isCut(assignment.owner());
+            boolean lost = mRandom.nextDouble() < mLostShare || cut;
             boolean late = lost && mRandom.nextBoolean();
             long carriedOut = arrival + (late ? (long) (mRandom.nextDouble() * 9_000 * MILLI) : 0);
             boolean[] accepted = new boolean[1];
             after(
                     carriedOut - mNow,
                     () -> {
-                        if (server.isUp()) {
+                        if (server.isUp() && !cut) {
                             accepted[0] =
                                     server.grant(
                                             assignment.range(),
@@ -361,6 +400,12 @@
             RangeCoordinator term = mCoordinator;
             SimulatedKeyServer server = mServers.get(life);
             boolean lost = mRandom.nextDouble() < mLostShare;
+            if (isCut(life)) {
+                after(
+                        1_000 * MILLI,
+                        () -> whenRunning(() -> term.onReleaseUnknown(life, range, fence, mNow)));
+                return;
+            }
             after(
                     delay(),
                     () -> {
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -37,7 +37,7 @@
     private final DecisionLog mLog;
     private final CoordinatorElection mElection;
     private final Map<String, RangeDuty> mServices = new HashMap<>();
-    private RangeDuty.Publisher mPublisher = (service, old, next) -> {};
+    private RangeDuty.Publisher mPublisher = RangeDuty.Publisher.NONE;
     private boolean mCalling;
     private long mNextPoll;
     private long mNextWrite;
@@ -132,8 +132,7 @@
                                 c.services().values().stream()
                                         .filter(ServiceRule::keyed)
                                         .forEach(s -> duty(s.name())));
-        boolean storeAway = mElection.isStoreAway(now);
-        mServices.values().forEach(s -> s.tick(storeAway));
+        mServices.values().forEach(s -> s.tick(mElection));
     }
 
     /** Follows a change of the directory without waiting for the next tick. */
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -51,7 +51,7 @@
         addMirror(StoreKind.CONFIGURATION, store, thread, this::decodeConfiguration);
         addMirror(StoreKind.EVACUATIONS, store, thread, this::decodeEvacuations);
         addMirror(StoreKind.SERVERS, store, thread, this::decodeServers);
-        mTables = new TableBook(store, thread, log, () -> mListeners.forEach(Runnable::run));
+        mTables = new TableBook(store, thread, clock, log, () -> mListeners.forEach(Runnable::run));
     }
 
     private void addMirror(StoreKind kind, Store store, EventThread thread, Runnable decode) {
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -281,7 +281,7 @@
         }
         Assignment assignment = table.get().find(exchange.key());
         Upstream upstream = mUpstreams.get(assignment.owner());
-        if (assignment.isMoving() || upstream == null) {
+        if (!mDirectory.tables().mayServe(exchange.service(), assignment) || upstream == null) {
             return Optional.empty();
         }
         boolean mustNot =
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -18,7 +18,6 @@
 import org.geraniumusher.http.HttpServer;
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.keyrange.CoordinatorRecord;
-import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.Address;
 
 import java.io.IOException;
@@ -58,6 +57,7 @@
     private final Dispatcher mDispatcher;
     private final KeyWork mKeyWork;
     private final FleetStatus mFleet;
+    private final TableExchange mTables;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -94,7 +94,8 @@
         mClient = client;
         mRandom = new Random(mIncarnation);
         mPeers.addAll(mSettings.seeds());
-        coordinator.setPublisher(this::publish);
+        mTables = new TableExchange(parts, this::others, client);
+        coordinator.setPublisher(mTables);
         mServer =
                 HttpServer.create(
                         group,
@@ -120,7 +121,7 @@
             listDaemons();
         }
         if (!mDirectory.tables().isKnown()) {
-            otherPeer().ifPresent(this::fetchTables);
+            otherPeer().ifPresent(mTables::fetchTables);
         }
         for (KindMirror mirror : mDirectory.mirrors()) {
             if (!mirror.isReachable() && now - mirror.unreachableSince() > STORE_AWAY_NANOS) {
@@ -209,83 +210,6 @@
                 : Optional.of(others.get(mRandom.nextInt(others.size())));
     }
 
-    /** Sends what changed in a table to all daemons. */
-    private void publish(String service, Optional<RangeTable> old, RangeTable next) {
-        mDirectory.tables().offer(service, next);
-        ObjectNode body =
-                RangeTableCodec.encode(
-                        old.map(o -> TableBook.changes(o, next)).orElse(next.assignments()));
-        body.put("service", service);
-        body.put("base", old.map(RangeTable::revision).orElse(-1L));
-        body.put("revision", next.revision());
-        body.put("sender", mSettings.peers().toString());
-        String text = body.toString();
-        for (Address peer : others()) {
-            // A daemon that misses this finds the table by its next poll of the store.
-            mClient.call(peer, HttpCall.of("POST", "/table", text), TIMEOUT);
-        }
-    }
-
-    private void takeTable(JsonNode body) {
-        String service = body.path("service").asText();
-        boolean complete =
-                mDirectory
-                        .tables()
-                        .offerChanges(
-                                service,
-                                body.path("base").asLong(),
-                                body.path("revision").asLong(),
-                                RangeTableCodec.decodeAssignments(body));
-        if (!complete) {
-            fetchTables(Address.of(body.path("sender").asText()));
-        }
-    }
-
-    private void fetchTables(Address peer) {
-        mClient.call(peer, HttpCall.of("GET", "/tables"), TIMEOUT)
-                .whenComplete(
-                        (reply, error) -> {
-                            if (error == null && reply.status() == 200) {
-                                mThread.execute(() -> onTables(peer, reply));
-                            }
-                        });
-    }
-
-    private void onTables(Address peer, HttpReply reply) {
-        try {
-            MAPPER.readTree(reply.body())
-                    .fields()
-                    .forEachRemaining(
-                            e ->
-                                    mDirectory
-                                            .tables()
-                                            .offer(
-                                                    e.getKey(),
-                                                    RangeTableCodec.decode(
-                                                            e.getValue().path("revision").asLong(),
-                                                            e.getValue())));
-            mDirectory.tables().setKnown();
-        } catch (IOException | IllegalArgumentException e) {
-            mLog.write(Part.PEER, "Tables cannot be read", "peer", peer, "reason", e.getMessage());
-        }
-    }
-
-    private HttpReply allTables() {
-        if (!mDirectory.tables().isKnown()) {
-            return HttpReply.of(204, "");
-        }
-        ObjectNode body = JsonNodeFactory.instance.objectNode();
-        mDirectory
-                .tables()
-                .tables()
-                .forEach(
-                        (service, table) -> {
-                            ObjectNode encoded = RangeTableCodec.encode(table.assignments());
-                            body.set(service, encoded.put("revision", table.revision()));
-                        });
-        return HttpReply.of(200, body.toString());
-    }
-
     private void copyFromPeer(KindMirror mirror) {
         otherPeer().ifPresent(peer -> copyFrom(peer, mirror));
     }
@@ -359,13 +283,17 @@
             if (call.method().equals("POST") && call.path().equals("/work")) {
                 takeWork(MAPPER.readTree(call.body()));
                 responder.reply(HttpReply.of(200, "{}"));
-            } else if (call.method().equals("POST") && call.path().equals("/table")) {
-                takeTable(MAPPER.readTree(call.body()));
+            } else if (call.method().equals("POST")
+                    && call.path().equals(TableExchange.TABLE_PATH)) {
+                mTables.takeTable(MAPPER.readTree(call.body()));
                 responder.reply(HttpReply.of(200, "{}"));
             } else if (call.path().equals(FleetStatus.PATH)) {
                 responder.reply(mFleet.answer());
-            } else if (call.path().equals("/tables")) {
-                responder.reply(allTables());
+            } else if (call.path().equals(TableExchange.GRANTED_PATH)) {
+                mTables.takeGranted(MAPPER.readTree(call.body()));
+                responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.path().equals(TableExchange.TABLES_PATH)) {
+                responder.reply(mTables.allTables());
             } else if (call.path().startsWith("/objects/")) {
                 responder.reply(copyOf(call));
             } else {
@@ -378,8 +306,8 @@
     }
 
     private void takeWork(JsonNode work) {
-        work.fields()
-                .forEachRemaining(
+        work.properties()
+                .forEach(
                         service -> {
                             List<Sample> samples = new ArrayList<>();
                             for (JsonNode sample : service.getValue()) {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -6,6 +6,7 @@
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.entry.KeyWork.Sample;
 import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.EndProofs;
 import org.geraniumusher.keyrange.KeyLoad;
 import org.geraniumusher.keyrange.KeyRange;
@@ -30,8 +31,8 @@
     /** Servers that register at about the same time are all given keys at first. */
     private static final long SETTLE_NANOS = 1_000_000_000L;
 
-    /** Requests a second times this is what the decaying count holds. */
-    private static final double COUNTED_SECONDS = KeyLoad.HALF_LIFE_NANOS / 1e9 / Math.log(2);
+    /** A message that was lost is repeated after this time. */
+    private static final long TELL_AGAIN_NANOS = 1_000_000_000L;
 
     private static final double COLD_CAPACITY = 0.4;
     private static final double SPEED_SMOOTHING = 0.05;
@@ -42,9 +43,24 @@
     private static final double MIN_SPEED = 0.4;
     private static final double MAX_SPEED = 1.6;
 
-    /** Takes a table that was written, and the one before, if there was any. */
+    /** Tells other daemons what the coordinator of a service has done. */
     interface Publisher {
+        /** Tells nobody. */
+        Publisher NONE =
+                new Publisher() {
+                    @Override
+                    public void publish(
+                            String service, Optional<RangeTable> old, RangeTable next) {}
+
+                    @Override
+                    public void publishGranted(String service, List<Assignment> granted) {}
+                };
+
+        /** Takes a table that was written, and the one before, if there was any. */
         void publish(String service, Optional<RangeTable> old, RangeTable next);
+
+        /** Takes ranges that are granted, while the table still says that they are moving. */
+        void publishGranted(String service, List<Assignment> granted);
     }
 
     private final String mService;
@@ -69,6 +85,9 @@
     private ImmutableMap<String, ServerEntry> mNoted = ImmutableMap.of();
 
     private boolean mReading;
+    private long mFormerConfirmedBy;
+    private ImmutableList<Assignment> mTold = ImmutableList.of();
+    private long mToldAt;
     private Optional<RangeTable> mPublished = Optional.empty();
     private long mServersChangedAt;
     private ImmutableList<String> mLastLives = ImmutableList.of();
@@ -90,19 +109,37 @@
         mLog = parts.log();
         mMetrics = parts.metrics();
         mLoad = KeyLoad.create(mClock.getAsLong());
-        mCoordinator = RangeCoordinator.create(this, parts.settings().maxHoldNanos(), mLoad);
+        mCoordinator =
+                RangeCoordinator.create(
+                        this,
+                        parts.settings().maxHoldNanos(),
+                        mLoad,
+                        mDirectory.tables().formerHolders(service));
     }
 
     /** Does what is due; only with authority. */
-    void tick(boolean storeAway) {
+    void tick(CoordinatorElection election) {
         long now = mClock.getAsLong();
-        mCoordinator.setStoreAway(storeAway);
+        mCoordinator.setConfirmed(election.confirmedAt(), election.isStoreAway(now));
+        mFormerConfirmedBy = election.formerConfirmedBy();
         updateServers(now);
         if (!mCoordinator.isStarted()) {
             startTerm(now);
             return;
         }
         act(now);
+        tellGranted(now);
+    }
+
+    /** Tells the daemons of grants that an unreachable or slow store keeps out of the table. */
+    private void tellGranted(long now) {
+        ImmutableList<Assignment> granted = mCoordinator.grantedWhileMoving();
+        boolean again = now - mToldAt >= TELL_AGAIN_NANOS;
+        if (!granted.isEmpty() && (again || !granted.equals(mTold))) {
+            mToldAt = now;
+            mPublisher.publishGranted(mService, granted);
+        }
+        mTold = granted;
     }
 
     /**
@@ -132,9 +169,9 @@
         mReading = false;
         long now = mClock.getAsLong();
         if (result instanceof StoreResult.Written found) {
-            mCoordinator.start(Optional.of(decode(found.object())), now);
+            mCoordinator.start(Optional.of(decode(found.object())), mFormerConfirmedBy, now);
         } else if (result instanceof StoreResult.NotFound) {
-            mCoordinator.start(Optional.empty(), now);
+            mCoordinator.start(Optional.empty(), mFormerConfirmedBy, now);
         } else {
             return;
         }
@@ -203,7 +240,7 @@
         double speed = took <= 0 ? 1 : mMeanTook / took;
         speed = Math.max(MIN_SPEED, Math.min(MAX_SPEED, speed));
         boolean cold = now < mColdUntil.getOrDefault(entry.life(), now);
-        return entry.slots() * speed * COUNTED_SECONDS * (cold ? COLD_CAPACITY : 1);
+        return entry.slots() * speed * mLoad.countedSeconds(now) * (cold ? COLD_CAPACITY : 1);
     }
 
     /** Takes requests that daemons report. */
--- a/entry/src/main/java/org/geraniumusher/entry/TableBook.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableBook.java
@@ -1,19 +1,24 @@
 package org.geraniumusher.entry;
 
+import com.google.common.collect.HashMultimap;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.SetMultimap;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.entry.StoreResult.Page;
 import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.FormerHolders;
 import org.geraniumusher.keyrange.RangeTable;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Keeps the tables of key ranges.
@@ -29,14 +34,28 @@
 
     private final Store mStore;
     private final EventThread mThread;
+    private final LongSupplier mClock;
     private final DecisionLog mLog;
     private final Runnable mOnChange;
     private final Map<String, RangeTable> mTables = new TreeMap<>();
+    private final Map<String, FormerHolders> mFormerHolders = new HashMap<>();
+
+    /** The first keys and the fences of ranges that are granted before the table says so. */
+    private final SetMultimap<String, Granted> mGranted = HashMultimap.create();
+
     private boolean mKnown;
 
-    TableBook(Store store, EventThread thread, DecisionLog log, Runnable onChange) {
+    private record Granted(int first, long fence) {}
+
+    TableBook(
+            Store store,
+            EventThread thread,
+            LongSupplier clock,
+            DecisionLog log,
+            Runnable onChange) {
         mStore = store;
         mThread = thread;
+        mClock = clock;
         mLog = log;
         mOnChange = onChange;
     }
@@ -77,7 +96,8 @@
 
     private void offer(StoreObject object) {
         try {
-            offer(object.name(), RangeTableCodec.decode(object.revision(), object.spec()));
+            RangeTable table = RangeTableCodec.decode(object.revision(), object.spec());
+            offer(object.name(), table, false);
         } catch (IllegalArgumentException e) {
             mLog.write(
                     Part.OWNERSHIP,
@@ -89,15 +109,49 @@
         }
     }
 
-    /** Takes a table if it is newer. */
-    void offer(String service, RangeTable table) {
+    /**
+     * Takes a table if it is newer.
+     *
+     * @param fromWriter whether the coordinator that wrote it sent it
+     */
+    void offer(String service, RangeTable table, boolean fromWriter) {
         RangeTable known = mTables.get(service);
+        if (known != null && known.revision() > table.revision()) {
+            return;
+        }
+        formerHolders(service).onTable(table, fromWriter, mClock.getAsLong());
         if (known == null || known.revision() < table.revision()) {
             mTables.put(service, table);
+            mGranted.get(service).removeIf(g -> !isAwaited(table, g));
+            mOnChange.run();
+        }
+    }
+
+    private static boolean isAwaited(RangeTable table, Granted granted) {
+        Assignment assignment = table.find(granted.first());
+        return granted.fence() > table.revision()
+                || assignment.fence() == granted.fence() && assignment.isMoving();
+    }
+
+    /** Returns what the tables told of lives that own a range no more. */
+    FormerHolders formerHolders(String service) {
+        return mFormerHolders.computeIfAbsent(service, s -> FormerHolders.create());
+    }
+
+    /** Takes that a range is granted, which the coordinator cannot write into the table yet. */
+    void offerGranted(String service, int first, long fence) {
+        if (mGranted.put(service, new Granted(first, fence))) {
             mOnChange.run();
         }
     }
 
+    /** Reports whether the owner of an assignment is granted its range, as far as is known. */
+    boolean mayServe(String service, Assignment assignment) {
+        return !assignment.isMoving()
+                || mGranted.containsEntry(
+                        service, new Granted(assignment.range().first(), assignment.fence()));
+    }
+
     /**
      * Takes the assignments that changed since revision {@code base}; returns false when this
      * daemon has another revision and needs the whole table.
@@ -116,7 +170,7 @@
                 next.add(old);
             }
         }
-        offer(service, RangeTable.of(revision, next));
+        offer(service, RangeTable.of(revision, next), true);
         return true;
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -46,6 +46,11 @@
         kind(kind).put(name, new StoreObject(name, ++mRevision, spec, spec));
     }
 
+    void remove(StoreKind kind, String name) {
+        kind(kind).remove(name);
+        mRevision++;
+    }
+
     private TreeMap<String, StoreObject> kind(StoreKind kind) {
         return mKinds.computeIfAbsent(kind, k -> new TreeMap<>());
     }
--- a/entry/src/test/java/org/geraniumusher/entry/RangeDutyTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeDutyTest.java
@@ -2,10 +2,17 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.CoordinatorElection;
+import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.keyrange.RangeTable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Guards against keys that are given on while their last holder may still work on them. */
@@ -19,8 +26,24 @@
     private final FakeThread mThread = mFixture.thread();
     private final FakeStore mStore = mFixture.store();
     private Directory mDirectory;
+    private final CoordinatorElection mElection = CoordinatorElection.create("d", 1);
+    private final List<Assignment> mToldGranted = new ArrayList<>();
+    private long mRecordRevision;
     private boolean mAuthority = true;
 
+    private final RangeDuty.Publisher mPublisher =
+            new RangeDuty.Publisher() {
+                @Override
+                public void publish(String service, Optional<RangeTable> old, RangeTable next) {
+                    mDirectory.tables().offer(service, next, true);
+                }
+
+                @Override
+                public void publishGranted(String service, List<Assignment> granted) {
+                    mToldGranted.addAll(granted);
+                }
+            };
+
     @AfterEach
     void closeFixture() {
         mFixture.close();
@@ -31,14 +54,10 @@
         mStore.put(StoreKind.SERVERS, "a", FakeWire.entry(A_PORT, false));
         mStore.put(StoreKind.SERVERS, "b", FakeWire.entry(B_PORT, false));
         DutyParts parts = mFixture.parts("d");
-        parts.directory().start();
-        RangeDuty duty =
-                new RangeDuty(
-                        FakeWire.SERVICE,
-                        (service, old, next) -> parts.directory().tables().offer(service, next),
-                        () -> mAuthority,
-                        parts);
         mDirectory = parts.directory();
+        mDirectory.start();
+        RangeDuty duty = new RangeDuty(FakeWire.SERVICE, mPublisher, () -> mAuthority, parts);
+        confirm();
         run(duty, 3_000);
         assertThat(owners()).containsExactly("a@1", "b@1");
         return duty;
@@ -47,10 +66,38 @@
     private void run(RangeDuty duty, int millis) {
         for (int i = 0; i < millis; i += 100) {
             mThread.advance(100 * MILLI);
-            duty.tick(false);
+            duty.tick(mElection);
         }
     }
 
+    /** Lets the store accept the record of this daemon. */
+    private void confirm() {
+        CoordinatorRecord record = new CoordinatorRecord("d", 1, "peer", ++mRecordRevision);
+        mElection.onWritten(record, mThread.now(), mThread.now());
+    }
+
+    /**
+     * Keys of a lost server are granted to others while the store is away, so the table cannot say
+     * so. Seen on vtgw-gate trouble-3: daemons refused requests for these keys for ten seconds.
+     */
+    @Test
+    void tick_grantedWhileTheStoreIsAway_daemonsAreTold() {
+        RangeDuty duty = startDuty();
+        confirm();
+        mFixture.control().silence("a");
+        mStore.remove(StoreKind.SERVERS, "a");
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        run(duty, 1_000);
+        assertThat(owners()).containsExactly("b@1");
+        confirm();
+        mStore.setDown(true);
+
+        run(duty, 4_000);
+
+        assertThat(mToldGranted.stream().map(Assignment::owner).distinct().toList())
+                .containsExactly("b@1");
+    }
+
     private Set<String> owners() {
         Set<String> owners = new HashSet<>();
         mStore.spec(StoreKind.RANGES, FakeWire.SERVICE)
@@ -95,7 +142,7 @@
         mStore.put(StoreKind.SERVERS, "a", FakeWire.entry(A_PORT, true));
         mDirectory.mirror(StoreKind.SERVERS).start();
         mStore.holdAnswers();
-        duty.tick(false);
+        duty.tick(mElection);
         mThread.advance(MILLI);
         int calls = mFixture.control().calls();
 
