Relieve the next busy server when the busiest has a single hot key; count repeated requests

Grants fell from 239 to 106: the busiest server owned one key that no other could take, and the planner looked no further. In addition most requests were taken for repeats, since callers ask with different deadlines from the start. Change: the planner goes through the busy servers until one has a window of keys to give away; all requests that arrive count. RangePlannerTest.relieve_busiestHasOneHotKey fails before and passes after.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangePlanner.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangePlanner.java
@@ -4,11 +4,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Plans which server should own which range. Holds the loads of one planning step. Not thread-safe.
@@ -132,21 +135,33 @@
     }
 
     /**
-     * Finds the narrowest window of keys whose move takes load from the busiest server to the
-     * idlest. Returns the move as a window of one assignment and its new owner.
+     * Finds the narrowest window of keys whose move takes load from a busy server to the idlest.
+     * The busiest server comes first; one whose load is a single key has no window, and must not
+     * keep the others from being relieved. Returns the move as a window of one assignment and its
+     * new owner.
      */
     Optional<RangeMove> relieve(List<Assignment> movable) {
         RangeServer target = leastUtilized().orElse(null);
-        RangeServer source = null;
-        for (RangeServer server : mServers.values()) {
-            boolean owns = movable.stream().anyMatch(a -> a.owner().equals(server.life()));
-            if (owns && (source == null || utilization(server) > utilization(source))) {
-                source = server;
-            }
-        }
-        if (target == null || source == null || source == target) {
+        if (target == null) {
             return Optional.empty();
         }
+        Set<String> owners = movable.stream().map(Assignment::owner).collect(Collectors.toSet());
+        List<RangeServer> sources =
+                mServers.values().stream()
+                        .filter(server -> owners.contains(server.life()) && server != target)
+                        .sorted(Comparator.comparingDouble(this::utilization).reversed())
+                        .toList();
+        for (RangeServer source : sources) {
+            Optional<KeyRange> window = windowOf(movable, source, target);
+            if (window.isPresent()) {
+                return window.map(w -> new RangeMove(w, target.life()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<KeyRange> windowOf(
+            List<Assignment> movable, RangeServer source, RangeServer target) {
         double capacity = mServers.values().stream().mapToDouble(RangeServer::capacity).sum();
         double mean = mLoads.values().stream().mapToDouble(d -> d).sum() / capacity;
         boolean joined = !mLoads.containsKey(target.life());
@@ -159,8 +174,7 @@
                 Math.min(
                         (high - Math.min(level, high * KEPT_SHARE)) * source.capacity(),
                         (level - utilization(target)) * target.capacity());
-        return narrowest(movable, source.life(), wanted, joined)
-                .map(window -> new RangeMove(window, target.life()));
+        return narrowest(movable, source.life(), wanted, joined);
     }
 
     private Optional<KeyRange> narrowest(
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangePlannerTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangePlannerTest.java
@@ -68,6 +68,40 @@
         assertThat(move.window().overlaps(new KeyRange(2_000, 2_199))).isTrue();
     }
 
+    /**
+     * The busiest server has one hot key, which would only overload the next owner. It must not
+     * keep the keys of another busy server where they are, as on vtgw-gate scale-1.
+     */
+    @Test
+    void relieve_busiestHasOneHotKey_nextBusyServerIsRelieved() {
+        heat(100, 100, 30);
+        heat(40_000, 40_199, 0.1);
+
+        RangeMove move =
+                relieve(
+                                List.of(A, B, C),
+                                List.of(
+                                        new Assignment(
+                                                new KeyRange(0, 32_767),
+                                                "a",
+                                                5,
+                                                ImmutableList.of()),
+                                        new Assignment(
+                                                new KeyRange(32_768, 60_000),
+                                                "b",
+                                                5,
+                                                ImmutableList.of()),
+                                        new Assignment(
+                                                new KeyRange(60_001, 65_535),
+                                                "c",
+                                                5,
+                                                ImmutableList.of())))
+                        .orElseThrow();
+
+        assertThat(move.window().overlaps(new KeyRange(40_000, 40_199))).isTrue();
+        assertThat(move.target()).isEqualTo("c");
+    }
+
     /** A server that has joined must get keys although nobody is overloaded. */
     @Test
     void relieve_serverWithoutKeys_getsSome() {
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -44,9 +44,6 @@
     /** Requests to a leaving server end this long before they must, for what is on its way. */
     private static final double DRAIN_SHARE = 0.7;
 
-    /** A request whose caller has used more of its time than this was asked before. */
-    private static final long FIRST_ASK_NANOS = 20_000_000;
-
     private static final int MAX_WAITING = 2_000;
 
     private static final Comparator<Exchange> MOST_URGENT_FIRST =
@@ -189,7 +186,7 @@
             return;
         }
         setDeadlines(exchange);
-        if (service.keyed() && exchange.arrivedAt() - exchange.firstAskedAt() < FIRST_ASK_NANOS) {
+        if (service.keyed()) {
             mKeyWork.onAsked(exchange.service(), exchange.key());
         }
         budget(exchange.service()).deposit();
--- a/entry/src/main/java/org/geraniumusher/entry/KeyWork.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KeyWork.java
@@ -38,7 +38,7 @@
     /**
      * What one daemon saw of a service.
      *
-     * @param keys the keys of requests that callers sent for the first time
+     * @param keys the keys of requests that callers sent
      * @param runs requests that servers ran
      */
     record Report(ImmutableList<Integer> keys, ImmutableList<Run> runs) {}
