--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -21,6 +21,6 @@
 addr = "127.0.0.1:$((port + 3))"
 TOML
 GERANIUMUSHER_NODE_FILE=target/entry/training.toml timeout 60 java -Xmx96m -XX:+UseSerialGC \
-    -XX:TieredStopAtLevel=1 --add-exports=java.base/jdk.internal.misc=ALL-UNNAMED \
+    -XX:TieredStopAtLevel=1 -Xlog:disable --add-exports=java.base/jdk.internal.misc=ALL-UNNAMED \
     -XX:ArchiveClassesAtExit=target/entry/entry.jsa -jar target/entry/geraniumusher-entryd.jar 0 train \
   || echo "no class data archive" >&2
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -429,7 +429,7 @@
         long now = mClock.getAsLong();
         exchange.endAttempt();
         upstream.load().onNoAnswer(now);
-        mRequestLog.notSent(upstream, cause);
+        mRequestLog.notSent(exchange, upstream, cause);
         mOnUnreachable.accept(upstream.entry().life());
         exchange.setWaitReason(ResultCode.CONNECT_FAILED);
         if (exchange.sends() < MAX_SENDS) {
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -6,6 +6,8 @@
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.traffic.RouterConfig;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -88,10 +90,12 @@
                 cause);
     }
 
-    void notSent(Upstream upstream, Throwable cause) {
+    void notSent(Exchange exchange, Upstream upstream, Throwable cause) {
         mLog.write(
                 Part.SERVER,
                 "No connection to the server",
+                "id",
+                exchange.id(),
                 "server",
                 upstream.entry().life(),
                 "cause",
@@ -158,6 +162,24 @@
                                 "load %.1f of %d slots",
                                 owner.load().expectedLoad(mClock.getAsLong()),
                                 owner.entry().slots());
-        return assignment.owner() + (assignment.isMoving() ? " (moving), " : ", ") + load;
+        return assignment.owner() + describeState(exchange, assignment, owner) + ", " + load;
+    }
+
+    /** Tells what keeps requests from the owner apart from its load. */
+    private String describeState(Exchange exchange, Assignment assignment, Upstream owner) {
+        List<String> states = new ArrayList<>();
+        if (!mDirectory.tables().mayServe(exchange.service(), assignment)) {
+            states.add("moving from " + String.join(" and ", assignment.previous()));
+        }
+        if (owner != null && owner.load().isSuspect(mClock.getAsLong())) {
+            states.add("calls to it fail");
+        }
+        if (owner != null && owner.isRetired()) {
+            states.add("leaving");
+        }
+        if (owner != null && mDirectory.evacuated().contains(owner.entry().dataCentre())) {
+            states.add("evacuated");
+        }
+        return states.isEmpty() ? "" : " (" + String.join(", ", states) + ")";
     }
 }
