--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -117,7 +117,8 @@
         return Optional.ofNullable(mRecord);
     }
 
-    private boolean isOwn() {
+    /** Reports whether the record, as last seen, names this incarnation of this daemon. */
+    public boolean isOwn() {
         return mRecord != null
                 && mRecord.daemon().equals(mDaemon)
                 && mRecord.incarnation() == mIncarnation;
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -16,6 +16,13 @@
     private static final long MILLI = 1_000_000L;
     private static final long FENCE = 5;
 
+    /** All keys move from a to b. */
+    private static final RangeTable MOVING =
+            RangeTable.of(
+                    FENCE,
+                    ImmutableList.of(
+                            new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"))));
+
     private final Calls mCalls = new Calls();
     private final FormerHolders mFormerHolders = FormerHolders.create();
     private final RangeCoordinator mCoordinator =
@@ -56,11 +63,15 @@
 
     /** Starts a term in which all keys move from a to b. */
     private void startMove() {
+        startMove(0, 0);
+    }
+
+    /** Starts a term at a time, after a coordinator that was last confirmed by another. */
+    private void startMove(long formerConfirmedBy, long now) {
         servers("b", "c");
-        Assignment moving = new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"));
-        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(moving))), 0, 0);
-        mCoordinator.tick(0);
-        mCoordinator.onWritten(10, MILLI);
+        mCoordinator.start(Optional.of(MOVING), formerConfirmedBy, now);
+        mCoordinator.tick(now);
+        mCoordinator.onWritten(10, now);
     }
 
     @Test
@@ -104,12 +115,7 @@
      */
     @Test
     void tick_formerCoordinatorWasConfirmedLongAgo_silentHolderIsWaitedForFromThen() {
-        servers("b", "c");
-        Assignment moving = new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"));
-        long now = 6_000 * MILLI;
-        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(moving))), 0, now);
-        mCoordinator.tick(now);
-        mCoordinator.onWritten(10, now);
+        startMove(0, 6_000 * MILLI);
 
         mCoordinator.tick(12_000 * MILLI);
         assertThat(mCalls.mGrants).isEmpty();
@@ -146,14 +152,8 @@
     /** A daemon that saw the move begin under another coordinator must not wait anew. */
     @Test
     void tick_moveBeganUnderAnotherCoordinator_silentHolderIsWaitedForFromThen() {
-        servers("b", "c");
-        Assignment moving = new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"));
-        RangeTable table = RangeTable.of(FENCE, ImmutableList.of(moving));
-        mFormerHolders.onTable(table, true, 0);
-        long now = 10_000 * MILLI;
-        mCoordinator.start(Optional.of(table), now, now);
-        mCoordinator.tick(now);
-        mCoordinator.onWritten(10, now);
+        mFormerHolders.onTable(MOVING, true, 0);
+        startMove(10_000 * MILLI, 10_000 * MILLI);
 
         mCoordinator.tick(10_500 * MILLI);
         assertThat(mCalls.mGrants).isEmpty();
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorDuty.java
@@ -174,9 +174,7 @@
         mNextWrite = now + TimeUnit.MILLISECONDS.toNanos(300);
         ObjectNode spec = encode(identity());
         Optional<CoordinatorRecord> known = mElection.record();
-        boolean newTerm =
-                known.map(r -> !r.daemon().equals(identity()) || r.incarnation() != mIncarnation)
-                        .orElse(true);
+        boolean newTerm = !mElection.isOwn();
         CompletableFuture<StoreResult> call =
                 known.isEmpty()
                         ? mStore.create(StoreKind.COORDINATORS, RECORD, spec)
@@ -218,12 +216,7 @@
 
     /** Forgets the grants of a term that another daemon has ended. */
     private void dropServicesUnlessOwn() {
-        boolean own =
-                mElection
-                        .record()
-                        .map(r -> r.daemon().equals(identity()) && r.incarnation() == mIncarnation)
-                        .orElse(false);
-        if (!own) {
+        if (!mElection.isOwn()) {
             mServices.clear();
         }
     }
