Watch server entries through feeders in large fleets; count lapsed entries from the store's return

Ruled out: stale watches for a tenth of the price, since they may be seconds old and the bounds for leaving servers are 2 to 2.5 s; longer waits, which save a third of the idle ones only. Change 1: in fleets above 16 daemons two daemons of each data centre watch the entries; the others ask them, on connections between daemons, which cost no call. A feeder vouches for its copy only for 1.6 s after the store itself has answered; without such a feeder a daemon watches the store. Leaving servers get requests for that much less. Lists at the start are no longer made twice; the other kinds wait 30 s instead of 20.

Cause 2: the time in which a server may register again was counted from the beginning of an outage, so after one of more than 2 s keys moved away from servers whose entries had lapsed. DirectoryTest fails before (mayRegisterAgain is false at the return) and passes after. RelayTest (over sockets), FeedersTest, ChangeHistoryTest and DirectoryTest are new.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -26,8 +26,11 @@
  * and an entry of a server is left out.
  */
 final class Directory {
-    /** A server whose entry has gone while the store was away may register again in this time. */
-    private static final long REGISTER_AGAIN_NANOS = 2_000_000_000L;
+    /**
+     * A server whose entry lapsed while the store was away registers again within about 2 s of its
+     * return; the rest is the time until this daemon has read it.
+     */
+    private static final long REGISTER_AGAIN_NANOS = 2_300_000_000L;
 
     /** Long enough to see what is wrong with an entry. */
     private static final int MAX_LOGGED_CHARS = 400;
@@ -245,7 +248,6 @@
     /** Reports whether an entry that is missing now may only have lapsed with the store away. */
     boolean mayRegisterAgain(long nowNanos) {
         KindMirror servers = mMirrors.get(StoreKind.SERVERS);
-        return !servers.isReachable()
-                || nowNanos - servers.unreachableSince() < REGISTER_AGAIN_NANOS;
+        return !servers.isReachable() || nowNanos - servers.reachableSince() < REGISTER_AGAIN_NANOS;
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -44,6 +44,9 @@
     /** Requests to a leaving server end this long before they must, for what is on its way. */
     private static final double DRAIN_SHARE = 0.7;
 
+    /** Time of a request on its way to a server, and of a change on its way from the store. */
+    private static final long TRANSIT_NANOS = 200_000_000;
+
     private static final int MAX_WAITING = 2_000;
 
     private static final Comparator<Exchange> MOST_URGENT_FIRST =
@@ -97,6 +100,7 @@
     private int mInProgress;
     private boolean mStopping;
     private int mDaemons = 10;
+    private long mEntryLagNanos;
     private Consumer<String> mOnUnreachable = life -> {};
 
     Dispatcher(
@@ -130,6 +134,11 @@
         mDaemons = Math.max(1, daemons);
     }
 
+    /** Takes by how much changes of server entries may be known late. */
+    void setEntryLag(long nanos) {
+        mEntryLagNanos = nanos;
+    }
+
     /** Refuses requests that arrive from now on, because they might not end before the stop. */
     void beginStop() {
         mStopping = true;
@@ -288,9 +297,7 @@
             return Optional.empty();
         }
         boolean mustNot =
-                upstream.isRetired()
-                                && now - upstream.leavingSince()
-                                        > DRAIN_SHARE * mSettings.drainNanos()
+                upstream.isRetired() && now - upstream.leavingSince() > drainNanosLeft()
                         || mDirectory.isOutOfService(upstream.entry());
         if (mustNot || upstream.load().isSuspect(now)) {
             return Optional.empty();
@@ -299,6 +306,12 @@
         return isAdmitted(exchange, upstream, now) ? Optional.of(upstream) : Optional.empty();
     }
 
+    /** Returns how long a leaving server may get requests after this daemon has learnt of it. */
+    private long drainNanosLeft() {
+        long drain = mSettings.drainNanos();
+        return Math.min((long) (drain * DRAIN_SHARE), drain - mEntryLagNanos - TRANSIT_NANOS);
+    }
+
     private boolean isAdmitted(Exchange exchange, Upstream upstream, long now) {
         ServerLoad load = upstream.load();
         boolean inTime = now + load.expectedNanos(now) <= exchange.goalAt();
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -72,7 +72,10 @@
         EventThread thread = new LoopThread(mLoop, log);
         KeyWork keyWork = new KeyWork();
         Store store = new MeteredStore(parts.store(), mMetrics);
-        mDirectory = new Directory(store, parts.wire(), thread, clock, log);
+        HttpClient client = HttpClient.create(mGroup);
+        RelayedStore relayed =
+                new RelayedStore(store, settings, parts.wire(), client, thread, clock, log);
+        mDirectory = new Directory(relayed, parts.wire(), thread, clock, log);
         mDispatcher =
                 new Dispatcher(
                         settings,
@@ -97,7 +100,6 @@
                         mMetrics);
         mCoordinator = new CoordinatorDuty(duty);
         mDispatcher.setUnreachableListener(mCoordinator::verify);
-        HttpClient client = HttpClient.create(mGroup);
         FleetStatus fleet = new FleetStatus(duty, mCoordinator, client);
         mPeers =
                 new PeerService(
@@ -107,6 +109,7 @@
                         mDispatcher,
                         keyWork,
                         fleet,
+                        relayed,
                         client,
                         mGroup);
         mOperator = new OperatorEndpoint(duty, mCoordinator, mPeers, fleet);
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -1,5 +1,6 @@
 package org.geraniumusher.entry;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 
 import org.geraniumusher.entry.StoreResult.Changes;
@@ -8,6 +9,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -28,8 +30,8 @@
          * priced.
          */
         SENTINEL(2_000, 400),
-        /** Relies on the sentinel. */
-        FOLLOWER(20_000, 3_000);
+        /** Relies on the sentinel. A longer wait than this is refused by the store. */
+        FOLLOWER(30_000, 3_000);
 
         private final long mWatchMillis;
         private final long mRetryMillis;
@@ -62,8 +64,14 @@
     private boolean mListed;
     private boolean mReachable;
     private long mUnreachableSince;
+    private long mReachableSince;
     private int mFailures;
 
+    /** What watches have told lately, for daemons that follow this one. */
+    private final ChangeHistory mHistory = new ChangeHistory();
+
+    private long mAnsweredAt;
+
     KindMirror(
             StoreKind kind,
             Role role,
@@ -115,14 +123,29 @@
         return mReachable;
     }
 
+    /** Returns the time of the last answer to a list or a watch. */
+    long answeredAt() {
+        return mAnsweredAt;
+    }
+
+    /** Returns what has changed since a revision, or empty when that is not known any more. */
+    Optional<ImmutableList<StoreResult.Change>> changesSince(long revision) {
+        return mHistory.since(revision);
+    }
+
     /** Returns the time since which the store does not answer; only then is it of use. */
     long unreachableSince() {
         return mUnreachableSince;
     }
 
+    /** Returns the time since which the store answers again; only then is it of use. */
+    long reachableSince() {
+        return mReachableSince;
+    }
+
     /** Calls at once because another kind got an answer. */
     void resume() {
-        if (!mReachable) {
+        if (!mReachable && mFailures > 0) {
             mGeneration++;
             retry();
         }
@@ -151,6 +174,7 @@
                     "revision",
                     revision);
             mRevision = revision;
+            mHistory.beginAt(mRevision);
             mObjects = ImmutableMap.copyOf(objects);
             mListed = false;
             mOnChange.run();
@@ -190,6 +214,7 @@
         }
         if (page.revision() >= mRevision) {
             mRevision = page.revision();
+            mHistory.beginAt(mRevision);
             mObjects = ImmutableMap.copyOf(mListing);
             mListed = true;
             mOnChange.run();
@@ -240,6 +265,7 @@
 
     private void apply(Changes changes) {
         mRevision = Math.max(mRevision, changes.revision());
+        mHistory.add(changes.changes(), mRevision);
         if (!changes.changes().isEmpty()) {
             Map<String, StoreObject> next = new HashMap<>(mObjects);
             for (StoreResult.Change change : changes.changes()) {
@@ -255,8 +281,10 @@
     }
 
     private void onAnswer() {
+        mAnsweredAt = mClock.getAsLong();
         if (!mReachable) {
             mReachable = true;
+            mReachableSince = mClock.getAsLong();
             mLog.write(
                     DecisionLog.Part.STORE, "Store answers", "kind", mKind, "revision", mRevision);
             mOnReachable.run();
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -19,9 +19,11 @@
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.keyrange.CoordinatorRecord;
 import org.geraniumusher.model.Address;
+import org.geraniumusher.relay.Feeders;
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -56,6 +58,8 @@
     private final Dispatcher mDispatcher;
     private final KeyWork mKeyWork;
     private final FleetStatus mFleet;
+    private final RelayedStore mRelayed;
+    private final RelayEndpoint mRelay;
     private final TableExchange mTables;
     private final EventThread mThread;
     private final LongSupplier mClock;
@@ -76,6 +80,7 @@
             Dispatcher dispatcher,
             KeyWork keyWork,
             FleetStatus fleet,
+            RelayedStore relayed,
             HttpClient client,
             EventLoopGroup group) {
         mSettings = parts.settings();
@@ -90,6 +95,8 @@
         mDispatcher = dispatcher;
         mKeyWork = keyWork;
         mFleet = fleet;
+        mRelayed = relayed;
+        mRelay = new RelayEndpoint(parts, relayed);
         mClient = client;
         mRandom = new Random(mIncarnation);
         mPeers.addAll(mSettings.seeds());
@@ -134,6 +141,7 @@
         mRegistering = true;
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
         spec.put("peer", mSettings.peers().toString());
+        spec.put("data_centre", mSettings.dataCentre());
         spec.put("incarnation", mIncarnation);
         mStore.create(StoreKind.DAEMONS, mSettings.name(), spec)
                 .thenAccept(
@@ -176,9 +184,13 @@
 
     private void onDaemons(StoreResult result) {
         if (result instanceof StoreResult.Page page) {
+            List<Feeders.Member> members = new ArrayList<>();
             for (StoreObject object : page.objects()) {
                 try {
-                    mPeers.add(Address.of(object.spec().path("peer").asText()));
+                    Address peer = Address.of(object.spec().path("peer").asText());
+                    mPeers.add(peer);
+                    String dataCentre = object.spec().path("data_centre").asText();
+                    members.add(new Feeders.Member(object.name(), dataCentre, peer));
                 } catch (IllegalArgumentException e) {
                     mLog.write(
                             Part.PEER,
@@ -189,6 +201,8 @@
                             e.getMessage());
                 }
             }
+            mRelayed.setMembers(members);
+            mDispatcher.setEntryLag(mRelayed.isFollower() ? RelayEndpoint.VOUCH_NANOS : 0);
             if (!page.objects().isEmpty()) {
                 mDispatcher.setDaemons(page.objects().size());
             }
@@ -275,6 +289,8 @@
                     && call.path().equals(TableExchange.TABLE_PATH)) {
                 mTables.takeTable(MAPPER.readTree(call.body()));
                 responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.path().equals(RelayEndpoint.PATH)) {
+                mRelay.answer(call, responder);
             } else if (call.path().equals(FleetStatus.PATH)) {
                 responder.reply(mFleet.answer());
             } else if (call.path().equals(TableExchange.GRANTED_PATH)) {
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -5,7 +5,9 @@
 import com.google.common.collect.ImmutableList;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.TreeMap;
@@ -16,6 +18,7 @@
     private final Map<StoreKind, TreeMap<String, StoreObject>> mKinds =
             new EnumMap<>(StoreKind.class);
     private final Queue<Runnable> mHeld = new ArrayDeque<>();
+    private final List<CompletableFuture<StoreResult>> mWatches = new ArrayList<>();
     private long mRevision = 1;
     private boolean mHolding;
     private boolean mDown;
@@ -77,7 +80,26 @@
 
     @Override
     public CompletableFuture<StoreResult> watch(StoreKind kind, long revision, long waitMillis) {
-        return new CompletableFuture<>();
+        if (mDown) {
+            return answer(new StoreResult.Refused(503));
+        }
+        CompletableFuture<StoreResult> watch = new CompletableFuture<>();
+        mWatches.add(watch);
+        return watch;
+    }
+
+    /** Ends all watches that wait, as an outage does. */
+    void failWatches() {
+        List<CompletableFuture<StoreResult>> watches = List.copyOf(mWatches);
+        mWatches.clear();
+        watches.forEach(w -> w.complete(new StoreResult.Refused(503)));
+    }
+
+    /** Tells all watches that wait that their history is gone. */
+    void dropHistory() {
+        List<CompletableFuture<StoreResult>> watches = List.copyOf(mWatches);
+        mWatches.clear();
+        watches.forEach(w -> w.complete(new StoreResult.HistoryGone()));
     }
 
     @Override
