--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -46,6 +46,11 @@
     private static final long REPORT_NANOS = 500_000_000L;
     private static final long LIST_NANOS = 5_000_000_000L;
 
+    /** After a start of all daemons, the list of them grows within this time. */
+    private static final long GROWING_NANOS = 4_000_000_000L;
+
+    private static final long GROWING_LIST_NANOS = 1_000_000_000L;
+
     /** A watch that ended is begun again within this time if the store is there. */
     private static final long STORE_AWAY_NANOS = 400_000_000L;
 
@@ -68,6 +73,7 @@
     private final HttpServer mServer;
     private final Random mRandom;
     private final Set<Address> mPeers = new LinkedHashSet<>();
+    private long mStartedAt;
     private long mNextReport;
     private long mNextList;
     private boolean mRegistered;
@@ -110,6 +116,7 @@
     }
 
     void start() {
+        mStartedAt = mClock.getAsLong();
         tick();
     }
 
@@ -123,7 +130,7 @@
             register();
         }
         if (now >= mNextList) {
-            mNextList = now + LIST_NANOS;
+            mNextList = now + (now - mStartedAt < GROWING_NANOS ? GROWING_LIST_NANOS : LIST_NANOS);
             listDaemons();
         }
         if (!mDirectory.tables().isKnown()) {
--- a/entry/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -11,22 +11,16 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 
 import org.geraniumusher.model.Address;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.BiConsumer;
 
@@ -139,36 +133,5 @@
         public void drop() {
             mContext.close();
         }
-
-        @Override
-        public LineSink startLines() {
-            DefaultHttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            mContext.writeAndFlush(response);
-            return new ChannelLineSink(mContext);
-        }
-    }
-
-    /** Writes the lines of an open reply. */
-    private static final class ChannelLineSink implements Responder.LineSink {
-        private final ChannelHandlerContext mContext;
-
-        ChannelLineSink(ChannelHandlerContext context) {
-            mContext = context;
-        }
-
-        @Override
-        public boolean send(String line) {
-            byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
-            mContext.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
-            return mContext.channel().isActive();
-        }
-
-        @Override
-        public void close() {
-            mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(done -> mContext.close());
-        }
     }
 }
