Revert "Trial: share of load by the square of the speed while a service has room"

Trial: capacity of a server in the planner by the square of its speed up to 55% utilization, by the speed from 90%.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeDuty.java
@@ -12,16 +12,13 @@
 import org.geraniumusher.keyrange.RangeCoordinator;
 import org.geraniumusher.keyrange.RangeServer;
 import org.geraniumusher.keyrange.RangeTable;
-import org.geraniumusher.keyrange.ServerSpeeds;
 import org.geraniumusher.traffic.ServerEntry;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -37,6 +34,13 @@
     private static final long TELL_AGAIN_NANOS = 1_000_000_000L;
 
     private static final double COLD_CAPACITY = 0.4;
+    private static final double SPEED_SMOOTHING = 0.05;
+
+    /** The mean of all servers changes more slowly than that of each. */
+    private static final double MEAN_SMOOTHING = 0.01;
+
+    private static final double MIN_SPEED = 0.4;
+    private static final double MAX_SPEED = 1.6;
 
     /** Tells other daemons what the coordinator of a service has done. */
     interface Publisher {
@@ -72,8 +76,9 @@
     private final RangeCoordinator mCoordinator;
     private final Map<String, ServerEntry> mKnown = new HashMap<>();
     private final EndProofs mProofs = EndProofs.create();
-    private final ServerSpeeds mSpeeds = ServerSpeeds.create();
+    private final Map<String, Double> mTook = new HashMap<>();
     private final Map<String, Long> mColdUntil = new HashMap<>();
+    private double mMeanTook;
 
     /** The entries that were last looked through; a change brings another map. */
     private ImmutableMap<String, ServerEntry> mNoted = ImmutableMap.of();
@@ -183,23 +188,18 @@
             mNoted = present;
             present.values().forEach(entry -> noteEntry(entry, now));
         }
-        Map<String, ServerEntry> usable = new TreeMap<>();
+        List<RangeServer> servers = new ArrayList<>();
         for (ServerEntry entry : mKnown.values()) {
-            if (present.containsKey(entry.life()) || mDirectory.mayRegisterAgain(now)) {
-                usable.put(entry.life(), entry);
+            boolean listed = present.containsKey(entry.life());
+            boolean mayTake = listed && !entry.leaving() && !mDirectory.isOutOfService(entry);
+            if (listed || mDirectory.mayRegisterAgain(now)) {
+                boolean usable = mayTake || !listed && !entry.leaving();
+                servers.add(new RangeServer(entry.life(), capacity(entry, now), usable));
             }
         }
-        ImmutableMap<String, Double> shares =
-                mSpeeds.shares(usable.keySet(), utilization(usable.values(), now));
-        List<RangeServer> servers = new ArrayList<>();
-        usable.forEach(
-                (life, entry) ->
-                        servers.add(
-                                new RangeServer(
-                                        life,
-                                        capacity(entry, shares.get(life), now),
-                                        mayTake(entry, present.containsKey(life)))));
-        ImmutableList<String> lives = ImmutableList.copyOf(usable.keySet());
+        servers.sort((a, b) -> a.life().compareTo(b.life()));
+        ImmutableList<String> lives =
+                servers.stream().map(RangeServer::life).collect(ImmutableList.toImmutableList());
         if (!lives.equals(mLastLives)) {
             mLastLives = lives;
             mServersChangedAt = now;
@@ -207,17 +207,6 @@
         mCoordinator.onServers(servers);
     }
 
-    /** An entry that has lapsed says nothing of evacuations, so the server keeps what it has. */
-    private boolean mayTake(ServerEntry entry, boolean listed) {
-        return !entry.leaving() && (!listed || !mDirectory.isOutOfService(entry));
-    }
-
-    /** Returns the work that callers ask for, relative to the slots of the servers. */
-    private double utilization(Collection<ServerEntry> servers, long now) {
-        int slots = servers.stream().mapToInt(ServerEntry::slots).sum();
-        return slots == 0 ? 0 : mLoad.total() / (slots * mLoad.countedSeconds(now));
-    }
-
     private void noteEntry(ServerEntry entry, long now) {
         noteSuccessor(entry);
         if (!entry.service().equals(mService)) {
@@ -242,16 +231,24 @@
         }
     }
 
-    private double capacity(ServerEntry entry, double share, long now) {
+    private double capacity(ServerEntry entry, long now) {
+        double took = mTook.getOrDefault(entry.life(), mMeanTook);
+        double speed = took <= 0 ? 1 : mMeanTook / took;
+        speed = Math.max(MIN_SPEED, Math.min(MAX_SPEED, speed));
         boolean cold = now < mColdUntil.getOrDefault(entry.life(), now);
-        return entry.slots() * share * mLoad.countedSeconds(now) * (cold ? COLD_CAPACITY : 1);
+        return entry.slots() * speed * mLoad.countedSeconds(now) * (cold ? COLD_CAPACITY : 1);
     }
 
     /** Takes what a daemon reports. */
     void onReport(KeyWork.Report report) {
-        report.runs().forEach(run -> mSpeeds.onRun(run.life(), run.tookNanos() / 1e9));
+        for (KeyWork.Run run : report.runs()) {
+            double seconds = run.tookNanos() / 1e9;
+            mMeanTook =
+                    mMeanTook == 0 ? seconds : mMeanTook + MEAN_SMOOTHING * (seconds - mMeanTook);
+            mTook.merge(run.life(), seconds, (old, took) -> old + SPEED_SMOOTHING * (took - old));
+        }
         long now = mClock.getAsLong();
-        double work = mSpeeds.meanSeconds(UpstreamSet.FIRST_WORK_NANOS / 1e9);
+        double work = mMeanTook == 0 ? UpstreamSet.FIRST_WORK_NANOS / 1e9 : mMeanTook;
         report.keys().forEach(key -> mLoad.add(key, work, now));
     }
 
