Let followers stop sending to leaving servers earlier by their largest lag

Change: the time for which a leaving owner still gets requests is shorter by that much, and never negative.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -309,7 +309,8 @@
     /** Returns how long a leaving server may get requests after this daemon has learnt of it. */
     private long drainNanosLeft() {
         long drain = mSettings.drainNanos();
-        return Math.min((long) (drain * DRAIN_SHARE), drain - mEntryLagNanos - TRANSIT_NANOS);
+        long left = Math.min((long) (drain * DRAIN_SHARE), drain - mEntryLagNanos - TRANSIT_NANOS);
+        return Math.max(0, left);
     }
 
     private boolean isAdmitted(Exchange exchange, Upstream upstream, long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -43,7 +43,7 @@
     }
 
     /** Pause after changes, so that those which come together cost one call. */
-    private static final long SETTLE_MILLIS = 300;
+    static final long SETTLE_MILLIS = 300;
 
     /** Pause after a first call that failed: the connection may have been reset. */
     private static final long FIRST_RETRY_MILLIS = 100;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -209,7 +209,7 @@
                 }
             }
             mRelayed.setMembers(members);
-            mDispatcher.setEntryLag(mRelayed.isFollower() ? RelayEndpoint.VOUCH_NANOS : 0);
+            mDispatcher.setEntryLag(mRelayed.isFollower() ? RelayEndpoint.MAX_LAG_NANOS : 0);
             if (!page.objects().isEmpty()) {
                 mDispatcher.setDaemons(page.objects().size());
             }
