Keep watches within the store's history; deflate tables between daemons; remove dead code

Cause 1: watches of 30 s end with their history gone, since the store keeps 20 s; each daemon then lists all kinds again.

--- a/decisions/src/main/java/org/geraniumusher/traffic/ServerEntry.java
+++ b/decisions/src/main/java/org/geraniumusher/traffic/ServerEntry.java
@@ -59,10 +59,4 @@
     public static String lifeOf(String id, long bornMillis) {
         return id + "@" + bornMillis;
     }
-
-    /** Returns the id of the server that a name of a life belongs to. */
-    public static String idOf(String life) {
-        int at = life.lastIndexOf('@');
-        return at < 0 ? life : life.substring(0, at);
-    }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -30,8 +30,11 @@
          * priced.
          */
         SENTINEL(2_000, 400),
-        /** Relies on the sentinel. A longer wait than this is refused by the store. */
-        FOLLOWER(30_000, 3_000);
+        /**
+         * Relies on the sentinel. The wait is no longer than the history of the store: the revision
+         * of a longer one is forgotten when it ends, and all kinds are listed again.
+         */
+        FOLLOWER(20_000, 3_000);
 
         private final long mWatchMillis;
         private final long mRetryMillis;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -294,14 +294,14 @@
                 responder.reply(HttpReply.of(200, "{}"));
             } else if (call.method().equals("POST")
                     && call.path().equals(TableExchange.TABLE_PATH)) {
-                mTables.takeTable(MAPPER.readTree(call.body()));
+                mTables.takeTable(DeflatedJson.decode(call));
                 responder.reply(HttpReply.of(200, "{}"));
             } else if (call.path().equals(RelayEndpoint.PATH)) {
                 mRelay.answer(call, responder);
             } else if (call.path().equals(FleetStatus.PATH)) {
                 responder.reply(mFleet.answer());
             } else if (call.path().equals(TableExchange.GRANTED_PATH)) {
-                mTables.takeGranted(MAPPER.readTree(call.body()));
+                mTables.takeGranted(DeflatedJson.decode(call));
                 responder.reply(HttpReply.of(200, "{}"));
             } else if (call.path().equals(TableExchange.TABLES_PATH)) {
                 responder.reply(mTables.allTables());
--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -77,10 +77,10 @@
     }
 
     private void sendToOthers(String path, ObjectNode body) {
-        String text = body.toString();
+        HttpCall call = DeflatedJson.encode(HttpCall.of("POST", path, body.toString()));
         for (Address peer : mOthers.get()) {
             // A daemon that misses this finds the table by its next poll of the store.
-            mClient.call(peer, HttpCall.of("POST", path, text), TIMEOUT);
+            mClient.call(peer, call, TIMEOUT);
         }
     }
 
--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -21,21 +21,16 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 
 import org.geraniumusher.model.Address;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Map;
@@ -139,34 +134,6 @@
         }
     }
 
-    /**
-     * Makes a call whose reply is lines. {@code onClosed} runs once, with the status of the reply,
-     * or 0 when there was none. Closing the returned handle ends the call.
-     */
-    public AutoCloseable lines(
-            Address address, HttpCall call, Consumer<String> onLine, Consumer<Integer> onClosed) {
-        Duration connectTimeout = Duration.ofSeconds(1);
-        ChannelFuture connecting =
-                open(
-                        address,
-                        connectTimeout,
-                        channel ->
-                                channel.pipeline()
-                                        .addLast(new HttpClientCodec())
-                                        .addLast(new LinesHandler(onLine, onClosed)));
-        sendWhenOpen(
-                connecting,
-                address,
-                call,
-                cause -> {
-                    if (connecting.channel().pipeline().get(LinesHandler.class) == null
-                            || !connecting.isSuccess()) {
-                        onClosed.accept(0);
-                    }
-                });
-        return () -> connecting.channel().close();
-    }
-
     private ChannelFuture open(Address address, Duration timeout, Consumer<Channel> pipeline) {
         ChannelHandler initializer =
                 new ChannelInitializer<SocketChannel>() {
@@ -188,28 +155,6 @@
         return (int) Math.min(timeout.toMillis(), MAX_CONNECT_MILLIS);
     }
 
-    private static void sendWhenOpen(
-            ChannelFuture connecting,
-            Address address,
-            HttpCall call,
-            Consumer<Throwable> onFailure) {
-        connecting.addListener(
-                (ChannelFuture opened) -> {
-                    if (!opened.isSuccess()) {
-                        onFailure.accept(opened.cause());
-                        return;
-                    }
-                    opened.channel()
-                            .writeAndFlush(toRequest(address, call))
-                            .addListener(
-                                    written -> {
-                                        if (!written.isSuccess()) {
-                                            onFailure.accept(written.cause());
-                                        }
-                                    });
-                });
-    }
-
     private static DefaultFullHttpRequest toRequest(Address address, HttpCall call) {
         ByteBuf body = Unpooled.wrappedBuffer(call.body());
         DefaultFullHttpRequest request =
@@ -321,51 +266,4 @@
             }
         }
     }
-
-    /** Splits a reply into lines. */
-    private static final class LinesHandler extends SimpleChannelInboundHandler<HttpObject> {
-        private final Consumer<String> mOnLine;
-        private final Consumer<Integer> mOnClosed;
-        private final StringBuilder mPartial = new StringBuilder();
-        private int mStatus;
-
-        LinesHandler(Consumer<String> onLine, Consumer<Integer> onClosed) {
-            mOnLine = onLine;
-            mOnClosed = onClosed;
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (part instanceof HttpResponse response) {
-                mStatus = response.status().code();
-            }
-            if (part instanceof HttpContent content && mStatus == 200) {
-                mPartial.append(content.content().toString(StandardCharsets.UTF_8));
-                takeLines();
-            }
-            if (part instanceof LastHttpContent) {
-                context.close();
-            }
-        }
-
-        private void takeLines() {
-            int end = mPartial.indexOf("\n");
-            while (end >= 0) {
-                String line = mPartial.substring(0, end);
-                mPartial.delete(0, end + 1);
-                mOnLine.accept(line);
-                end = mPartial.indexOf("\n");
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            mOnClosed.accept(mStatus);
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
 }
--- a/entry/src/main/java/org/geraniumusher/operator/Json.java
+++ b/entry/src/main/java/org/geraniumusher/operator/Json.java
@@ -35,20 +35,6 @@
         return read(text, JsonNode.class);
     }
 
-    /** Turns a value into a tree. */
-    public static JsonNode toTree(Object value) {
-        return MAPPER.valueToTree(value);
-    }
-
-    /** Turns a tree into a value; throws {@link IllegalArgumentException} with the reason. */
-    public static <T> T fromTree(JsonNode tree, Class<T> type) {
-        try {
-            return MAPPER.treeToValue(tree, type);
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(reason(e), e);
-        }
-    }
-
     private static String reason(JsonProcessingException e) {
         Throwable cause = e.getCause();
         String text = cause instanceof IllegalArgumentException ? cause.getMessage() : null;
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -49,6 +49,18 @@
         assertThat(mDirectory.mayRegisterAgain(mThread.now())).isFalse();
     }
 
+    /**
+     * The store keeps 20 s of history. Seen on the grown quiet day of vtgw-gate: watches of 30 s
+     * ended with their history gone, and each daemon listed all kinds again every 30 s.
+     */
+    @Test
+    void start_watches_waitNoLongerThanTheHistoryOfTheStore() {
+        mDirectory.start();
+
+        assertThat(mStore.longestWaitMillis()).isGreaterThan(0L);
+        assertThat(mStore.longestWaitMillis()).isAtMost(20_000L);
+    }
+
     @Test
     void mayRegisterAgain_storeNeverAway_isFalse() {
         mStore.put(StoreKind.SERVERS, "a", FakeWire.entry(1, false));
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -19,6 +19,7 @@
             new EnumMap<>(StoreKind.class);
     private final Queue<Runnable> mHeld = new ArrayDeque<>();
     private final List<CompletableFuture<StoreResult>> mWatches = new ArrayList<>();
+    private long mLongestWaitMillis;
     private long mRevision = 1;
     private boolean mHolding;
     private boolean mDown;
@@ -80,6 +81,7 @@
 
     @Override
     public CompletableFuture<StoreResult> watch(StoreKind kind, long revision, long waitMillis) {
+        mLongestWaitMillis = Math.max(mLongestWaitMillis, waitMillis);
         if (mDown) {
             return answer(new StoreResult.Refused(503));
         }
@@ -88,6 +90,10 @@
         return watch;
     }
 
+    long longestWaitMillis() {
+        return mLongestWaitMillis;
+    }
+
     /** Ends all watches that wait, as an outage does. */
     void failWatches() {
         List<CompletableFuture<StoreResult>> watches = List.copyOf(mWatches);
