Vouch for server entries only after the store itself has answered

Cause: a follower that turned to the store counted as direct when it sent the watch, and would have vouched for up to 1.6 s for a copy that a feeder gave it. Change: direct from the answer on. RelayedStoreTest.isDirect_watchIsNotAnsweredYet_isFalse fails before.

--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -43,7 +43,7 @@
     private ImmutableList<Feeders.Member> mFeeders = ImmutableList.of();
     private boolean mFollows;
     private boolean mFeeds;
-    private boolean mLastDirect = true;
+    private boolean mLastDirect;
     private int mCurrent;
     private long mDirectUntil = Long.MIN_VALUE;
 
@@ -95,8 +95,7 @@
             return mStore.watch(kind, revision, waitMillis);
         }
         if (!mFollows || mFeeders.isEmpty() || mClock.getAsLong() < mDirectUntil) {
-            mLastDirect = true;
-            return mStore.watch(kind, revision, mFeeds ? FEEDER_WATCH_MILLIS : waitMillis);
+            return watchStore(revision, mFeeds ? FEEDER_WATCH_MILLIS : waitMillis);
         }
         mLastDirect = false;
         Address feeder = mFeeders.get(mCurrent % mFeeders.size()).peers();
@@ -137,8 +136,17 @@
                 reason);
         mCurrent++;
         mDirectUntil = mClock.getAsLong() + DIRECT_NANOS;
-        mLastDirect = true;
-        mStore.watch(StoreKind.SERVERS, revision, FEEDER_WATCH_MILLIS).thenAccept(result::complete);
+        watchStore(revision, FEEDER_WATCH_MILLIS).thenAccept(result::complete);
+    }
+
+    /** Counts as direct only from the answer on: until then the copy is that of a feeder. */
+    private CompletableFuture<StoreResult> watchStore(long revision, long waitMillis) {
+        return mStore.watch(StoreKind.SERVERS, revision, waitMillis)
+                .thenApply(
+                        result -> {
+                            mThread.execute(() -> mLastDirect = true);
+                            return result;
+                        });
     }
 
     @Override
