Name key ranges as such in the replies of the operator port

JSON fields slice and slices are now range and ranges; daemon and tool ship together. MainTest, OperatorEndpointTest and DaemonLossTest pass.

--- a/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
@@ -133,9 +133,9 @@
     }
 
     /** Shows all former holders that may still hold keys of the range. */
-    private static Replies.SliceRow toRow(Assignment assignment) {
+    private static Replies.RangeRow toRow(Assignment assignment) {
         boolean moving = assignment.isMoving();
-        return new Replies.SliceRow(
+        return new Replies.RangeRow(
                 String.valueOf(assignment.range().first()),
                 String.valueOf(assignment.range().last()),
                 moving ? "-" : assignment.owner(),
--- a/entry/src/main/java/org/geraniumusher/operator/Replies.java
+++ b/entry/src/main/java/org/geraniumusher/operator/Replies.java
@@ -29,18 +29,18 @@
     public record DrainChanged(String name, long version) {}
 
     /** Describes one key range. */
-    public record SliceRow(
+    public record RangeRow(
             String first, String last, String owner, long epoch, String previous, String pending) {}
 
     /** Says who owns a key, at which version of the table. */
-    public record Owner(String service, String key, long version, SliceRow slice) {}
+    public record Owner(String service, String key, long version, RangeRow range) {}
 
     /** Lists the key ranges of a service and its coordinator. */
     public record Assignments(
-            String service, long version, long term, String coordinator, List<SliceRow> slices) {
+            String service, long version, long term, String coordinator, List<RangeRow> ranges) {
         /** Copies the lists. */
         public Assignments {
-            slices = ImmutableList.copyOf(slices);
+            ranges = ImmutableList.copyOf(ranges);
         }
     }
 
--- a/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
@@ -76,16 +76,16 @@
     }
 
     private static Table toTable(Replies.Owner owner) {
-        Replies.SliceRow slice = owner.slice();
+        Replies.RangeRow range = owner.range();
         return Table.of("FIRST", "LAST", "OWNER", "EPOCH", "VERSION", "PREVIOUS", "PENDING")
                 .row(
-                        slice.first(),
-                        slice.last(),
-                        slice.owner(),
-                        slice.epoch(),
+                        range.first(),
+                        range.last(),
+                        range.owner(),
+                        range.epoch(),
                         owner.version(),
-                        slice.previous(),
-                        slice.pending());
+                        range.previous(),
+                        range.pending());
     }
 
     private static Table toTable(Replies.Daemons reply) {
@@ -115,14 +115,14 @@
 
     private static Table toTable(Replies.Assignments reply) {
         Table table = Table.of("FIRST", "LAST", "OWNER", "EPOCH", "PREVIOUS", "PENDING");
-        for (Replies.SliceRow slice : reply.slices()) {
+        for (Replies.RangeRow range : reply.ranges()) {
             table.row(
-                    slice.first(),
-                    slice.last(),
-                    slice.owner(),
-                    slice.epoch(),
-                    slice.previous(),
-                    slice.pending());
+                    range.first(),
+                    range.last(),
+                    range.owner(),
+                    range.epoch(),
+                    range.previous(),
+                    range.pending());
         }
         return table;
     }
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -106,7 +106,7 @@
     @Test
     void ownerAssignments_jsonAndTable() {
         assertThat(run("owner", "catalogue", "17", "--output", "json")).isEqualTo(0);
-        assertThat(Json.readTree(out()).at("/slice/owner").asText()).isEqualTo("bs-1");
+        assertThat(Json.readTree(out()).at("/range/owner").asText()).isEqualTo("bs-1");
         assertThat(run("assignments", "catalogue")).isEqualTo(0);
         assertThat(out()).contains("0      65535  bs-1   2");
     }
--- a/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
+++ b/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
@@ -25,8 +25,8 @@
 
 /** Answers the operator port, with one keyed service "catalogue". Thread-safe. */
 final class TestDaemon implements AutoCloseable {
-    private static final Replies.SliceRow ALL_KEYS =
-            new Replies.SliceRow("0", "65535", "bs-1", 2, "-", "-");
+    private static final Replies.RangeRow ALL_KEYS =
+            new Replies.RangeRow("0", "65535", "bs-1", 2, "-", "-");
 
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
