Choose feeders by the width of their links, deflate what they send, and bound the whole call

At that time 95 servers of ba-c came back and a burst was on; a feeder sends each batch of changes to 24 followers, 0.4 KB an entry, which fills a link of 10 Mbit/s for 0.7 s and more. A call to a feeder could take 2 s and more, since opening a connection and a second try have time limits of their own. That is worked out, not seen in a log: the log of followers does not say when a server turns leaving. Ruled out: the time for which an owner that is known to leave still gets requests (0.4 s for followers). Change: daemons tell the width of their links (limits.link_mbps) in `daemons`, the two widest of a data centre are feeders; their answers are deflated; a call to a feeder that takes 1 s in all has failed.

--- a/decisions/src/main/java/org/geraniumusher/relay/Feeders.java
+++ b/decisions/src/main/java/org/geraniumusher/relay/Feeders.java
@@ -27,10 +27,23 @@
     /** With two feeders the loss of one is bridged; without any, followers go to the store. */
     private static final int PER_DATA_CENTRE = 2;
 
+    /**
+     * A feeder sends each batch of changes to all its followers at once, which fills a narrow link
+     * for longer than the bounds for leaving servers when many servers change.
+     */
+    private static final Comparator<Member> WIDEST_FIRST =
+            Comparator.comparingLong(Member::linkMbps)
+                    .reversed()
+                    .thenComparingInt(m -> hash(m.name()));
+
     private Feeders() {}
 
-    /** One daemon of the fleet. */
-    public record Member(String name, String dataCentre, Address peers) {}
+    /**
+     * One daemon of the fleet.
+     *
+     * @param linkMbps width of its network link, 0 when it is not known
+     */
+    public record Member(String name, String dataCentre, Address peers, long linkMbps) {}
 
     /** Reports whether the fleet is so large that some daemons watch for the others. */
     public static boolean isLarge(Collection<Member> members) {
@@ -59,7 +72,7 @@
     private static List<Member> ranked(Collection<Member> members, String dataCentre) {
         return members.stream()
                 .filter(m -> m.dataCentre().equals(dataCentre))
-                .sorted(Comparator.comparingInt((Member m) -> hash(m.name())))
+                .sorted(WIDEST_FIRST)
                 .limit(PER_DATA_CENTRE)
                 .toList();
     }
--- a/decisions/src/test/java/org/geraniumusher/relay/FeedersTest.java
+++ b/decisions/src/test/java/org/geraniumusher/relay/FeedersTest.java
@@ -20,7 +20,8 @@
                                 new Member(
                                         "entry-" + i,
                                         "dc-" + i % 3,
-                                        new Address("127.0.0.1", 1_000 + i)))
+                                        new Address("127.0.0.1", 1_000 + i),
+                                        i == 30 || i == 33 ? 200 : 10))
                 .toList();
     }
 
@@ -54,6 +55,19 @@
         assertThat(followers).hasSize(6);
     }
 
+    /**
+     * Load pattern: a data centre of servers returns, and each change goes to 24 followers. Seen on
+     * vtgw-gate-grown trouble-1 with feeders of 10 Mbit/s: followers learnt 2.5 s late of servers
+     * that leave.
+     */
+    @Test
+    void of_linksDiffer_feedersAreTheWidest() {
+        List<Member> fleet = fleet(79);
+
+        assertThat(Feeders.of(fleet, "entry-0", "dc-0").stream().map(Member::name))
+                .containsExactly("entry-30", "entry-33");
+    }
+
     @Test
     void of_dataCentreWithoutMembers_isEmpty() {
         assertThat(Feeders.of(fleet(30), "entry-x", "dc-9")).isEmpty();
--- a/entry/src/main/java/org/geraniumusher/entry/EntrySettings.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntrySettings.java
@@ -24,6 +24,7 @@
     private final long mDrainNanos;
     private final double mResendShare;
     private final double mResendSlack;
+    private final long mLinkMbps;
 
     private EntrySettings(Builder builder) {
         mName = checkNotNull(builder.mName, "no name");
@@ -38,6 +39,7 @@
         mDrainNanos = builder.mDrainNanos;
         mResendShare = builder.mResendShare;
         mResendSlack = builder.mResendSlack;
+        mLinkMbps = builder.mLinkMbps;
         checkArgument(mMaxHoldNanos > 0, "bad longest hold: %s ns", mMaxHoldNanos);
         checkArgument(mStopNanos > 0, "bad time to stop: %s ns", mStopNanos);
         checkArgument(mDrainNanos > 0, "bad time to drain: %s ns", mDrainNanos);
@@ -109,6 +111,11 @@
         return mResendSlack;
     }
 
+    /** Returns the width of the network link in Mbit/s, or 0 when it is not known. */
+    public long linkMbps() {
+        return mLinkMbps;
+    }
+
     /** Builds settings. Not thread-safe. */
     public static final class Builder {
         private String mName;
@@ -123,6 +130,7 @@
         private long mDrainNanos = 2_000_000_000L;
         private double mResendShare = 0.2;
         private double mResendSlack = 20;
+        private long mLinkMbps;
 
         private Builder() {}
 
@@ -147,6 +155,12 @@
             return this;
         }
 
+        /** Sets the width of the network link in Mbit/s. */
+        public Builder setLinkMbps(long linkMbps) {
+            mLinkMbps = linkMbps;
+            return this;
+        }
+
         /** Sets peer addresses of some daemons. */
         public Builder setSeeds(List<Address> seeds) {
             mSeeds = ImmutableList.copyOf(seeds);
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -149,6 +149,7 @@
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
         spec.put("peer", mSettings.peers().toString());
         spec.put("data_centre", mSettings.dataCentre());
+        spec.put("link_mbps", mSettings.linkMbps());
         spec.put("incarnation", mIncarnation);
         mStore.create(StoreKind.DAEMONS, mSettings.name(), spec)
                 .thenAccept(
@@ -197,7 +198,8 @@
                     Address peer = Address.of(object.spec().path("peer").asText());
                     mPeers.add(peer);
                     String dataCentre = object.spec().path("data_centre").asText();
-                    members.add(new Feeders.Member(object.name(), dataCentre, peer));
+                    long link = object.spec().path("link_mbps").asLong();
+                    members.add(new Feeders.Member(object.name(), dataCentre, peer, link));
                 } catch (IllegalArgumentException e) {
                     mLog.write(
                             Part.PEER,
--- a/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
@@ -11,7 +11,6 @@
 import org.geraniumusher.http.HttpCall;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.http.Responder;
-import org.geraniumusher.operator.Json;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -111,7 +110,9 @@
         waiter.responder()
                 .reply(
                         changes.isPresent()
-                                ? HttpReply.of(200, encode(mServers.revision(), changes.get()))
+                                ? DeflatedJson.encode(
+                                        HttpReply.of(
+                                                200, encode(mServers.revision(), changes.get())))
                                 : HttpReply.of(HISTORY_GONE, "{}"));
     }
 
@@ -129,7 +130,7 @@
 
     /** Decodes an answer; throws {@link IllegalArgumentException} when it cannot be read. */
     static StoreResult.Changes decode(HttpReply reply, Wire wire) {
-        JsonNode body = Json.readTree(reply.text());
+        JsonNode body = DeflatedJson.decode(reply);
         ImmutableList.Builder<StoreResult.Change> changes = ImmutableList.builder();
         for (JsonNode row : body.path(CHANGES)) {
             changes.add(
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -15,6 +15,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.LongSupplier;
 
 /**
@@ -24,7 +27,10 @@
  * feeder vouches. Confined to the event loop.
  */
 final class RelayedStore implements Store {
-    /** Longer than the wait at the feeder, shorter than the bounds for leaving servers. */
+    /**
+     * Longer than the wait at the feeder, shorter than the bounds for leaving servers. Holds for
+     * the whole call: opening a connection to a feeder with a full link alone may take as long.
+     */
     private static final Duration TIMEOUT = Duration.ofMillis(1_000);
 
     /** A feeder that failed is tried again after this time; a restart takes about as long. */
@@ -100,11 +106,18 @@
         mLastDirect = false;
         Address feeder = mFeeders.get(mCurrent % mFeeders.size()).peers();
         CompletableFuture<StoreResult> result = new CompletableFuture<>();
-        mClient.call(feeder, HttpCall.of("GET", RelayEndpoint.uri(revision)), TIMEOUT)
-                .whenComplete(
-                        (reply, error) ->
-                                mThread.execute(
-                                        () -> onRelayed(feeder, reply, error, revision, result)));
+        CompletableFuture<HttpReply> call =
+                mClient.call(feeder, HttpCall.of("GET", RelayEndpoint.uri(revision)), TIMEOUT);
+        Future<?> timer =
+                mThread.schedule(
+                        () -> call.completeExceptionally(new TimeoutException("no whole answer")),
+                        TIMEOUT.toMillis(),
+                        TimeUnit.MILLISECONDS);
+        call.whenComplete(
+                (reply, error) -> {
+                    timer.cancel(false);
+                    mThread.execute(() -> onRelayed(feeder, reply, error, revision, result));
+                });
         return result;
     }
 
