Log when a server turns leaving, and why

Change: one line with server, cause and revision of the entries; EntryPathTest.server_drains_keysMove fails without.

--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -69,9 +69,10 @@
         Map<String, ServerEntry> entries = mDirectory.servers();
         mUpstreams.entrySet().removeIf(e -> isOver(e.getKey(), e.getValue(), now));
         for (ServerEntry entry : entries.values()) {
-            mUpstreams
-                    .computeIfAbsent(entry.life(), life -> createUpstream(entry))
-                    .update(entry, now);
+            Upstream upstream =
+                    mUpstreams.computeIfAbsent(entry.life(), life -> createUpstream(entry));
+            logIfLeaving(upstream, entry.leaving(), "it drains");
+            upstream.update(entry, now);
         }
         mByService.clear();
         for (Upstream upstream : mUpstreams.values()) {
@@ -86,11 +87,26 @@
             return false;
         }
         if (!mDirectory.mayRegisterAgain(nowNanos)) {
+            logIfLeaving(upstream, true, "its entry is gone");
             upstream.retire(nowNanos);
         }
         return upstream.isRetired() && !isOwner(life);
     }
 
+    private void logIfLeaving(Upstream upstream, boolean leaves, String cause) {
+        if (leaves && !upstream.isRetired()) {
+            mLog.write(
+                    Part.SERVER,
+                    "Server is leaving",
+                    "server",
+                    upstream.entry().life(),
+                    "cause",
+                    cause,
+                    "revision",
+                    mDirectory.mirror(StoreKind.SERVERS).revision());
+        }
+    }
+
     private boolean isOwner(String life) {
         return mDirectory.tables().tables().values().stream()
                 .flatMap(t -> t.assignments().stream())
