Read-through: say what a follower may miss after two faults, and what is not shown

The bound of 1.9 s holds after one fault; a feeder that is cut off from the store and then falls silent makes it 2.9 s.

--- a/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
@@ -31,7 +31,7 @@
     /** A watch of a feeder waits 1 s, and pauses and slow answers come on top. */
     static final long VOUCH_NANOS = 1_600_000_000L;
 
-    /** A follower learns of a change at most this late: it pauses after each batch of changes. */
+    /** Largest lag of a follower after one fault: it pauses after each batch of changes. */
     static final long MAX_LAG_NANOS =
             VOUCH_NANOS + TimeUnit.MILLISECONDS.toNanos(KindMirror.SETTLE_MILLIS);
 
