Tell who closed a connection of a caller, and what was still unsent

An exception on such a connection was dropped without a line.

Connections that end are counted by cause, and separately those with a response that was not sent completely. A connection that ends with requests pending, with an unsent response or after an exception leaves one line. The line of an abandoned request names its age, sends and server.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -13,10 +15,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 
+import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -34,19 +39,45 @@
     private final HeaderNames mHeaders;
     private final LongSupplier mClock;
     private final BooleanSupplier mStopping;
+    private final EntryMetrics mMetrics;
+    private final DecisionLog mLog;
     private final Deque<PendingResponse> mPending = new ArrayDeque<>();
     private long mIdleSinceNanos;
     private boolean mClosing;
 
+    /** Responses that were passed to the channel and are not sent completely. */
+    private int mUnsentResponses;
+
+    private CloseCause mCloseCause = CloseCause.CALLER;
+    private String mFailure = "";
+
+    /** Why a connection ended. */
+    enum CloseCause {
+        /** The caller closed it, or its network did. */
+        CALLER,
+        /** It had no requests for the configured time. */
+        IDLE,
+        /** It had no requests and the daemon stops. */
+        STOP,
+        /** The last response announced that it would be closed. */
+        LAST_RESPONSE,
+        /** Reading, writing or handling a request failed. */
+        FAILURE
+    }
+
     CallerConnection(
             Dispatcher dispatcher,
             HeaderNames headers,
             LongSupplier clock,
-            BooleanSupplier stopping) {
+            BooleanSupplier stopping,
+            EntryMetrics metrics,
+            DecisionLog log) {
         mDispatcher = dispatcher;
         mHeaders = headers;
         mClock = clock;
         mStopping = stopping;
+        mMetrics = metrics;
+        mLog = log;
         mIdleSinceNanos = clock.getAsLong();
     }
 
@@ -81,15 +112,40 @@
         mDispatcher.dispatch(pending.mExchange);
     }
 
+    /** Closes the connection, which must be idle. */
+    void closeIdle(Channel channel, CloseCause cause) {
+        mCloseCause = cause;
+        channel.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mClosing = true;
+        mMetrics.onCallerConnectionClosed(mCloseCause, mUnsentResponses > 0);
+        if (!mPending.isEmpty() || mUnsentResponses > 0 || mCloseCause == CloseCause.FAILURE) {
+            mLog.write(
+                    Part.REQUEST,
+                    "Connection of a caller closed before all responses were sent",
+                    "cause",
+                    mCloseCause,
+                    "failure",
+                    mFailure,
+                    "pending",
+                    mPending.size(),
+                    "unsent",
+                    mUnsentResponses);
+        }
         abandonPending();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // Usually a reset by the caller. Closing the channel calls channelInactive.
+        // A reset by the caller arrives as an IOException.
+        if (!(cause instanceof IOException)) {
+            mCloseCause = CloseCause.FAILURE;
+        }
+        mFailure = String.valueOf(cause);
+        // Closing the channel calls channelInactive.
         context.close();
     }
 
@@ -102,11 +158,13 @@
             boolean closing = mStopping.getAsBoolean() && mPending.isEmpty();
             boolean keepAlive = pending.mKeepAlive && !closing;
             HttpUtil.setKeepAlive(pending.mResponse, keepAlive);
-            if (keepAlive) {
-                context.writeAndFlush(pending.mResponse);
-            } else {
+            mUnsentResponses++;
+            ChannelFuture sent = context.writeAndFlush(pending.mResponse);
+            sent.addListener(this::onSent);
+            if (!keepAlive) {
                 mClosing = true;
-                context.writeAndFlush(pending.mResponse).addListener(ChannelFutureListener.CLOSE);
+                mCloseCause = CloseCause.LAST_RESPONSE;
+                sent.addListener(ChannelFutureListener.CLOSE);
                 abandonPending();
             }
         }
@@ -115,6 +173,14 @@
         }
     }
 
+    private void onSent(Future<? super Void> sent) {
+        if (sent.isSuccess()) {
+            mUnsentResponses--;
+        } else if (mFailure.isEmpty()) {
+            mFailure = String.valueOf(sent.cause());
+        }
+    }
+
     /**
      * Cancels the requests that are still pending. After a response that closes the connection, the
      * caller may treat them as not processed.
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -27,6 +27,8 @@
     private final Directory mDirectory;
     private final WireFormat mWire;
     private final LongSupplier mClock;
+    private final EntryMetrics mMetrics;
+    private final DecisionLog mLog;
     private final TcpListener mListener;
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
@@ -38,11 +40,15 @@
             WireFormat wire,
             EventLoopGroup group,
             LongSupplier clock,
+            EntryMetrics metrics,
+            DecisionLog log,
             Address address) {
         mDispatcher = dispatcher;
         mDirectory = directory;
         mWire = wire;
         mClock = clock;
+        mMetrics = metrics;
+        mLog = log;
         mListener =
                 TcpListener.bind(group, address.host(), address.port(), true, this::initPipeline);
     }
@@ -60,7 +66,12 @@
                 .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
                 .addLast(
                         new CallerConnection(
-                                mDispatcher, mWire.headers(), mClock, () -> mStopping));
+                                mDispatcher,
+                                mWire.headers(),
+                                mClock,
+                                () -> mStopping,
+                                mMetrics,
+                                mLog));
     }
 
     /**
@@ -77,11 +88,13 @@
      */
     void closeIdle(long nowNanos) {
         long idleNanos = mStopping ? 0 : limits().idleTimeoutNanos();
+        CallerConnection.CloseCause cause =
+                mStopping ? CallerConnection.CloseCause.STOP : CallerConnection.CloseCause.IDLE;
         mConnections.forEach(
                 channel -> {
                     CallerConnection connection = channel.pipeline().get(CallerConnection.class);
                     if (connection != null && connection.isIdleFor(idleNanos, nowNanos)) {
-                        channel.close();
+                        connection.closeIdle(channel, cause);
                     }
                 });
     }
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -565,10 +565,10 @@
         if (exchange.isEnded()) {
             return;
         }
+        mRequestLog.logAbandoned(exchange);
         cancelAttempt(exchange);
         end(exchange);
         mMetrics.onAbandoned();
-        mRequestLog.logAbandoned(exchange);
     }
 
     /**
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -134,6 +134,8 @@
                         adapter.wire(),
                         mGroup,
                         clock,
+                        mMetrics,
+                        log,
                         settings.callerAddress());
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -68,6 +68,19 @@
         mAbandoned.inc();
     }
 
+    /**
+     * Counts a connection of a caller that ended.
+     *
+     * @param unsent whether a response was not sent completely
+     */
+    void onCallerConnectionClosed(CallerConnection.CloseCause cause, boolean unsent) {
+        String name = "callers.closed." + Ascii.toLowerCase(cause.name());
+        mRegistry.counter(name).inc();
+        if (unsent) {
+            mRegistry.counter(name + ".unsent_response").inc();
+        }
+    }
+
     /** Counts a request that was answered with a response of a backend server. */
     void onAnswered(Exchange exchange, long nowNanos) {
         boolean inTime = nowNanos <= exchange.goalAtNanos();
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -150,7 +150,13 @@
                 Part.REQUEST,
                 "Connection closed before the response was sent",
                 "id",
-                exchange.id());
+                exchange.id(),
+                "waited_ms",
+                (mClock.getAsLong() - exchange.arrivedAtNanos()) / NANOS_PER_MILLI,
+                "sends",
+                exchange.sendCount(),
+                "server",
+                exchange.attempt().map(a -> a.upstream().entry().incarnationId()).orElse(""));
     }
 
     /** Logs that the deadline header of the caller is not a number and is ignored. */
