Keep a connection open until its last response is sent

What callers see: around a stop of a daemon, a connection ends in the middle of a response (LOST).

Cause: CallerConnection counted as idle as soon as a response had been handed to the channel. While the daemon stops, CallerEndpoint closes idle connections every 100 ms, and closing a channel drops what it has not written yet. The same holds for the idle timeout if a response takes longer than that to send. The class of fault is an end of work that is taken from a hand-over instead of its completion.

Change: a connection is idle only when all its responses are sent, and its idle time starts then.

Evidence: three of the four tests of CallerConnectionTest fail on the code before (a connection with an incomplete write counts as idle, also after a last response; a slow response counts as idle time).

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -81,9 +81,12 @@
         mIdleSinceNanos = clock.getAsLong();
     }
 
-    /** Reports whether no request has been pending for the last {@code nanos} or longer. */
+    /**
+     * Reports whether no request has been pending and no response has been in transmission for the
+     * last {@code nanos} or longer.
+     */
     boolean isIdleFor(long nanos, long nowNanos) {
-        return mPending.isEmpty() && nowNanos - mIdleSinceNanos >= nanos;
+        return mPending.isEmpty() && mUnsentResponses == 0 && nowNanos - mIdleSinceNanos >= nanos;
     }
 
     @Override
@@ -168,14 +171,12 @@
                 abandonPending();
             }
         }
-        if (mPending.isEmpty()) {
-            mIdleSinceNanos = mClock.getAsLong();
-        }
     }
 
     private void onSent(Future<? super Void> sent) {
         if (sent.isSuccess()) {
             mUnsentResponses--;
+            mIdleSinceNanos = mClock.getAsLong();
         } else if (mFailure.isEmpty()) {
             mFailure = String.valueOf(sent.cause());
         }
--- /dev/null
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -0,0 +1,130 @@
+package org.geraniumusher.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * Checks when a connection of a caller is idle and when it is closed, on a channel whose writes the
+ * test completes. The daemon has no configuration, so it answers each request at once.
+ */
+final class CallerConnectionTest {
+    private final DaemonContextFixture mFixture = new DaemonContextFixture();
+    private final HeldWrites mWrites = new HeldWrites();
+    private boolean mStopping;
+    private final CallerConnection mConnection = createConnection();
+    private final EmbeddedChannel mChannel = new EmbeddedChannel(mWrites, mConnection);
+
+    /** Keeps writes incomplete until the test completes them, as a narrow link does. */
+    private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
+        private final Queue<ChannelPromise> mPromises = new ArrayDeque<>();
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            mPromises.add(promise);
+        }
+
+        void completeNext() {
+            mPromises.remove().setSuccess();
+        }
+    }
+
+    private CallerConnection createConnection() {
+        DaemonContext context = mFixture.createContext("entry-1");
+        FakeWireFormat wire = new FakeWireFormat();
+        Dispatcher dispatcher =
+                new Dispatcher(
+                        context.settings(),
+                        context.directory(),
+                        wire,
+                        null,
+                        context.thread(),
+                        context.clock(),
+                        context.log(),
+                        context.metrics(),
+                        new KeyedRequestStats());
+        return new CallerConnection(
+                dispatcher,
+                wire.headers(),
+                context.clock(),
+                () -> mStopping,
+                context.metrics(),
+                context.log());
+    }
+
+    @AfterEach
+    void close() {
+        mChannel.close();
+        mFixture.close();
+    }
+
+    private static FullHttpRequest request() {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/");
+    }
+
+    private boolean isIdle() {
+        return mConnection.isIdleFor(0, mFixture.thread().now());
+    }
+
+    /** While the daemon stopped, it closed connections whose response was still being sent. */
+    @Test
+    void isIdleFor_responseIsBeingSent_notIdle() {
+        mChannel.writeInbound(request());
+
+        assertThat(isIdle()).isFalse();
+
+        mWrites.completeNext();
+        assertThat(isIdle()).isTrue();
+    }
+
+    /** The same for a last response, after which the connection closes by itself. */
+    @Test
+    void isIdleFor_lastResponseIsBeingSent_notIdle() {
+        mStopping = true;
+        mChannel.writeInbound(request());
+
+        assertThat(isIdle()).isFalse();
+        assertThat(mChannel.isActive()).isTrue();
+    }
+
+    /** A slow response used to count as idle time, so that the idle timeout could cut it. */
+    @Test
+    void isIdleFor_responseTookLong_idleTimeStartsWhenItIsSent() {
+        mChannel.writeInbound(request());
+        mFixture.thread().advance(10);
+        mWrites.completeNext();
+
+        assertThat(mConnection.isIdleFor(1, mFixture.thread().now())).isFalse();
+
+        mFixture.thread().advance(1);
+        assertThat(mConnection.isIdleFor(1, mFixture.thread().now())).isTrue();
+    }
+
+    /** A request that asks for it closes its connection once its response is sent. */
+    @Test
+    void response_requestAsksToClose_closesAfterTheResponse() {
+        FullHttpRequest request = request();
+        request.headers().set(HttpHeaderNames.CONNECTION, "close");
+        mChannel.writeInbound(request);
+        assertThat(mChannel.isActive()).isTrue();
+
+        mWrites.completeNext();
+        mChannel.runPendingTasks();
+
+        assertThat(mChannel.isActive()).isFalse();
+    }
+}
