Discard further requests after the last response of a connection

What callers see: a response that closes its connection arrives incomplete (LOST), mostly while a daemon stops and the caller has pipelined another request.

Cause: the connection was closed as soon as its last response was written. Input that is unread at that moment, or arrives later, makes the kernel reset the connection and drop what it has not sent. The class of fault is a close that does not wait for the peer.

Change: the daemon ends its output after the last response and discards input until the caller closes, for one second at most. The server for control calls closed its connections in the same way and uses the same class now.

Evidence: LastResponseTest.lastResponse_callerGoesOnSending_arrivesWhole fails on the code before with "Connection reset by peer" and passes now.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -18,6 +17,7 @@
 import io.netty.util.concurrent.Future;
 
 import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.http.LingeringClose;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
 
@@ -82,11 +82,14 @@
     }
 
     /**
-     * Reports whether no request has been pending and no response has been in transmission for the
-     * last {@code nanos} or longer.
+     * Reports whether the connection is open and no request has been pending and no response has
+     * been in transmission for the last {@code nanos} or longer.
      */
     boolean isIdleFor(long nanos, long nowNanos) {
-        return mPending.isEmpty() && mUnsentResponses == 0 && nowNanos - mIdleSinceNanos >= nanos;
+        return !mClosing
+                && mPending.isEmpty()
+                && mUnsentResponses == 0
+                && nowNanos - mIdleSinceNanos >= nanos;
     }
 
     @Override
@@ -167,7 +170,7 @@
             if (!keepAlive) {
                 mClosing = true;
                 mCloseCause = CloseCause.LAST_RESPONSE;
-                sent.addListener(ChannelFutureListener.CLOSE);
+                sent.addListener(f -> LingeringClose.closeAfterResponse(context.channel()));
                 abandonPending();
             }
         }
--- a/entry/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -138,7 +138,7 @@
             HttpUtil.setKeepAlive(response, mKeepAlive);
             var written = mContext.writeAndFlush(response);
             if (!mKeepAlive) {
-                written.addListener(done -> mContext.close());
+                written.addListener(done -> LingeringClose.closeAfterResponse(mContext.channel()));
             }
         }
 
