Answer every request before a stopping daemon exits

Cause: responses of a connection are sent in the order of its requests. A finished response behind a request whose server had not answered was held until the process ended, which dropped it, as the log says "Answered in time" when the response is ready. The request at the head was cut without an answer too, and the line "Stopping with requests in progress" was never written, since the wait for the grace period counted as a completed stop. The class of fault: an exit that abandons accepted work instead of ending it.

Change: 0.8 s before the end of the grace period the daemon ends the requests that are still in progress, as not executed if no server has them and as unknown otherwise, so that the responses behind them are sent too. While it stops, it does not dispatch requests behind a pending one of their connection: the connection closes with the response before them, and their caller sends them again elsewhere.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -94,7 +94,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (mClosing) {
+        if (mClosing || isLastResponsePending()) {
+            // The caller sends it again elsewhere, as the response before it closes the connection.
             return;
         }
         String id = request.headers().get(mHeaders.requestId(), "");
@@ -155,12 +156,20 @@
         context.close();
     }
 
+    /**
+     * Reports whether the connection closes with the response to a request that is pending.
+     * Requests behind it could delay the stop of the daemon and then be cut.
+     */
+    private boolean isLastResponsePending() {
+        return mStopping.getAsBoolean() && !mPending.isEmpty();
+    }
+
     /** Writes the responses that are ready and that no earlier pending response precedes. */
     private void writeReadyResponses(ChannelHandlerContext context) {
         while (!mPending.isEmpty() && mPending.peek().mResponse != null && !mClosing) {
             PendingResponse pending = mPending.poll();
-            // While the daemon stops, the connection stays open until all requests that were read
-            // have been answered.
+            // While the daemon stops, the connection stays open until all requests that were
+            // dispatched have been answered.
             boolean closing = mStopping.getAsBoolean() && mPending.isEmpty();
             boolean keepAlive = pending.mKeepAlive && !closing;
             HttpUtil.setKeepAlive(pending.mResponse, keepAlive);
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -19,10 +19,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -121,7 +123,7 @@
     private final Map<String, Long> mMaxTimeoutNanosByRoute = new HashMap<>();
     private final List<Exchange> mWaiting = new ArrayList<>();
     private boolean mDispatchScheduled;
-    private int mRequestsInProgress;
+    private final Set<Exchange> mInProgress = new LinkedHashSet<>();
     private boolean mStopping;
 
     /** Assumed until {@link #setDaemonCount} is called. */
@@ -152,7 +154,7 @@
                 new UpstreamSet(directory, group, clock, log, wire.headers().requestId(), mRandom);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
         mUpstreams.registerGauges(metrics);
-        metrics.registerGauge("requests.in_progress", () -> mRequestsInProgress);
+        metrics.registerGauge("requests.in_progress", mInProgress::size);
         metrics.registerGauge("requests.waiting", mWaiting::size);
     }
 
@@ -174,6 +176,24 @@
         mStopping = true;
     }
 
+    /**
+     * Ends all requests in progress, because the daemon exits. Callers learn whether their request
+     * may have been executed, and responses that wait for an earlier one of their connection can be
+     * sent.
+     */
+    void endRequestsInProgress() {
+        for (Exchange exchange : List.copyOf(mInProgress)) {
+            if (!exchange.isEnded()) {
+                boolean sent = exchange.attempt().isPresent() || exchange.mayHaveRun();
+                cancelAttempt(exchange);
+                fail(
+                        exchange,
+                        sent ? ResultCode.OUTCOME_UNKNOWN : ResultCode.DRAINING,
+                        STOPPING_RETRY_AFTER_SECONDS);
+            }
+        }
+    }
+
     /** Sets the listener that gets the incarnation ID of a server that cannot be connected to. */
     void setUnreachableListener(Consumer<String> listener) {
         mUnreachableListener = listener;
@@ -181,7 +201,7 @@
 
     /** Returns the number of requests that have arrived and not ended. */
     int requestsInProgress() {
-        return mRequestsInProgress;
+        return mInProgress.size();
     }
 
     /** Updates the servers after a change of the directory and tries to send waiting requests. */
@@ -197,7 +217,7 @@
 
     /** Starts to process a request that has arrived; it may end during this call. */
     void dispatch(Exchange exchange) {
-        mRequestsInProgress++;
+        mInProgress.add(exchange);
         mMetrics.onRequest();
         if (mStopping) {
             fail(exchange, ResultCode.DRAINING, STOPPING_RETRY_AFTER_SECONDS);
@@ -601,7 +621,7 @@
 
     private void end(Exchange exchange) {
         exchange.end();
-        mRequestsInProgress--;
+        mInProgress.remove(exchange);
         scheduleDispatch();
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -32,7 +32,10 @@
      */
     private static final long UNREADY_NOTICE_MILLIS = 2_300;
 
-    /** Time at the end of the grace period that is reserved for sending finished responses. */
+    /** Time before the end of the grace period at which requests in progress are ended. */
+    private static final long END_REQUESTS_MARGIN_MILLIS = 800;
+
+    /** Time before the end of the grace period until which responses are sent. */
     private static final long RESPONSE_MARGIN_MILLIS = 400;
 
     private final EntrySettings mSettings;
@@ -50,6 +53,7 @@
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private volatile boolean mStopping;
     private long mStopStartNanos;
+    private boolean mRequestsEnded;
     private long mObjectivesVersion = -1;
 
     /**
@@ -233,7 +237,7 @@
             if (!mStopped.await(waitMillis, TimeUnit.MILLISECONDS)) {
                 mLog.write(
                         Part.DAEMON,
-                        "Stopping with requests in progress",
+                        "Event loop did not finish the stop in time",
                         "requests",
                         mDispatcher.requestsInProgress());
             }
@@ -265,19 +269,35 @@
         checkStopped();
     }
 
-    /** Lets {@link #stop} return once the daemon is idle or its grace period is nearly over. */
+    /**
+     * Lets {@link #stop} return once the daemon is idle or its grace period is nearly over.
+     * Requests that are still in progress then get an error response first.
+     */
     private void checkStopped() {
         long elapsedMillis = (mClock.getAsLong() - mStopStartNanos) / NANOS_PER_MILLI;
         if (elapsedMillis >= UNREADY_NOTICE_MILLIS) {
             mDispatcher.beginStop();
             mCallerEndpoint.closeIdle(mClock.getAsLong());
-            boolean idle =
-                    mCallerEndpoint.connectionCount() == 0 && mDispatcher.requestsInProgress() == 0;
-            boolean late =
-                    elapsedMillis
-                            >= mSettings.stopGraceNanos() / NANOS_PER_MILLI
-                                    - RESPONSE_MARGIN_MILLIS;
-            if (idle || late) {
+            long remainingMillis = mSettings.stopGraceNanos() / NANOS_PER_MILLI - elapsedMillis;
+            if (remainingMillis <= END_REQUESTS_MARGIN_MILLIS && !mRequestsEnded) {
+                mRequestsEnded = true;
+                mLog.write(
+                        Part.DAEMON,
+                        "Ending the requests in progress before the exit",
+                        "requests",
+                        mDispatcher.requestsInProgress());
+                mDispatcher.endRequestsInProgress();
+            }
+            if (mCallerEndpoint.connectionCount() == 0 && mDispatcher.requestsInProgress() == 0) {
+                mStopped.countDown();
+                return;
+            }
+            if (remainingMillis <= RESPONSE_MARGIN_MILLIS) {
+                mLog.write(
+                        Part.DAEMON,
+                        "Exiting with open connections of callers",
+                        "connections",
+                        mCallerEndpoint.connectionCount());
                 mStopped.countDown();
                 return;
             }
