Log each response that is dropped because its connection closed

Nothing told that the response was held behind an earlier one and then dropped.

A dropped response leaves a line with its id and status.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -202,12 +202,20 @@
      * caller may treat them as not processed.
      */
     private void abandonPending() {
-        mPending.forEach(
-                pending -> {
-                    if (pending.mExchange != null) {
-                        mDispatcher.abandon(pending.mExchange);
-                    }
-                });
+        for (PendingResponse pending : mPending) {
+            if (pending.mResponse != null) {
+                mLog.write(
+                        Part.REQUEST,
+                        "Response was dropped, its connection closed first",
+                        "id",
+                        pending.mId,
+                        "status",
+                        pending.mResponse.status().code());
+                pending.mResponse.release();
+            } else if (pending.mExchange != null) {
+                mDispatcher.abandon(pending.mExchange);
+            }
+        }
         mPending.clear();
     }
 
