Order tables, coordinator records and fences by the epoch of the store

A store that is restored from a backup sets its revision back and assigns revisions again.

The store sends its epoch with each answer. StoreEpoch keeps the highest one seen, and an answer from an earlier epoch counts as no answer. A table and a coordinator record carry the epoch that their writer knew; with the revision it makes a StoreVersion, by which tables from the store, from peers and from the coordinator are ordered and from which fences are derived. A table without an epoch is of epoch 0 and keeps its fences. What a coordinator learned about former holders before a restore no longer counts after it.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Assignment.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Assignment.java
@@ -15,7 +15,7 @@
  */
 public record Assignment(KeyRange range, String owner, long fence, ImmutableList<String> previous) {
     /**
-     * Placeholder for a fence that becomes the revision of the write that stores the assignment.
+     * Placeholder for a fence that is set from the version of the write that stores the assignment.
      */
     public static final long UNSET_FENCE = 0;
 
@@ -37,11 +37,9 @@
         return !previous.isEmpty();
     }
 
-    /**
-     * Returns a copy with {@code revision} as its fence, or this assignment if its fence is set.
-     */
-    public Assignment withFenceIfUnset(long revision) {
-        return fence == UNSET_FENCE ? new Assignment(range, owner, revision, previous) : this;
+    /** Returns a copy with the fence {@code newFence}, or this assignment if its fence is set. */
+    public Assignment withFenceIfUnset(long newFence) {
+        return fence == UNSET_FENCE ? new Assignment(range, owner, newFence, previous) : this;
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -52,8 +52,8 @@
 
     /** Processes a read of the record, which is empty if the store has none. */
     public void onRead(Optional<CoordinatorRecord> record, long nowNanos) {
-        long revision = record.map(CoordinatorRecord::revision).orElse(0L);
-        long knownRevision = mRecord == null ? 0 : mRecord.revision();
+        long revision = record.map(r -> r.version().revision()).orElse(0L);
+        long knownRevision = mRecord == null ? 0 : mRecord.version().revision();
         if (mRecordRead && revision <= knownRevision) {
             return;
         }
@@ -71,7 +71,7 @@
             mFormerCoordinatorConfirmedBy = mRecord == null ? nowNanos : mRecordChangedAt;
         }
         onRead(Optional.of(record), nowNanos);
-        if (isOwn() && mRecord.revision() == record.revision()) {
+        if (isOwn() && mRecord.version().equals(record.version())) {
             mHasAuthority = true;
             mAuthorityUntil = sentNanos + AUTHORITY_NANOS;
         }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorRecord.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorRecord.java
@@ -2,20 +2,23 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.geraniumusher.model.StoreVersion;
+
 /**
  * Identifies the coordinator in the store. Immutable.
  *
  * @param daemon name of the daemon, or empty when the last coordinator resigned
  * @param incarnation number of the daemon's run; it grows with each start
  * @param peerAddress address at which other daemons reach the coordinator
- * @param revision revision of the store at which the record was read
+ * @param version epoch of the store that its writer knew, and revision of the record in the store
  */
 public record CoordinatorRecord(
-        String daemon, long incarnation, String peerAddress, long revision) {
-    /** Throws {@link NullPointerException} if the daemon or the address is null. */
+        String daemon, long incarnation, String peerAddress, StoreVersion version) {
+    /** Throws {@link NullPointerException} if a component is null. */
     public CoordinatorRecord {
         checkNotNull(daemon);
         checkNotNull(peerAddress);
+        checkNotNull(version);
     }
 
     /** Reports whether there is no coordinator. */
--- a/decisions/src/main/java/org/geraniumusher/keyrange/FormerHolders.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/FormerHolders.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.geraniumusher.model.StoreVersion;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,18 +17,18 @@
  *
  * <p>Invariant: a time is recorded only when the writer of the table is known to act on it. Until a
  * coordinator learns that its write was accepted, it renews the grants of the previous table. It
- * has learned so once it sends the table to the daemons or builds a later table on it. Times are in
- * nanoseconds. Not thread-safe.
+ * has learned so once it sends the table to the daemons or builds a later table of the same epoch
+ * on it. Times are in nanoseconds. Not thread-safe.
  */
 public final class FormerHolders {
     private final Map<String, List<Entry>> mEntries = new HashMap<>();
-    private long mRevision = -1;
+    private StoreVersion mVersion = StoreVersion.NONE;
 
     /**
-     * The range of a former holder, the revision of the first table with it, and the time from
-     * which on it receives no grants if that is known.
+     * The range of a former holder, the version of the first table with it, and the time from which
+     * on it receives no grants if that is known.
      */
-    private record Entry(KeyRange range, long revision, OptionalLong noGrantsSince) {}
+    private record Entry(KeyRange range, StoreVersion version, OptionalLong noGrantsSince) {}
 
     private FormerHolders() {}
 
@@ -41,10 +43,15 @@
      * @param fromWriter whether the table came from the coordinator that wrote it
      */
     public void onTable(RangeTable table, boolean fromWriter, long nowNanos) {
-        if (table.revision() < mRevision) {
+        if (mVersion.isAfter(table.version())) {
             return;
         }
-        mRevision = table.revision();
+        if (table.version().epoch() > mVersion.epoch()) {
+            // What a coordinator learned before a restore does not bind the one that starts from
+            // the restored table.
+            mEntries.clear();
+        }
+        mVersion = table.version();
         Map<String, List<Entry>> updated = new HashMap<>();
         for (Assignment assignment : table.assignments()) {
             for (String incarnationId : assignment.previous()) {
@@ -66,14 +73,14 @@
         if (previous == null) {
             OptionalLong noGrantsSince =
                     fromWriter ? OptionalLong.of(nowNanos) : OptionalLong.empty();
-            return new Entry(range, mRevision, noGrantsSince);
+            return new Entry(range, mVersion, noGrantsSince);
         }
-        boolean confirmed = fromWriter || previous.revision() < mRevision;
+        boolean confirmed = fromWriter || mVersion.isAfter(previous.version());
         OptionalLong noGrantsSince =
                 previous.noGrantsSince().isPresent() || !confirmed
                         ? previous.noGrantsSince()
                         : OptionalLong.of(nowNanos);
-        return new Entry(range, previous.revision(), noGrantsSince);
+        return new Entry(range, previous.version(), noGrantsSince);
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -5,6 +5,8 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
+
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -20,8 +22,9 @@
  *
  * <p>Invariants: an assignment is in the store before its owner is granted the range. The owner is
  * granted the range only when each former holder has released it, is proved to have terminated, or
- * has a hold that has run out. A fence is the revision of the write that stored the assignment, so
- * it is higher than all earlier fences.
+ * has a hold that has run out. A fence is derived from the version of the write that stored the
+ * assignment, so it is higher than all earlier fences, also those from before a restore of the
+ * store.
  *
  * <p>Does no I/O: it sends calls through {@link OutgoingCalls} and receives their results as method
  * calls with the current time. All times are in nanoseconds. Not thread-safe.
@@ -206,14 +209,14 @@
             mPendingAssignments = next;
         }
         mWriteInFlight = true;
-        mCalls.write(mPendingAssignments, mTable == null ? 0 : mTable.revision());
+        mCalls.write(mPendingAssignments, mTable == null ? 0 : mTable.version().revision());
     }
 
-    /** Processes an accepted write of the table, which is stored at {@code revision}. */
-    public void onWritten(long revision, long nowNanos) {
+    /** Processes an accepted write of the table, which is stored at {@code version}. */
+    public void onWritten(StoreVersion version, long nowNanos) {
         mWriteInFlight = false;
         if (mStarted && mPendingAssignments != null) {
-            install(RangeTable.of(revision, mPendingAssignments), nowNanos);
+            install(RangeTable.of(version, mPendingAssignments), nowNanos);
         }
     }
 
@@ -229,7 +232,7 @@
         if (mPendingAssignments != null
                 && current.assignments()
                         .equals(
-                                RangeTable.of(current.revision(), mPendingAssignments)
+                                RangeTable.of(current.version(), mPendingAssignments)
                                         .assignments())) {
             install(current, nowNanos);
         } else {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeTable.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeTable.java
@@ -5,35 +5,37 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
+
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * Holds the assignments of all keys of one service at one revision of the store. Immutable.
+ * Holds the assignments of all keys of one service at one version of the store. Immutable.
  *
  * <p>Invariant: the ranges cover the key space without gaps or overlaps.
  */
 public final class RangeTable {
-    private final long mRevision;
+    private final StoreVersion mVersion;
     private final ImmutableList<Assignment> mAssignments;
 
-    private RangeTable(long revision, ImmutableList<Assignment> assignments) {
-        mRevision = revision;
+    private RangeTable(StoreVersion version, ImmutableList<Assignment> assignments) {
+        mVersion = version;
         mAssignments = assignments;
     }
 
     /**
-     * Returns a table in which each assignment without a fence gets {@code revision} as its fence.
+     * Returns a table in which each assignment without a fence gets the fence of {@code version}.
      */
-    public static RangeTable of(long revision, List<Assignment> assignments) {
+    public static RangeTable of(StoreVersion version, List<Assignment> assignments) {
         ImmutableList<Assignment> sorted =
                 assignments.stream()
-                        .map(a -> a.withFenceIfUnset(revision))
+                        .map(a -> a.withFenceIfUnset(version.toFence()))
                         .sorted(Comparator.comparingInt(a -> a.range().first()))
                         .collect(ImmutableList.toImmutableList());
         checkCovers(sorted);
-        return new RangeTable(revision, sorted);
+        return new RangeTable(version, sorted);
     }
 
     private static void checkCovers(List<Assignment> sorted) {
@@ -49,9 +51,13 @@
         checkArgument(next == KeyRange.MAX_KEY + 1, "no assignment of key %s", next);
     }
 
-    /** Returns the revision of the store at which the table was written. */
-    public long revision() {
-        return mRevision;
+    /**
+     * Returns the version of the store at which the table was written: the epoch that its writer
+     * knew, and the revision that the store assigned. A table that a restore brings back, or that
+     * is written late by a call from before a restore, so keeps its earlier epoch.
+     */
+    public StoreVersion version() {
+        return mVersion;
     }
 
     /** Returns the assignments in the order of their keys. */
--- a/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 import java.util.Optional;
@@ -13,7 +14,8 @@
     private final CoordinatorElection mElection = CoordinatorElection.create("a", 7);
 
     private static CoordinatorRecord record(String daemon, long incarnation, long revision) {
-        return new CoordinatorRecord(daemon, incarnation, "127.0.0.1:1", revision);
+        return new CoordinatorRecord(
+                daemon, incarnation, "127.0.0.1:1", new StoreVersion(0, revision));
     }
 
     @Test
--- a/decisions/src/test/java/org/geraniumusher/keyrange/FormerHoldersTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/FormerHoldersTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
@@ -24,7 +25,7 @@
     }
 
     private static RangeTable table(long revision, Assignment... assignments) {
-        return RangeTable.of(revision, List.of(assignments));
+        return RangeTable.of(new StoreVersion(0, revision), List.of(assignments));
     }
 
     /**
@@ -67,6 +68,21 @@
         assertThat(mHolders.noGrantsSince("a", KeyRange.ALL)).isEqualTo(OptionalLong.empty());
     }
 
+    /**
+     * The coordinator of the new epoch may have started from a table in which the former holder
+     * still owned the range, and may have granted it again.
+     */
+    @Test
+    void noGrantsSince_tableIsOfLaterEpoch_isReset() {
+        Assignment moving = moving(KeyRange.ALL, "b", "a");
+        mHolders.onTable(RangeTable.of(new StoreVersion(1, 8), List.of(moving)), true, 10);
+        mHolders.onTable(RangeTable.of(new StoreVersion(2, 5), List.of(moving)), false, 20);
+        assertThat(mHolders.noGrantsSince("a", KeyRange.ALL)).isEqualTo(OptionalLong.empty());
+
+        mHolders.onTable(RangeTable.of(new StoreVersion(1, 9), List.of(moving)), true, 30);
+        assertThat(mHolders.noGrantsSince("a", KeyRange.ALL)).isEqualTo(OptionalLong.empty());
+    }
+
     /** An incarnation that owns the range again receives grants again. */
     @Test
     void noGrantsSince_formerHolderOwnsTheRangeAgain_isReset() {
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
@@ -15,11 +16,12 @@
 final class RangeCoordinatorTest {
     private static final long MILLI = 1_000_000L;
     private static final long FENCE = 5;
+    private static final StoreVersion VERSION = new StoreVersion(0, FENCE);
 
     /** A table in which all keys move from a to b. */
     private static final RangeTable MOVING =
             RangeTable.of(
-                    FENCE,
+                    VERSION,
                     ImmutableList.of(
                             new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"))));
 
@@ -76,7 +78,7 @@
         setServers("b", "c");
         mCoordinator.start(Optional.of(MOVING), formerCoordinatorConfirmedBy, now);
         mCoordinator.tick(now);
-        mCoordinator.onWritten(10, now);
+        mCoordinator.onWritten(new StoreVersion(0, 10), now);
     }
 
     /**
@@ -97,7 +99,7 @@
         coordinator.onServers(all);
         coordinator.start(Optional.empty(), 0, 0);
         coordinator.tick(0);
-        coordinator.onWritten(10, 0);
+        coordinator.onWritten(new StoreVersion(0, 10), 0);
         coordinator.tick(MILLI);
         List.copyOf(mCalls.mGrants).forEach(a -> coordinator.onGranted(a, 2 * MILLI));
         List<Assignment> first = mCalls.mWrites.get(0);
@@ -144,7 +146,7 @@
         mCoordinator.tick(4 * MILLI);
         assertThat(mCalls.mGrants).isEmpty();
 
-        mCoordinator.onWritten(11, 5 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(0, 11), 5 * MILLI);
         mCoordinator.tick(6 * MILLI);
         assertThat(mCalls.grantedOwners()).doesNotContain("b");
     }
@@ -172,16 +174,16 @@
     void tick_ownerWithHoldOfFormerCoordinatorIsLost_waitsForTheLongerHold() {
         setServers("a", "b");
         Assignment owned = new Assignment(KeyRange.ALL, "a", FENCE, ImmutableList.of());
-        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(owned))), 0, 0);
+        mCoordinator.start(Optional.of(RangeTable.of(VERSION, ImmutableList.of(owned))), 0, 0);
         mCoordinator.tick(0);
-        mCoordinator.onWritten(10, 0);
+        mCoordinator.onWritten(new StoreVersion(0, 10), 0);
         mCoordinator.tick(MILLI);
         assertThat(mCalls.grantedOwners()).containsExactly("a");
 
         setServers("b");
         mCoordinator.onGrantUnknown(mCalls.mGrants.get(0), 2 * MILLI);
         mCoordinator.tick(2 * MILLI);
-        mCoordinator.onWritten(11, 3 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(0, 11), 3 * MILLI);
         mCoordinator.tick(10_500 * MILLI);
         assertThat(mCalls.grantedOwners()).doesNotContain("b");
 
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangePlannerTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangePlannerTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
@@ -40,7 +41,7 @@
     void divideEvenly_byCapacity_coversAllKeys() {
         ImmutableList<Assignment> parts = RangePlanner.divideEvenly(List.of(A, B, C));
 
-        assertThat(RangeTable.of(1, parts).assignments()).hasSize(3);
+        assertThat(RangeTable.of(new StoreVersion(0, 1), parts).assignments()).hasSize(3);
         assertThat(parts.get(2).range().size()).isEqualTo(32_768);
     }
 
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
@@ -4,6 +4,8 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -282,15 +284,18 @@
             boolean newTerm =
                     known.map(r -> !r.daemon().equals(mName) || r.incarnation() != mIncarnation)
                             .orElse(true);
-            long expected = known.map(CoordinatorRecord::revision).orElse(0L);
+            long expected = known.map(r -> r.version().revision()).orElse(0L);
             long[] written = new long[1];
             write(
                     () -> {
-                        if (mRecord.map(CoordinatorRecord::revision).orElse(0L) == expected) {
+                        if (mRecord.map(r -> r.version().revision()).orElse(0L) == expected) {
                             mRecord =
                                     Optional.of(
                                             new CoordinatorRecord(
-                                                    mName, mIncarnation, "peer", ++mRevision));
+                                                    mName,
+                                                    mIncarnation,
+                                                    "peer",
+                                                    new StoreVersion(0, ++mRevision)));
                             written[0] = mRevision;
                         }
                     },
@@ -303,7 +308,11 @@
                                                 this, HOLD_NANOS, mLoad, mFormerHolders);
                             }
                             mElection.onWritten(
-                                    new CoordinatorRecord(mName, mIncarnation, "peer", written[0]),
+                                    new CoordinatorRecord(
+                                            mName,
+                                            mIncarnation,
+                                            "peer",
+                                            new StoreVersion(0, written[0])),
                                     sentAt,
                                     mNow);
                         } else {
@@ -339,8 +348,12 @@
             long[] revision = new long[1];
             write(
                     () -> {
-                        if (mTable.map(RangeTable::revision).orElse(0L) == expectedRevision) {
-                            mTable = Optional.of(RangeTable.of(++mRevision, assignments));
+                        if (mTable.map(t -> t.version().revision()).orElse(0L)
+                                == expectedRevision) {
+                            mTable =
+                                    Optional.of(
+                                            RangeTable.of(
+                                                    new StoreVersion(0, ++mRevision), assignments));
                             written[0] = true;
                             revision[0] = mRevision;
                             mMoves +=
@@ -349,7 +362,7 @@
                     },
                     () -> {
                         if (written[0]) {
-                            term.onWritten(revision[0], mNow);
+                            term.onWritten(new StoreVersion(0, revision[0]), mNow);
                             term.table().ifPresent(this::sendTable);
                         } else {
                             term.onWriteConflict(mTable.orElseThrow(), mNow);
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeTableTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeTableTest.java
@@ -6,24 +6,27 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 import java.util.List;
 
 /** Guards against tables with gaps or overlaps, and fences that differ from the revision. */
 final class RangeTableTest {
+    private static final StoreVersion VERSION = new StoreVersion(2, 8);
+
     private static Assignment assignment(int first, int last, String owner) {
         return Assignment.of(new KeyRange(first, last), owner);
     }
 
     @Test
-    void of_unsetFence_isSetToTheRevision() {
+    void of_unsetFence_isSetToTheFenceOfTheVersion() {
         Assignment old = new Assignment(new KeyRange(0, 9), "a", 3, ImmutableList.of());
 
-        RangeTable table = RangeTable.of(8, List.of(assignment(10, 65_535, "b"), old));
+        RangeTable table = RangeTable.of(VERSION, List.of(assignment(10, 65_535, "b"), old));
 
         assertThat(table.find(0).fence()).isEqualTo(3);
-        assertThat(table.find(10).fence()).isEqualTo(8);
+        assertThat(table.find(10).fence()).isEqualTo(VERSION.toFence());
     }
 
     @Test
@@ -32,21 +35,25 @@
                 IllegalArgumentException.class,
                 () ->
                         RangeTable.of(
-                                1, List.of(assignment(0, 9, "a"), assignment(11, 65_535, "b"))));
+                                VERSION,
+                                List.of(assignment(0, 9, "a"), assignment(11, 65_535, "b"))));
     }
 
     @Test
     void of_overlap_throws() {
         assertThrows(
                 IllegalArgumentException.class,
-                () -> RangeTable.of(1, List.of(assignment(0, 9, "a"), assignment(9, 65_535, "b"))));
+                () ->
+                        RangeTable.of(
+                                VERSION,
+                                List.of(assignment(0, 9, "a"), assignment(9, 65_535, "b"))));
     }
 
     @Test
     void find_firstAndLastKeys_returnsTheirAssignment() {
         RangeTable table =
                 RangeTable.of(
-                        1,
+                        VERSION,
                         List.of(
                                 assignment(0, 9, "a"),
                                 assignment(10, 10, "b"),
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -6,6 +6,7 @@
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.HashMap;
@@ -21,6 +22,7 @@
  */
 final class CoordinatorService {
     private static final String RECORD_NAME = "coordinator";
+    private static final String EPOCH = "epoch";
 
     /** Interval of ticks while this daemon is the coordinator. */
     private static final long ACTING_TICK_MILLIS = 100;
@@ -196,7 +198,10 @@
                 known.isEmpty()
                         ? mStore.create(StoreKind.COORDINATORS, RECORD_NAME, spec)
                         : mStore.replace(
-                                StoreKind.COORDINATORS, RECORD_NAME, spec, known.get().revision());
+                                StoreKind.COORDINATORS,
+                                RECORD_NAME,
+                                spec,
+                                known.get().version().revision());
         call.thenAccept(result -> mThread.execute(() -> onRecordWritten(result, now, newTerm)));
     }
 
@@ -204,6 +209,7 @@
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
         spec.put("daemon", daemon);
         spec.put("incarnation", mIncarnation);
+        spec.put(EPOCH, mStore.epoch().current());
         spec.put("peer", mSettings.peerAddress().toString());
         // The store does not raise the revision for a write without a change.
         spec.put("renewed_at", mClock.getAsLong());
@@ -244,7 +250,7 @@
                 object.spec().path("daemon").asText(),
                 object.spec().path("incarnation").asLong(),
                 object.spec().path("peer").asText(),
-                object.revision());
+                new StoreVersion(object.spec().path(EPOCH).asLong(), object.revision()));
     }
 
     /**
@@ -268,7 +274,7 @@
                         StoreKind.COORDINATORS,
                         RECORD_NAME,
                         encode(""),
-                        mElection.record().orElseThrow().revision())
+                        mElection.record().orElseThrow().version().revision())
                 .thenAccept(
                         result ->
                                 mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -86,6 +86,9 @@
         EventThread thread = new EventLoopThread(mLoop, log);
         KeyedRequestStats keyedRequestStats = new KeyedRequestStats();
         Store store = new MeteredStore(adapter.store(), mMetrics);
+        mMetrics.registerGauge("store.epoch", () -> (int) store.epoch().current());
+        mMetrics.registerGauge(
+                "store.answers_from_earlier_epoch", () -> (int) store.epoch().droppedAnswers());
         HttpClient client = HttpClient.create(mGroup);
         RelayedStore relayedStore =
                 new RelayedStore(store, settings, adapter.wire(), client, thread, clock, log);
--- a/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
+++ b/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
@@ -92,7 +92,7 @@
                 mContext.directory().tables().tables().entrySet().stream()
                         .collect(
                                 ImmutableMap.toImmutableMap(
-                                        Map.Entry::getKey, e -> e.getValue().revision()));
+                                        Map.Entry::getKey, e -> e.getValue().version().revision()));
         MemberStatus member =
                 new MemberStatus(
                         mContext.settings().name(),
--- a/entry/src/main/java/org/geraniumusher/entry/MeteredStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/MeteredStore.java
@@ -19,6 +19,11 @@
         mMetrics = checkNotNull(metrics);
     }
 
+    @Override
+    public StoreEpoch epoch() {
+        return mDelegate.epoch();
+    }
+
     @Override
     public CompletableFuture<StoreResult> list(StoreKind kind, String after, boolean allowStale) {
         String name = allowStale ? "list_stale" : "list";
--- a/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
@@ -124,7 +124,7 @@
         return new Replies.Owner(
                 QueryParameters.required(call, "service"),
                 keyText,
-                table.revision(),
+                table.version().revision(),
                 toRangeRow(table.find((int) key)));
     }
 
@@ -132,8 +132,8 @@
         Optional<CoordinatorRecord> coordinator = mCoordinator.coordinator();
         return new Replies.Assignments(
                 QueryParameters.required(call, "service"),
-                table.revision(),
-                coordinator.map(CoordinatorRecord::revision).orElse(0L),
+                table.version().revision(),
+                coordinator.map(r -> r.version().revision()).orElse(0L),
                 coordinator.map(CoordinatorRecord::daemon).orElse(""),
                 table.assignments().stream().map(OperatorEndpoint::toRangeRow).toList());
     }
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -12,6 +12,7 @@
 import org.geraniumusher.keyrange.RangeServer;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.keyrange.TerminationDetector;
+import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.traffic.ServerEntry;
 
 import java.util.ArrayList;
@@ -323,7 +324,8 @@
 
     @Override
     public void write(ImmutableList<Assignment> assignments, long expectedRevision) {
-        var spec = RangeTableCodec.encode(assignments);
+        long epoch = mStore.epoch().current();
+        var spec = RangeTableCodec.encode(epoch, assignments);
         var call =
                 expectedRevision == 0
                         ? mStore.create(StoreKind.RANGES, mService, spec)
@@ -338,16 +340,18 @@
                 assignments.size(),
                 "moving",
                 moving,
+                "epoch",
+                epoch,
                 "expected_revision",
                 expectedRevision);
-        call.thenAccept(result -> mThread.execute(() -> onWriteResult(result)));
+        call.thenAccept(result -> mThread.execute(() -> onWriteResult(result, epoch)));
     }
 
-    private void onWriteResult(StoreResult result) {
+    private void onWriteResult(StoreResult result, long epoch) {
         long now = mClock.getAsLong();
         mMetrics.onCall("table_write", result.getClass().getSimpleName());
         if (result instanceof StoreResult.Written written) {
-            mCoordinator.onWritten(written.object().revision(), now);
+            mCoordinator.onWritten(new StoreVersion(epoch, written.object().revision()), now);
         } else if (result instanceof StoreResult.Conflict conflict) {
             mCoordinator.onWriteConflict(decode(conflict.object()), now);
         } else {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
@@ -10,6 +10,7 @@
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.FormerHolders;
 import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.model.StoreVersion;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,7 +30,8 @@
  * watch. An outdated table at worst sends a request to a server that rejects it without executing
  * it.
  *
- * <p>Invariant: the revision of a table never decreases. Confined to the event loop.
+ * <p>Invariant: the version of a table never decreases, also when the store is restored. Confined
+ * to the event loop.
  */
 final class RangeTableCache {
     private static final long POLL_INTERVAL_MILLIS = 2_000;
@@ -126,11 +128,11 @@
      */
     void updateIfNewer(String service, RangeTable table, boolean fromWriter) {
         RangeTable current = mTables.get(service);
-        if (current != null && current.revision() > table.revision()) {
+        if (current != null && current.version().isAfter(table.version())) {
             return;
         }
         formerHolders(service).onTable(table, fromWriter, mClock.getAsLong());
-        if (current == null || current.revision() < table.revision()) {
+        if (current == null || table.version().isAfter(current.version())) {
             mTables.put(service, table);
             mGrants.get(service).removeIf(g -> !isRelevant(g, table));
             mOnChange.run();
@@ -140,7 +142,7 @@
     /** Reports whether a grant is for a later table or for a move that the table shows. */
     private static boolean isRelevant(Grant grant, RangeTable table) {
         Assignment assignment = table.find(grant.firstKey());
-        return grant.fence() > table.revision()
+        return grant.fence() > table.version().toFence()
                 || assignment.fence() == grant.fence() && assignment.isMoving();
     }
 
@@ -164,16 +166,17 @@
     }
 
     /**
-     * Applies the assignments that changed between the revisions {@code base} and {@code revision}.
-     * Returns false if the known table is older than {@code revision} but not at {@code base}, so
+     * Applies the assignments that changed between the versions {@code base} and {@code version}.
+     * Returns false if the known table is older than {@code version} but not at {@code base}, so
      * that the whole table is needed.
      */
-    boolean applyChanges(String service, long base, long revision, List<Assignment> changes) {
+    boolean applyChanges(
+            String service, StoreVersion base, StoreVersion version, List<Assignment> changes) {
         RangeTable current = mTables.get(service);
-        if (current != null && current.revision() >= revision) {
+        if (current != null && !version.isAfter(current.version())) {
             return true;
         }
-        if (current == null || current.revision() != base) {
+        if (current == null || !current.version().equals(base)) {
             return false;
         }
         List<Assignment> updated = new ArrayList<>(changes);
@@ -182,7 +185,7 @@
                 updated.add(old);
             }
         }
-        updateIfNewer(service, RangeTable.of(revision, updated), true);
+        updateIfNewer(service, RangeTable.of(version, updated), true);
         return true;
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/RangeTableCodec.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeTableCodec.java
@@ -11,17 +11,21 @@
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.model.StoreVersion;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** Converts key range tables to and from the JSON form that the store and the daemons use. */
 final class RangeTableCodec {
+    private static final String EPOCH = "epoch";
+
     private RangeTableCodec() {}
 
-    /** Encodes assignments; the revision of their table is not part of the result. */
-    static ObjectNode encode(List<Assignment> assignments) {
+    /** Encodes assignments and the epoch of their table; its revision is not part of the result. */
+    static ObjectNode encode(long epoch, List<Assignment> assignments) {
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        spec.put(EPOCH, epoch);
         ArrayNode ranges = spec.putArray("ranges");
         for (Assignment a : assignments) {
             ObjectNode range = ranges.addObject();
@@ -38,11 +42,13 @@
     }
 
     /**
-     * Decodes a table; throws {@link IllegalArgumentException} if the assignments are not a valid
-     * table.
+     * Decodes a table that the store has at {@code revision}; throws {@link
+     * IllegalArgumentException} if the assignments are not a valid table. A table without an epoch
+     * is of epoch 0.
      */
     static RangeTable decode(long revision, JsonNode spec) {
-        return RangeTable.of(revision, decodeAssignments(spec));
+        return RangeTable.of(
+                new StoreVersion(spec.path(EPOCH).asLong(), revision), decodeAssignments(spec));
     }
 
     /** Decodes what {@link #encode} wrote; throws {@link IllegalArgumentException} if it cannot. */
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -179,6 +179,11 @@
                         });
     }
 
+    @Override
+    public StoreEpoch epoch() {
+        return mDelegate.epoch();
+    }
+
     @Override
     public CompletableFuture<StoreResult> list(StoreKind kind, String after, boolean allowStale) {
         return mDelegate.list(kind, after, allowStale);
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -171,7 +171,7 @@
 
     /** Returns the revision of the service's range table, or -1 if there is none. */
     private long tableRevision(Exchange exchange) {
-        return mDirectory.table(exchange.service()).map(RangeTable::revision).orElse(-1L);
+        return mDirectory.table(exchange.service()).map(t -> t.version().revision()).orElse(-1L);
     }
 
     /** Describes the owner of the key, its state and its load; empty for a request without one. */
--- a/entry/src/main/java/org/geraniumusher/entry/Store.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Store.java
@@ -8,8 +8,9 @@
  * A client of the platform's object store.
  *
  * <p>Every returned future completes normally: errors are reported as a {@link StoreResult} such as
- * {@link StoreResult.Refused} or {@link StoreResult.NoAnswer}. Implementations never block, and are
- * thread-safe unless they say otherwise.
+ * {@link StoreResult.Refused} or {@link StoreResult.NoAnswer}. An answer from an earlier epoch than
+ * the highest one seen is reported as {@link StoreResult.NoAnswer}. Implementations never block,
+ * and are thread-safe unless they say otherwise.
  */
 public interface Store {
     /**
@@ -38,6 +39,9 @@
     /** Removes an object if its current revision is {@code revision}. */
     CompletableFuture<StoreResult> remove(StoreKind kind, String name, long revision);
 
+    /** Returns the highest epoch of this store that was seen, which each answer updates. */
+    StoreEpoch epoch();
+
     /** Reads one object; the result is a {@link StoreResult.Written} if it exists. */
     CompletableFuture<StoreResult> read(StoreKind kind, String name);
 }
--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -15,6 +15,7 @@
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.Address;
+import org.geraniumusher.model.StoreVersion;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -40,6 +41,7 @@
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
     private final RangeTableCache mTables;
+    private final StoreEpoch mEpoch;
     private final Address mSelf;
     private final Supplier<List<Address>> mPeerAddresses;
     private final HttpClient mClient;
@@ -48,6 +50,7 @@
 
     TableExchange(DaemonContext context, Supplier<List<Address>> peerAddresses, HttpClient client) {
         mTables = context.directory().tables();
+        mEpoch = context.store().epoch();
         mSelf = context.settings().peerAddress();
         mThread = context.thread();
         mLog = context.log();
@@ -61,11 +64,14 @@
         mTables.updateIfNewer(service, next, true);
         ObjectNode body =
                 RangeTableCodec.encode(
+                        next.version().epoch(),
                         previous.map(p -> RangeTableCache.changedAssignments(p, next))
                                 .orElse(next.assignments()));
         body.put("service", service);
-        body.put("base", previous.map(RangeTable::revision).orElse(-1L));
-        body.put("revision", next.revision());
+        StoreVersion base = previous.map(RangeTable::version).orElse(StoreVersion.NONE);
+        body.put("base", base.revision());
+        body.put("base_epoch", base.epoch());
+        body.put("revision", next.version().revision());
         body.put("sender", mSelf.toString());
         sendToPeers(TABLE_PATH, body);
     }
@@ -95,11 +101,15 @@
      * the changes do not follow the known revision.
      */
     void onTableChanges(JsonNode body) {
+        StoreVersion version =
+                new StoreVersion(body.path("epoch").asLong(), body.path("revision").asLong());
+        mEpoch.observe(version.epoch());
         boolean applied =
                 mTables.applyChanges(
                         body.path("service").asText(),
-                        body.path("base").asLong(),
-                        body.path("revision").asLong(),
+                        new StoreVersion(
+                                body.path("base_epoch").asLong(), body.path("base").asLong()),
+                        version,
                         RangeTableCodec.decodeAssignments(body));
         if (!applied) {
             fetchTables(Address.of(body.path("sender").asText()));
@@ -161,8 +171,10 @@
         mTables.tables()
                 .forEach(
                         (service, table) -> {
-                            ObjectNode encoded = RangeTableCodec.encode(table.assignments());
-                            body.set(service, encoded.put("revision", table.revision()));
+                            StoreVersion version = table.version();
+                            ObjectNode encoded =
+                                    RangeTableCodec.encode(version.epoch(), table.assignments());
+                            body.set(service, encoded.put("revision", version.revision()));
                         });
         return HttpReply.of(200, body.toString());
     }
--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -6,11 +6,11 @@
 /** Creates daemon contexts with a fake store, fake servers and a manual clock. Not thread-safe. */
 final class DaemonContextFixture implements AutoCloseable {
     private final FakeEventThread mThread = new FakeEventThread();
-    private final FakeStore mStore = new FakeStore();
     private final FakeServerControl mControl = new FakeServerControl(mThread);
     private final DecisionLog mLog =
             DecisionLog.start(
                     mThread::now, () -> 0, new PrintStream(new ByteArrayOutputStream(), true));
+    private final FakeStore mStore = new FakeStore(mLog);
 
     FakeEventThread thread() {
         return mThread;
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -28,6 +28,16 @@
     private long mRevision = 1;
     private boolean mHoldAnswers;
     private boolean mDown;
+    private final StoreEpoch mEpoch;
+
+    FakeStore(DecisionLog log) {
+        mEpoch = StoreEpoch.create(log);
+    }
+
+    @Override
+    public StoreEpoch epoch() {
+        return mEpoch;
+    }
 
     /** From now on, executes calls at once but holds their answers. */
     void holdAnswers() {
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -8,6 +8,7 @@
 import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.CoordinatorRecord;
 import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -80,7 +81,8 @@
 
     /** Simulates that the store accepts a write of this daemon's coordinator record. */
     private void confirmRecord() {
-        CoordinatorRecord record = new CoordinatorRecord("d", 1, "peer", ++mRecordRevision);
+        CoordinatorRecord record =
+                new CoordinatorRecord("d", 1, "peer", new StoreVersion(0, ++mRecordRevision));
         mElection.onWritten(record, mThread.now(), mThread.now());
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/RangeTableCacheTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeTableCacheTest.java
@@ -7,6 +7,7 @@
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -26,12 +27,26 @@
 
     private static RangeTable table(long revision, String owner, String... previous) {
         return RangeTable.of(
-                revision,
+                new StoreVersion(0, revision),
                 List.of(
                         new Assignment(
                                 KeyRange.ALL, owner, revision, ImmutableList.copyOf(previous))));
     }
 
+    /**
+     * After a restore the store, or a daemon that polled it, reports the table of the backup. Its
+     * revision can be anything, since revisions are assigned again.
+     */
+    @Test
+    void updateIfNewer_tableOfEarlierEpochWithHigherRevision_isIgnored() {
+        RangeTable current = RangeTable.of(new StoreVersion(2, 5), table(5, "b").assignments());
+        mTables.updateIfNewer(SERVICE, current, true);
+
+        mTables.updateIfNewer(SERVICE, table(90, "a"), false);
+
+        assertThat(mTables.table(SERVICE).orElseThrow()).isSameInstanceAs(current);
+    }
+
     private boolean mayServe() {
         return mTables.mayServe(SERVICE, mTables.table(SERVICE).orElseThrow().find(7));
     }
--- /dev/null
+++ b/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
@@ -0,0 +1,45 @@
+package org.geraniumusher.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Guards against answers from before a restore of the store that are taken for current ones. */
+final class StoreEpochTest {
+    private final DaemonContextFixture mFixture = new DaemonContextFixture();
+    private final StoreEpoch mEpoch = mFixture.store().epoch();
+    private final List<Long> mHeard = new ArrayList<>();
+
+    @AfterEach
+    void closeFixture() {
+        mFixture.close();
+    }
+
+    @Test
+    void observe_epochRises_listenersRunOnceBeforeItReturns() {
+        mEpoch.addListener(() -> mHeard.add(mEpoch.current()));
+
+        assertThat(mEpoch.observe(1)).isTrue();
+        assertThat(mEpoch.hasRisen()).isFalse();
+        assertThat(mHeard).isEmpty();
+        assertThat(mEpoch.observe(3)).isTrue();
+        assertThat(mEpoch.observe(3)).isTrue();
+
+        assertThat(mHeard).containsExactly(3L);
+        assertThat(mEpoch.hasRisen()).isTrue();
+    }
+
+    @Test
+    void observe_earlierEpoch_isFalseAndCounted() {
+        mEpoch.observe(2);
+
+        assertThat(mEpoch.observe(1)).isFalse();
+
+        assertThat(mEpoch.current()).isEqualTo(2);
+        assertThat(mEpoch.droppedAnswers()).isEqualTo(1);
+    }
+}
