List the store again after a restore and keep what had been confirmed

After a restore the revision of the store is lower than that of each copy. Lists were dropped as older than the copy until the counter had passed it, and watches went on from a revision of the lost history.

A copy is now at a version, which is the epoch and the revision. When the epoch rises, calls in progress are dropped and all kinds are listed. Peers and feeders pass the epoch on; a follower at an earlier epoch is told to list. A configuration never replaces one with a higher version, an incarnation of a server that was leaving stays so, and evacuations and drains that a restore lost stay in force for as long as servers have to register again, which their writers need as well.

Tests: DirectoryTest with restored backups.

--- a/decisions/src/main/java/org/geraniumusher/traffic/ServerEntry.java
+++ b/decisions/src/main/java/org/geraniumusher/traffic/ServerEntry.java
@@ -53,6 +53,20 @@
                         Labels::isValue));
     }
 
+    /** Returns a copy that says that the server is leaving. */
+    public ServerEntry asLeaving() {
+        return new ServerEntry(
+                id,
+                startMillis,
+                service,
+                address,
+                dataCentre,
+                slots,
+                release,
+                true,
+                remainingColdNanos);
+    }
+
     /** Returns an identifier that is unique among the incarnations of all servers. */
     public String incarnationId() {
         return incarnationIdOf(id, startMillis);
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -7,37 +7,50 @@
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.RangeTable;
+import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
  * Holds the decoded state of the store as this daemon knows it: the configuration, the backend
  * servers, what is out of service, and the tables of key ranges. Confined to the event loop.
  *
- * <p>Invariant: an object that cannot be decoded affects no other. The last usable configuration
- * stays in force, and the entry of a server or a drain is left out.
+ * <p>Invariants: an object that cannot be decoded affects no other. The last usable configuration
+ * stays in force, and the entry of a server or a drain is left out. A restore of the store brings
+ * back no older configuration, and no incarnation of a server that was leaving.
  */
 final class Directory {
     /**
-     * Time after the store is reachable again within which this daemon reads new entries of the
-     * servers whose entries expired meanwhile. The servers register again within about 2 s; the
-     * rest is the time until this daemon has read the entries.
+     * Time after the store is reachable again, or was restored, within which this daemon reads new
+     * entries of the servers whose entries expired or were lost meanwhile. The servers register
+     * again within about 2 s; the rest is the time until this daemon has read the entries.
      */
     private static final long REREGISTRATION_NANOS = 2_300_000_000L;
 
+    /** Number of leaving incarnations that are remembered, more than a restore can bring back. */
+    private static final int MAX_LEAVING_INCARNATIONS = 4_096;
+
     /** Longest part of an entry in a log line; enough to see what is wrong with it. */
     private static final int MAX_LOGGED_CHARS = 400;
 
     private final WireFormat mWire;
+    private final StoreEpoch mEpoch;
+    private final EventThread mThread;
     private final RangeTableCache mTables;
     private final DecisionLog mLog;
     private final LongSupplier mClock;
@@ -45,10 +58,30 @@
     private final List<Runnable> mListeners = new ArrayList<>();
     private final Map<String, DecodedServer> mDecodedServers = new HashMap<>();
     private Optional<RouterConfig> mConfiguration = Optional.empty();
-    private long mConfigurationRevision = -1;
+    private StoreVersion mDecodedConfiguration = StoreVersion.NONE;
     private ImmutableMap<String, ServerEntry> mServers = ImmutableMap.of();
     private ImmutableSet<String> mEvacuatedDataCentres = ImmutableSet.of();
     private ImmutableList<Drain> mDrains = ImmutableList.of();
+    private OptionalLong mRestoredAtNanos = OptionalLong.empty();
+
+    /**
+     * Evacuations that were in force before a restore and that the store has not shown since. Empty
+     * once their writers have had time to write them again.
+     */
+    private final Set<String> mEvacuationsBeforeRestore = new HashSet<>();
+
+    /** Drains that were in force before a restore, as for evacuations, by name. */
+    private final Map<String, Drain> mDrainsBeforeRestore = new HashMap<>();
+
+    /** Incarnations whose entries said that they are leaving, the oldest first. */
+    private final Set<String> mLeavingIncarnations =
+            Collections.newSetFromMap(
+                    new LinkedHashMap<>() {
+                        @Override
+                        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                            return size() > MAX_LEAVING_INCARNATIONS;
+                        }
+                    });
 
     /**
      * Caches whether servers are evacuated or drained, by incarnation ID. Cleared when servers,
@@ -57,11 +90,13 @@
     private final Map<String, Boolean> mOutOfService = new HashMap<>();
 
     /** The result of decoding an entry of a server; empty if it was not usable. */
-    private record DecodedServer(long revision, Optional<ServerEntry> entry) {}
+    private record DecodedServer(StoreVersion version, Optional<ServerEntry> entry) {}
 
     Directory(
             Store store, WireFormat wire, EventThread thread, LongSupplier clock, DecisionLog log) {
         mWire = wire;
+        mEpoch = store.epoch();
+        mThread = thread;
         mLog = log;
         mClock = clock;
         addMirror(StoreKind.CONFIGURATION, store, thread, this::decodeConfiguration);
@@ -71,6 +106,7 @@
         mTables =
                 new RangeTableCache(
                         store, thread, clock, log, () -> mListeners.forEach(Runnable::run));
+        mEpoch.addListener(this::onNewEpoch);
     }
 
     private void addMirror(StoreKind kind, Store store, EventThread thread, Runnable decode) {
@@ -104,6 +140,48 @@
         mTables.start();
     }
 
+    private void onNewEpoch() {
+        mRestoredAtNanos = OptionalLong.of(mClock.getAsLong());
+        mEvacuationsBeforeRestore.addAll(mEvacuatedDataCentres);
+        mDrains.forEach(d -> mDrainsBeforeRestore.put(d.name(), d));
+        mMirrors.values().forEach(KindMirror::onNewEpoch);
+        mThread.schedule(
+                this::dropObjectsNotWrittenAgain, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Ends the evacuations and drains of which a restore lost the objects, unless it was followed
+     * by another restore.
+     */
+    private void dropObjectsNotWrittenAgain() {
+        if (isSoonAfterRestore(mClock.getAsLong())
+                || mEvacuationsBeforeRestore.isEmpty() && mDrainsBeforeRestore.isEmpty()) {
+            return;
+        }
+        mLog.write(
+                Part.STORE,
+                "Objects lost in the restore were not written again",
+                "evacuations",
+                mEvacuationsBeforeRestore,
+                "drains",
+                mDrainsBeforeRestore.keySet());
+        mEvacuationsBeforeRestore.clear();
+        mDrainsBeforeRestore.clear();
+        decodeEvacuations();
+        decodeDrains();
+        mListeners.forEach(Runnable::run);
+    }
+
+    private boolean isSoonAfterRestore(long nowNanos) {
+        return mRestoredAtNanos.isPresent()
+                && nowNanos - mRestoredAtNanos.getAsLong() < REREGISTRATION_NANOS;
+    }
+
+    /** Returns whether the copy of a kind was read from the store after its last restore. */
+    private boolean isCurrent(StoreKind kind) {
+        return mMirrors.get(kind).version().epoch() == mEpoch.current();
+    }
+
     /** Lists all mirrored kinds, at the start and after the store dropped its history. */
     private void listAll() {
         mMirrors.values().forEach(KindMirror::start);
@@ -161,21 +239,15 @@
     }
 
     private void decodeConfiguration() {
-        for (StoreObject object : mMirrors.get(StoreKind.CONFIGURATION).objects().values()) {
-            if (object.revision() <= mConfigurationRevision) {
+        KindMirror mirror = mMirrors.get(StoreKind.CONFIGURATION);
+        for (StoreObject object : mirror.objects().values()) {
+            StoreVersion decoded = new StoreVersion(mirror.version().epoch(), object.revision());
+            if (decoded.equals(mDecodedConfiguration)) {
                 continue;
             }
-            mConfigurationRevision = object.revision();
+            mDecodedConfiguration = decoded;
             try {
-                RouterConfig next = mWire.decodeConfiguration(object.spec());
-                mConfiguration = Optional.of(next);
-                mLog.write(
-                        Part.STORE,
-                        "Configuration is in force",
-                        "version",
-                        next.version(),
-                        "revision",
-                        object.revision());
+                applyConfiguration(mWire.decodeConfiguration(object.spec()), decoded);
             } catch (IllegalArgumentException e) {
                 mLog.write(
                         Part.STORE,
@@ -188,9 +260,38 @@
         }
     }
 
+    /** Puts a configuration in force unless it is older than the one in force. */
+    private void applyConfiguration(RouterConfig next, StoreVersion decoded) {
+        long current = mConfiguration.map(RouterConfig::version).orElse(Long.MIN_VALUE);
+        boolean isOlder = next.version() < current;
+        if (!isOlder) {
+            mConfiguration = Optional.of(next);
+        }
+        mLog.write(
+                Part.STORE,
+                isOlder
+                        ? "Configuration is older than the one in force and is ignored"
+                        : "Configuration is in force",
+                "version",
+                next.version(),
+                "previous_version",
+                current,
+                "epoch",
+                decoded.epoch(),
+                "revision",
+                decoded.revision());
+    }
+
     private void decodeEvacuations() {
+        Set<String> listed = mMirrors.get(StoreKind.EVACUATIONS).objects().keySet();
+        if (isCurrent(StoreKind.EVACUATIONS)) {
+            mEvacuationsBeforeRestore.removeAll(listed);
+        }
         ImmutableSet<String> next =
-                ImmutableSet.copyOf(mMirrors.get(StoreKind.EVACUATIONS).objects().keySet());
+                ImmutableSet.<String>builder()
+                        .addAll(listed)
+                        .addAll(mEvacuationsBeforeRestore)
+                        .build();
         if (!next.equals(mEvacuatedDataCentres)) {
             mLog.write(Part.STORE, "Evacuated data centres changed", "data_centres", next);
             mEvacuatedDataCentres = next;
@@ -200,7 +301,15 @@
 
     private void decodeDrains() {
         ImmutableList.Builder<Drain> next = ImmutableList.builder();
-        for (StoreObject object : mMirrors.get(StoreKind.DRAINS).objects().values()) {
+        ImmutableMap<String, StoreObject> objects = mMirrors.get(StoreKind.DRAINS).objects();
+        if (isCurrent(StoreKind.DRAINS)) {
+            mDrainsBeforeRestore.keySet().removeAll(objects.keySet());
+        }
+        next.addAll(mDrainsBeforeRestore.values());
+        for (StoreObject object : objects.values()) {
+            if (mDrainsBeforeRestore.containsKey(object.name())) {
+                continue;
+            }
             try {
                 next.add(DrainCodec.decode(object));
             } catch (IllegalArgumentException e) {
@@ -225,19 +334,33 @@
     private void decodeServers() {
         ImmutableMap.Builder<String, ServerEntry> next = ImmutableMap.builder();
         ImmutableMap<String, StoreObject> objects = mMirrors.get(StoreKind.SERVERS).objects();
+        long epoch = mMirrors.get(StoreKind.SERVERS).version().epoch();
         mDecodedServers.keySet().retainAll(objects.keySet());
         for (StoreObject object : objects.values()) {
             DecodedServer decoded = mDecodedServers.get(object.name());
-            if (decoded == null || decoded.revision() != object.revision()) {
-                decoded = new DecodedServer(object.revision(), decodeServer(object));
+            StoreVersion version = new StoreVersion(epoch, object.revision());
+            if (decoded == null || !decoded.version().equals(version)) {
+                decoded = new DecodedServer(version, decodeServer(object));
                 mDecodedServers.put(object.name(), decoded);
             }
-            decoded.entry().ifPresent(e -> next.put(e.incarnationId(), e));
+            decoded.entry().ifPresent(e -> next.put(e.incarnationId(), keepLeaving(e)));
         }
         mServers = next.buildKeepingLast();
         mOutOfService.clear();
     }
 
+    /**
+     * Returns the entry, marked as leaving if an earlier entry of its incarnation was. A server
+     * that leaves does not return to service, but a restore of the store can bring back its old
+     * entry.
+     */
+    private ServerEntry keepLeaving(ServerEntry entry) {
+        if (entry.leaving()) {
+            mLeavingIncarnations.add(entry.incarnationId());
+        }
+        return mLeavingIncarnations.contains(entry.incarnationId()) ? entry.asLeaving() : entry;
+    }
+
     /** Decodes the entry of a server. Logs the reason and returns empty if it is not usable. */
     Optional<ServerEntry> decodeServer(StoreObject object) {
         try {
@@ -260,11 +383,12 @@
 
     /**
      * Returns whether servers whose entries are missing may still register again, because the
-     * entries may have expired only while the store was unreachable.
+     * entries may have expired only while the store was unreachable, or were lost in a restore.
      */
     boolean mayMissingServersReregister(long nowNanos) {
         KindMirror servers = mMirrors.get(StoreKind.SERVERS);
         return !servers.isReachable()
+                || isSoonAfterRestore(nowNanos)
                 || nowNanos - servers.reachableSinceNanos() < REREGISTRATION_NANOS;
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/DrainService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/DrainService.java
@@ -54,7 +54,7 @@
         return new Replies.DrainRow(
                 drain.name(),
                 drain.selector().toString(),
-                object.revision(),
+                object == null ? 0 : object.revision(),
                 incarnationIds.size(),
                 (int) ranges);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -6,6 +6,7 @@
 import org.geraniumusher.entry.StoreResult.Changes;
 import org.geraniumusher.entry.StoreResult.HistoryGone;
 import org.geraniumusher.entry.StoreResult.Page;
+import org.geraniumusher.model.StoreVersion;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -16,9 +17,10 @@
 /**
  * Mirrors the objects of one kind in the store: lists them once, then watches for changes.
  *
- * <p>Invariant: the copy is the state of the store at one revision, which never decreases. While
- * the store does not answer, the copy of a peer can replace it if its revision is higher. Confined
- * to the event loop.
+ * <p>Invariant: the copy is the state of the store at one version, which never decreases. While the
+ * store does not answer, the copy of a peer can replace it if its version is higher. When the store
+ * has been restored, the objects are listed again, and results of earlier calls are ignored.
+ * Confined to the event loop.
  */
 final class KindMirror {
     /**
@@ -73,7 +75,7 @@
     private final Map<String, StoreObject> mListedSoFar = new HashMap<>();
 
     private ImmutableMap<String, StoreObject> mObjects = ImmutableMap.of();
-    private long mRevision = -1;
+    private StoreVersion mVersion = StoreVersion.NONE;
 
     /** Incremented to invalidate the calls and timers in progress. */
     private long mCallGeneration;
@@ -81,6 +83,7 @@
     /** Whether the copy comes from the store, so that a watch can continue from its revision. */
     private boolean mListedFromStore;
 
+    private boolean mStarted;
     private boolean mReachable;
     private long mUnreachableSinceNanos;
     private long mReachableSinceNanos;
@@ -115,8 +118,17 @@
         mUnreachableSinceNanos = clock.getAsLong();
     }
 
+    /** Lists the objects of a store that has been restored. Does nothing before the start. */
+    void onNewEpoch() {
+        if (mStarted) {
+            mListedFromStore = false;
+            start();
+        }
+    }
+
     /** Lists all objects, then watches. Ignores the results of calls in progress. */
     void start() {
+        mStarted = true;
         mCallGeneration++;
         mListedSoFar.clear();
         list("");
@@ -128,12 +140,17 @@
 
     /** Returns whether a complete state was read, from the store or from a peer. */
     boolean hasState() {
-        return mRevision >= 0;
+        return mVersion.revision() >= 0;
+    }
+
+    /** Returns the version of the copy, or {@link StoreVersion#NONE} if there is none. */
+    StoreVersion version() {
+        return mVersion;
     }
 
     /** Returns the revision of the copy, or -1 if there is none. */
     long revision() {
-        return mRevision;
+        return mVersion.revision();
     }
 
     /** Returns the objects of the copy by name. */
@@ -189,20 +206,22 @@
     /**
      * Replaces the copy with that of a peer if the store is unreachable and the peer's is newer.
      *
-     * @param revision revision of the peer's copy
-     * @param objects all objects of the kind at that revision, by name
+     * @param version version of the peer's copy
+     * @param objects all objects of the kind at that version, by name
      */
-    void adoptPeerCopy(long revision, Map<String, StoreObject> objects) {
-        if (!mReachable && revision > mRevision) {
+    void adoptPeerCopy(StoreVersion version, Map<String, StoreObject> objects) {
+        if (!mReachable && version.isAfter(mVersion)) {
             mLog.write(
                     DecisionLog.Part.STORE,
                     "Copied objects from a peer",
                     "kind",
                     mKind,
+                    "epoch",
+                    version.epoch(),
                     "revision",
-                    revision);
-            mRevision = revision;
-            mHistory.resetTo(mRevision);
+                    version.revision());
+            mVersion = version;
+            mHistory.resetTo(version.revision());
             mObjects = ImmutableMap.copyOf(objects);
             mListedFromStore = false;
             mOnChange.run();
@@ -243,9 +262,10 @@
             list(page.objects().get(page.objects().size() - 1).name());
             return;
         }
-        if (page.revision() >= mRevision) {
-            mRevision = page.revision();
-            mHistory.resetTo(mRevision);
+        StoreVersion listed = new StoreVersion(mStore.epoch().current(), page.revision());
+        if (!mVersion.isAfter(listed)) {
+            mVersion = listed;
+            mHistory.resetTo(listed.revision());
             mObjects = ImmutableMap.copyOf(mListedSoFar);
             mListedFromStore = true;
             mOnChange.run();
@@ -258,7 +278,7 @@
 
     private void watch() {
         long generation = mCallGeneration;
-        mStore.watch(mKind, mRevision, mTiming.mWaitMillis)
+        mStore.watch(mKind, mVersion.revision(), mTiming.mWaitMillis)
                 .thenAccept(
                         result ->
                                 mThread.execute(
@@ -288,7 +308,7 @@
                     "kind",
                     mKind,
                     "revision",
-                    mRevision);
+                    mVersion.revision());
             mOnHistoryGone.run();
         } else {
             onFailure(result);
@@ -297,8 +317,9 @@
     }
 
     private void apply(Changes changes) {
-        mRevision = Math.max(mRevision, changes.revision());
-        mHistory.add(changes.changes(), mRevision);
+        long revision = Math.max(mVersion.revision(), changes.revision());
+        mVersion = new StoreVersion(mVersion.epoch(), revision);
+        mHistory.add(changes.changes(), revision);
         if (!changes.changes().isEmpty()) {
             Map<String, StoreObject> next = new HashMap<>(mObjects);
             for (StoreResult.Change change : changes.changes()) {
@@ -319,7 +340,12 @@
             mReachable = true;
             mReachableSinceNanos = mClock.getAsLong();
             mLog.write(
-                    DecisionLog.Part.STORE, "Store answers", "kind", mKind, "revision", mRevision);
+                    DecisionLog.Part.STORE,
+                    "Store answers",
+                    "kind",
+                    mKind,
+                    "revision",
+                    mVersion.revision());
             mOnReachable.run();
         }
         mFailures = 0;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -19,6 +19,7 @@
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.keyrange.CoordinatorRecord;
 import org.geraniumusher.model.Address;
+import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.relay.Feeders;
 
 import java.io.IOException;
@@ -253,7 +254,13 @@
     private void copyFrom(Address peer, KindMirror mirror) {
         HttpCall call =
                 HttpCall.of(
-                        "GET", "/objects/" + mirror.kind() + "?newer_than=" + mirror.revision());
+                        "GET",
+                        "/objects/"
+                                + mirror.kind()
+                                + "?newer_than="
+                                + mirror.version().revision()
+                                + "&epoch="
+                                + mirror.version().epoch());
         mClient.call(peer, call, CALL_TIMEOUT)
                 .whenComplete(
                         (reply, error) -> {
@@ -271,7 +278,11 @@
                 StoreObject object = mWire.decodeObject(content);
                 objects.put(object.name(), object);
             }
-            mirror.adoptPeerCopy(copy.path("revision").asLong(-1), objects);
+            StoreVersion version =
+                    new StoreVersion(copy.path("epoch").asLong(), copy.path("revision").asLong(-1));
+            if (mStore.epoch().observe(version.epoch())) {
+                mirror.adoptPeerCopy(version, objects);
+            }
         } catch (IOException | IllegalArgumentException e) {
             mLog.write(
                     Part.PEER,
@@ -343,12 +354,17 @@
     private HttpReply copyReply(HttpCall call) throws JsonProcessingException {
         StoreKind kind = StoreKind.valueOf(call.path().substring("/objects/".length()));
         KindMirror mirror = mDirectory.mirror(kind);
-        long knownRevision = Long.parseLong(call.query("newer_than").orElse("-1"));
-        if (mirror == null || mirror.revision() <= knownRevision) {
+        StoreVersion known =
+                new StoreVersion(
+                        Long.parseLong(call.query("epoch").orElse("0")),
+                        Long.parseLong(call.query("newer_than").orElse("-1")));
+        mStore.epoch().observe(known.epoch());
+        if (mirror == null || !mirror.version().isAfter(known)) {
             return HttpReply.of(204, "");
         }
         ObjectNode copy = JsonNodeFactory.instance.objectNode();
-        copy.put("revision", mirror.revision());
+        copy.put("epoch", mirror.version().epoch());
+        copy.put("revision", mirror.version().revision());
         ArrayNode objects = copy.putArray("objects");
         mirror.objects().values().forEach(object -> objects.add(object.content()));
         return new HttpReply(200, MAPPER.writeValueAsBytes(copy));
--- a/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
@@ -11,6 +11,7 @@
 import org.geraniumusher.http.HttpCall;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.http.Responder;
+import org.geraniumusher.model.StoreVersion;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -23,13 +24,16 @@
  *
  * <p>Invariant: changes are only sent while the copy is confirmed, which means that the last watch
  * of this daemon was answered by the store itself, not by a feeder, and that this was less than
- * {@link #MAX_CONFIRMATION_AGE_NANOS} ago. Otherwise the request fails and the follower watches the
- * store. Confined to the event loop.
+ * {@link #MAX_CONFIRMATION_AGE_NANOS} ago, in the current epoch of the store. Otherwise the request
+ * fails and the follower watches the store. Confined to the event loop.
  */
 final class RelayEndpoint {
     static final String PATH = "/relay";
 
-    /** HTTP status when the changes after the follower's revision are no longer kept. */
+    /**
+     * HTTP status when the changes after the follower's revision are no longer kept, or when its
+     * copy is from an earlier epoch of the store.
+     */
     static final int HISTORY_GONE = 410;
 
     /** Covers a feeder's watch of 1 s, the pause after it and a slow response of the store. */
@@ -47,31 +51,35 @@
     private static final int NOT_CONFIRMED = 503;
 
     private static final long POLL_WAIT_MILLIS = 700;
+    private static final String EPOCH = "epoch";
     private static final String REVISION = "revision";
     private static final String CHANGES = "changes";
     private static final String OBJECT = "object";
     private static final String REMOVED = "removed";
 
     private final KindMirror mServers;
+    private final StoreEpoch mEpoch;
     private final RelayedStore mRelayedStore;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final List<PendingPoll> mPendingPolls = new ArrayList<>();
 
-    /** A request of a follower that has all changes up to {@code revision}. */
-    private record PendingPoll(long revision, Responder responder) {}
+    /** A request of a follower that has all changes up to {@code version}. */
+    private record PendingPoll(StoreVersion version, Responder responder) {}
 
     RelayEndpoint(DaemonContext context, RelayedStore relayedStore) {
         mServers = context.directory().mirror(StoreKind.SERVERS);
         mRelayedStore = checkNotNull(relayedStore);
         mThread = context.thread();
         mClock = context.clock();
+        mEpoch = context.store().epoch();
+        mEpoch.addListener(this::answerPendingPolls);
         context.directory().addListener(this::answerPendingPolls);
     }
 
-    /** Returns the path and query of a request for the changes after a revision. */
-    static String watchUri(long revision) {
-        return PATH + "?revision=" + revision;
+    /** Returns the path and query of a request for the changes after a version. */
+    static String watchUri(StoreVersion version) {
+        return PATH + "?revision=" + version.revision() + "&epoch=" + version.epoch();
     }
 
     /**
@@ -81,8 +89,10 @@
      */
     void answer(HttpCall call, Responder responder) {
         long revision = Long.parseLong(call.query(REVISION).orElse("-1"));
-        PendingPoll poll = new PendingPoll(revision, responder);
-        if (!isConfirmed() || mServers.revision() > revision) {
+        long epoch = Long.parseLong(call.query(EPOCH).orElse("0"));
+        mEpoch.observe(epoch);
+        PendingPoll poll = new PendingPoll(new StoreVersion(epoch, revision), responder);
+        if (!isConfirmed() || isAnswerDue(poll)) {
             reply(poll);
             return;
         }
@@ -103,12 +113,17 @@
 
     private void answerPendingPolls() {
         for (PendingPoll poll : List.copyOf(mPendingPolls)) {
-            if (mServers.revision() > poll.revision() && mPendingPolls.remove(poll)) {
+            if (isAnswerDue(poll) && mPendingPolls.remove(poll)) {
                 reply(poll);
             }
         }
     }
 
+    private boolean isAnswerDue(PendingPoll poll) {
+        return poll.version().epoch() < mEpoch.current()
+                || mServers.version().isAfter(poll.version());
+    }
+
     private long nanosSinceStoreAnswer() {
         return mClock.getAsLong() - mServers.lastAnswerNanos();
     }
@@ -116,29 +131,40 @@
     private boolean isConfirmed() {
         return mRelayedStore.isLastWatchDirect()
                 && mServers.isReachable()
+                && mServers.version().epoch() == mEpoch.current()
                 && nanosSinceStoreAnswer() < MAX_CONFIRMATION_AGE_NANOS;
     }
 
     private void reply(PendingPoll poll) {
+        if (poll.version().epoch() < mEpoch.current()) {
+            poll.responder().reply(historyGoneReply());
+            return;
+        }
         // If this copy is older than the follower's, later changes would not reach the follower.
-        if (!isConfirmed() || mServers.revision() < poll.revision()) {
+        if (!isConfirmed() || poll.version().isAfter(mServers.version())) {
             poll.responder().reply(HttpReply.of(NOT_CONFIRMED, "{}"));
             return;
         }
         Optional<ImmutableList<StoreResult.Change>> changes =
-                mServers.changesSince(poll.revision());
+                mServers.changesSince(poll.version().revision());
         poll.responder()
                 .reply(
                         changes.isPresent()
                                 ? DeflatedJson.encode(
                                         HttpReply.of(
-                                                200, encode(mServers.revision(), changes.get())))
-                                : HttpReply.of(HISTORY_GONE, "{}"));
+                                                200, encode(mServers.version(), changes.get())))
+                                : historyGoneReply());
     }
 
-    private static String encode(long revision, List<StoreResult.Change> changes) {
+    private HttpReply historyGoneReply() {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
-        body.put(REVISION, revision);
+        return HttpReply.of(HISTORY_GONE, body.put(EPOCH, mEpoch.current()).toString());
+    }
+
+    private static String encode(StoreVersion version, List<StoreResult.Change> changes) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put(EPOCH, version.epoch());
+        body.put(REVISION, version.revision());
         ArrayNode changeNodes = body.putArray(CHANGES);
         for (StoreResult.Change change : changes) {
             ObjectNode changeNode = changeNodes.addObject();
@@ -148,6 +174,15 @@
         return body.toString();
     }
 
+    /**
+     * Decodes the epoch of the store in a reply with changes, or with status {@link #HISTORY_GONE}.
+     *
+     * @throws IllegalArgumentException if the reply cannot be decoded
+     */
+    static long decodeEpoch(HttpReply reply) {
+        return DeflatedJson.decode(reply).path(EPOCH).asLong();
+    }
+
     /**
      * Decodes a reply with changes.
      *
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -10,6 +10,7 @@
 import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.model.Address;
+import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.relay.Feeders;
 
 import java.time.Duration;
@@ -116,7 +117,10 @@
         CompletableFuture<HttpReply> call =
                 mClient.call(
                         feeder,
-                        HttpCall.of("GET", RelayEndpoint.watchUri(revision)),
+                        HttpCall.of(
+                                "GET",
+                                RelayEndpoint.watchUri(
+                                        new StoreVersion(epoch().current(), revision))),
                         RELAY_TIMEOUT);
         Future<?> timeout =
                 mThread.schedule(
@@ -140,15 +144,18 @@
             Throwable error,
             long revision,
             CompletableFuture<StoreResult> result) {
-        if (error == null && reply.status() == RelayEndpoint.HISTORY_GONE) {
-            result.complete(new StoreResult.HistoryGone());
-            return;
-        }
         String reason = error != null ? String.valueOf(error) : "status " + reply.status();
-        if (error == null && reply.isOk()) {
+        boolean historyGone = error == null && reply.status() == RelayEndpoint.HISTORY_GONE;
+        if (historyGone || error == null && reply.isOk()) {
             try {
-                result.complete(RelayEndpoint.decode(reply, mWire));
-                return;
+                if (epoch().observe(RelayEndpoint.decodeEpoch(reply))) {
+                    result.complete(
+                            historyGone
+                                    ? new StoreResult.HistoryGone()
+                                    : RelayEndpoint.decode(reply, mWire));
+                    return;
+                }
+                reason = "reply from an earlier epoch of the store";
             } catch (IllegalArgumentException e) {
                 reason = e.getMessage();
             }
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -2,12 +2,17 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.geraniumusher.traffic.ServerEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /**
  * Guards against servers that are treated as gone because their entries expired during an outage of
- * the store, and against watches that outlast the history of the store.
+ * the store, against watches that outlast the history of the store, and against state that a
+ * restore of the store takes back.
  */
 final class DirectoryTest {
     private static final long SECOND_NANOS = 1_000_000_000L;
@@ -64,6 +69,122 @@
         assertThat(mStore.longestWaitMillis()).isAtMost(20_000L);
     }
 
+    /** Restores a backup; the watches of the lost history end. */
+    private void restore(FakeStore.Backup backup) {
+        mStore.restore(backup);
+        mStore.dropHistory();
+        mThread.advance(SECOND_NANOS / 2);
+    }
+
+    private static ObjectNode configuration(long version) {
+        return JsonNodeFactory.instance.objectNode().put("version", version);
+    }
+
+    private long configurationVersion() {
+        return mDirectory.configuration().orElseThrow().version();
+    }
+
+    /**
+     * The revisions of a restored store are lower than those of the copy. All lists were dropped as
+     * older than the copy until the store had reached its former revision, or for good, and the
+     * operator's next configuration was not seen: vtgw-gate on the day of issue 18, seeds 11 and 7.
+     */
+    @Test
+    void start_restoredStoreHasLowerRevision_laterChangesAreSeen() {
+        mStore.put(StoreKind.CONFIGURATION, "main", configuration(3));
+        FakeStore.Backup backup = mStore.backup();
+        mDirectory.start();
+        for (int i = 0; i < 10; i++) {
+            mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        }
+        mStore.dropHistory();
+
+        restore(backup);
+        mStore.put(StoreKind.CONFIGURATION, "main", configuration(4));
+        mStore.dropHistory();
+
+        assertThat(configurationVersion()).isEqualTo(4);
+        assertThat(mDirectory.servers()).isEmpty();
+    }
+
+    /** A change that was confirmed and in force must not be taken back by a restore. */
+    @Test
+    void configuration_restoreBringsBackOlderVersion_newerStaysInForce() {
+        mStore.put(StoreKind.CONFIGURATION, "main", configuration(3));
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.CONFIGURATION, "main", configuration(4));
+        mDirectory.start();
+
+        restore(backup);
+
+        assertThat(configurationVersion()).isEqualTo(4);
+    }
+
+    /** Keys and requests must not return to a server that is shutting down. */
+    @Test
+    void servers_restoreBringsBackReadyEntryOfLeavingServer_isLeaving() {
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, true));
+        mDirectory.start();
+
+        restore(backup);
+
+        assertThat(mDirectory.servers().get("a@1").leaving()).isTrue();
+    }
+
+    /** The restored entry can have the revision at which another one was decoded before. */
+    @Test
+    void servers_revisionIsAssignedAgain_entryIsDecodedAgain() {
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        mDirectory.start();
+
+        mStore.restore(backup);
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(2, false));
+        mStore.dropHistory();
+
+        assertThat(mDirectory.servers().get("a@1").address().port()).isEqualTo(2);
+    }
+
+    /** Operators write lost evacuations again, and no work may return to the servers until then. */
+    @Test
+    void isOutOfService_evacuationIsLostInRestore_staysInForceUntilItCouldBeWrittenAgain() {
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.EVACUATIONS, "z", configuration(0));
+        mDirectory.start();
+        ServerEntry server =
+                new FakeWireFormat()
+                        .decodeServerEntry(
+                                new StoreObject(
+                                        "a",
+                                        1,
+                                        configuration(0),
+                                        FakeWireFormat.serverSpec(1, false)));
+
+        restore(backup);
+        assertThat(mDirectory.isOutOfService(server)).isTrue();
+
+        mThread.advance(3 * SECOND_NANOS);
+        assertThat(mDirectory.isOutOfService(server)).isFalse();
+    }
+
+    @Test
+    void mayMissingServersReregister_afterRestore_isTrueForTwoSeconds() {
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        mDirectory.start();
+        mThread.advance(5 * SECOND_NANOS);
+
+        mStore.restore(backup);
+        mStore.dropHistory();
+
+        assertThat(mDirectory.servers()).isEmpty();
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isTrue();
+        mThread.advance(3 * SECOND_NANOS);
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isFalse();
+    }
+
     @Test
     void mayMissingServersReregister_noOutage_isFalse() {
         mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A store in memory that simulates outages and late answers.
+ * A store in memory that simulates outages, late answers and restores from a backup.
  *
  * <p>Watches are pending until a test ends them; other calls are answered at once unless the test
  * holds the answers. Not thread-safe.
@@ -29,6 +29,7 @@
     private boolean mHoldAnswers;
     private boolean mDown;
     private final StoreEpoch mEpoch;
+    private long mStoreEpoch = 1;
 
     FakeStore(DecisionLog log) {
         mEpoch = StoreEpoch.create(log);
@@ -39,6 +40,25 @@
         return mEpoch;
     }
 
+    /** The state of the store at one time. */
+    record Backup(Map<StoreKind, TreeMap<String, StoreObject>> objectsByKind, long revision) {}
+
+    /** Returns a backup of the current state. */
+    Backup backup() {
+        Map<StoreKind, TreeMap<String, StoreObject>> copy = new EnumMap<>(StoreKind.class);
+        mObjectsByKind.forEach((kind, objects) -> copy.put(kind, new TreeMap<>(objects)));
+        return new Backup(copy, mRevision);
+    }
+
+    /** Restores a backup, which starts a new epoch. Pending watches stay pending. */
+    void restore(Backup backup) {
+        mObjectsByKind.clear();
+        backup.objectsByKind()
+                .forEach((kind, objects) -> mObjectsByKind.put(kind, new TreeMap<>(objects)));
+        mRevision = backup.revision();
+        mStoreEpoch++;
+    }
+
     /** From now on, executes calls at once but holds their answers. */
     void holdAnswers() {
         mHoldAnswers = true;
@@ -78,11 +98,20 @@
 
     private CompletableFuture<StoreResult> answer(StoreResult result) {
         CompletableFuture<StoreResult> future = new CompletableFuture<>();
-        StoreResult actual = mDown ? new StoreResult.Refused(503) : result;
+        boolean down = mDown;
+        long epoch = mStoreEpoch;
+        Runnable answer =
+                () ->
+                        future.complete(
+                                down
+                                        ? new StoreResult.Refused(503)
+                                        : mEpoch.observe(epoch)
+                                                ? result
+                                                : new StoreResult.NoAnswer("earlier epoch"));
         if (mHoldAnswers) {
-            mHeldAnswers.add(() -> future.complete(actual));
+            mHeldAnswers.add(answer);
         } else {
-            future.complete(actual);
+            answer.run();
         }
         return future;
     }
@@ -123,6 +152,7 @@
     void dropHistory() {
         List<CompletableFuture<StoreResult>> watches = List.copyOf(mWatches);
         mWatches.clear();
+        mEpoch.observe(mStoreEpoch);
         watches.forEach(w -> w.complete(new StoreResult.HistoryGone()));
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -1,17 +1,25 @@
 package org.geraniumusher.entry;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 
 import org.geraniumusher.dispatch.LoadReport;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
+import org.geraniumusher.traffic.TrafficLimits;
 
 import java.util.Optional;
 
-/** Decodes server entries, by default of {@link #SERVICE}; rejects objects and configurations. */
+/**
+ * Decodes server entries, by default of {@link #SERVICE}, and configurations without routes;
+ * rejects objects.
+ */
 final class FakeWireFormat implements WireFormat {
     static final String SERVICE = "keyed";
     static final Address ADDRESS = Address.of("127.0.0.1:9");
@@ -38,7 +46,12 @@
 
     @Override
     public RouterConfig decodeConfiguration(JsonNode spec) {
-        throw new IllegalArgumentException("unexpected configuration: " + spec);
+        checkArgument(spec.path("version").isIntegralNumber(), "bad configuration: %s", spec);
+        return RouterConfig.of(
+                spec.path("version").asLong(),
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                TrafficLimits.DEFAULT);
     }
 
     @Override
