Keep the hold of an owner whose fence changes

When a server had seen a higher fence, its assignment got a new fence and a new lease that knew nothing of the grants by the earlier fence. If the owner was lost before the next grant, the planner took it for a server without a hold and granted its keys to another one at once. The new lease now inherits the hold, and a move that was in progress keeps its former holders only as far as they have not ended. The owners of all ranges get new fences after a restore of the store, which makes the case common.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -41,6 +41,23 @@
         return lease;
     }
 
+    /**
+     * Returns a lease for the same owner and the range or a part of it with a new fence. It has the
+     * former holders of this lease and inherits the hold of the owner, which must be granted the
+     * range again.
+     */
+    Lease withNewFence(Assignment part, long nowNanos) {
+        Lease lease = new Lease(part, nowNanos);
+        lease.mGrantSent = mGrantSent;
+        lease.mHoldEnd = mHoldEnd;
+        lease.mLateGrantUntil = lateGrantUntil(nowNanos);
+        lease.mHandover = handover();
+        mHolders.forEach(
+                (incarnationId, holder) ->
+                        lease.mHolders.put(incarnationId, holder.withoutReleaseInFlight()));
+        return lease;
+    }
+
     Assignment assignment() {
         return mAssignment;
     }
@@ -70,6 +87,12 @@
         mHoldEnd = Math.max(mHoldEnd, holdEnd);
     }
 
+    /** Records a hold of the owner from an earlier assignment of keys of the range. */
+    void inheritHold(Hold hold) {
+        inheritHold(hold.end());
+        mLateGrantUntil = Math.max(mLateGrantUntil, hold.lateGrantUntil());
+    }
+
     /**
      * Reports whether the owner has seen a higher fence, so that the assignment needs a new one.
      */
@@ -205,6 +228,12 @@
             mHold = hold;
         }
 
+        FormerHolder withoutReleaseInFlight() {
+            FormerHolder copy = new FormerHolder(mHold);
+            copy.mReleased = mReleased;
+            return copy;
+        }
+
         boolean hasEnded(long nowNanos) {
             return nowNanos >= mHold.end || mReleased && nowNanos >= mHold.lateGrantUntil;
         }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -280,12 +280,21 @@
     private Lease createLease(
             Assignment assignment, Collection<Lease> previousLeases, long nowNanos) {
         for (Lease lease : previousLeases) {
-            if (lease.assignment().fence() == assignment.fence()
-                    && lease.assignment().range().encloses(assignment.range())) {
+            if (!lease.assignment().range().encloses(assignment.range())) {
+                continue;
+            }
+            if (lease.assignment().fence() == assignment.fence()) {
                 return lease.partOf(assignment, nowNanos);
             }
+            if (lease.assignment().owner().equals(assignment.owner())) {
+                return lease.withNewFence(assignment, nowNanos);
+            }
         }
         Lease created = new Lease(assignment, nowNanos);
+        previousLeases.stream()
+                .filter(l -> l.assignment().range().overlaps(assignment.range()))
+                .flatMap(l -> l.holdOf(assignment.owner(), nowNanos).stream())
+                .forEach(created::inheritHold);
         for (String incarnationId : assignment.previous()) {
             // Without a lease in this term, a former coordinator may have renewed the grant just
             // now.
@@ -430,12 +439,20 @@
                             assignment.range(),
                             assignment.owner(),
                             Assignment.UNSET_FENCE,
-                            assignment.previous()));
+                            remainingHolders(assignment, lease)));
         }
         boolean moveCompleted = lease != null && lease.isGranted() && assignment.isMoving();
         return List.of(moveCompleted ? assignment.withPrevious(ImmutableList.of()) : assignment);
     }
 
+    private static ImmutableList<String> remainingHolders(Assignment assignment, Lease lease) {
+        return lease == null
+                ? assignment.previous()
+                : assignment.previous().stream()
+                        .filter(lease.holders()::contains)
+                        .collect(ImmutableList.toImmutableList());
+    }
+
     private boolean canOwnRanges(String incarnationId) {
         RangeServer server = mServers.get(incarnationId);
         return server != null && server.acceptsRanges() && !mTerminated.contains(incarnationId);
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -222,6 +222,41 @@
         assertThat(mCalls.mHolds).containsExactly(7_500 * MILLI);
     }
 
+    /** Starts a term in which a and b own half of the keys each and are granted them. */
+    private void startGranted() {
+        setServers("a", "b");
+        mCoordinator.start(Optional.empty(), 0, 0);
+        mCoordinator.tick(0);
+        mCoordinator.onWritten(new StoreVersion(1, 90), 0);
+        mCoordinator.tick(MILLI);
+        List.copyOf(mCalls.mGrants).forEach(g -> mCoordinator.onGranted(g, 2 * MILLI));
+        mCalls.mGrants.clear();
+    }
+
+    /**
+     * A fenced owner gets a new fence. If it is lost before the next grant, its keys must still
+     * wait for the hold by the earlier fence.
+     */
+    @Test
+    void onGrantFenced_ownerIsLostAfterNewFence_nextOwnerWaitsForItsHold() {
+        startGranted();
+        mCoordinator.tick(1_100 * MILLI);
+        Assignment fenced = mCalls.mGrants.get(0);
+        String other = fenced.owner().equals("a") ? "b" : "a";
+        mCoordinator.onGrantFenced(fenced);
+        mCoordinator.tick(1_200 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(1, 91), 1_200 * MILLI);
+
+        setServers(other);
+        mCalls.mGrants.clear();
+        mCoordinator.tick(1_210 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(1, 92), 1_220 * MILLI);
+        mCoordinator.tick(1_300 * MILLI);
+
+        assertThat(mCalls.mReleases).containsExactly(fenced.owner());
+        assertThat(mCalls.grantedOwners()).doesNotContain(other);
+    }
+
     /**
      * A pending write must not prevent the completion of a move while the store does not answer.
      */
