Keep the range table over a restore and wait for what lost ones granted

The coordinator took the table of the backup for the truth.

A coordinator with authority from before the restore now keeps the table and the leases in memory, reads the revision that the store has, and writes the table again with fences of the new epoch. Results of writes sent before are dropped, and a table of an earlier epoch in the store is always replaced, also when a late write puts it there. A coordinator that starts a term with a table of an earlier epoch, or without one in a store that was restored, cannot know what was granted by the lost tables. It neither grants nor writes before all grants of former coordinators have ended; a table written earlier would look complete to the next one.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -89,12 +89,24 @@
     private long mConfirmedAt;
     private long mFormerHoldEnd;
     private boolean mStarted;
+    private long mEpoch;
+    private boolean mRestored;
+
+    /** Revision of the table in the store, 0 if there is none, or {@link #UNKNOWN_REVISION}. */
+    private long mStoredRevision;
+
     private boolean mNeedsNewFences;
+
+    /** The table with which the term began, until the first write of the term is accepted. */
+    private Optional<RangeTable> mFormerTable = Optional.empty();
+
     private ImmutableList<Assignment> mPendingAssignments;
     private boolean mWriteInFlight;
     private long mNextWriteAt;
     private long mNextLoadMoveAt;
 
+    private static final long UNKNOWN_REVISION = -1;
+
     private record LeaseKey(KeyRange range, long fence) {}
 
     private RangeCoordinator(
@@ -134,9 +146,58 @@
         return Math.min(hold, mMaxHoldNanos);
     }
 
+    /** Sets the epoch of the store that this daemon saw first. */
+    public void setInitialEpoch(long epoch) {
+        mEpoch = epoch;
+    }
+
+    /**
+     * Processes a restore of the store. In a term, which must have authority from before the
+     * restore, the table and the leases in memory stay valid, and the table is written again with
+     * new fences after {@link #onStoredTable}. The caller must drop the results of writes that it
+     * sent before.
+     */
+    public void onNewEpoch(long epoch) {
+        mEpoch = epoch;
+        mRestored = true;
+        if (mStarted) {
+            mWriteInFlight = false;
+            mPendingAssignments = null;
+            mNeedsNewFences = mTable != null;
+            mStoredRevision = UNKNOWN_REVISION;
+        }
+    }
+
+    /** Reports whether writes wait for {@link #onStoredTable}. */
+    public boolean needsStoredTable() {
+        return mStarted && mStoredRevision == UNKNOWN_REVISION;
+    }
+
+    /** Processes the table that the store has after a restore, or empty if it has none. */
+    public void onStoredTable(Optional<RangeTable> stored, long nowNanos) {
+        if (!needsStoredTable()) {
+            return;
+        }
+        if (stored.isPresent()) {
+            onOtherTable(stored.get(), nowNanos);
+        } else {
+            mStoredRevision = 0;
+        }
+    }
+
+    /** Returns the time in nanoseconds before which the table is not written. */
+    public long nextWriteAt() {
+        return mNextWriteAt;
+    }
+
     /**
      * Starts a term with the table in the store, or empty when the service has no table yet.
      *
+     * <p>If the table is of an earlier epoch, a restore may have taken back later tables, by which
+     * any server may have been granted any key. Nothing is granted before the grants of former
+     * coordinators have ended. The table is not written before either, because it would then look
+     * complete to a coordinator that takes over meanwhile.
+     *
      * @param formerCoordinatorConfirmedBy time by which the store last confirmed the previous
      *     coordinator
      */
@@ -152,8 +213,14 @@
         mLeases.clear();
         mPendingAssignments = null;
         mTable = table.orElse(null);
+        mFormerTable = table;
+        mStoredRevision = table.map(t -> t.version().revision()).orElse(0L);
         mNeedsNewFences = table.isPresent();
-        mNextWriteAt = nowNanos;
+        boolean mayBeIncomplete = table.map(t -> t.version().epoch() < mEpoch).orElse(mRestored);
+        if (mayBeIncomplete) {
+            mFormerHoldEnd = formerHoldEnd(nowNanos);
+        }
+        mNextWriteAt = mayBeIncomplete ? Math.max(nowNanos, mFormerHoldEnd) : nowNanos;
     }
 
     /**
@@ -192,7 +259,7 @@
         if (!mStarted) {
             return;
         }
-        if (!mWriteInFlight && nowNanos >= mNextWriteAt) {
+        if (!mWriteInFlight && !needsStoredTable() && nowNanos >= mNextWriteAt) {
             writeNext(nowNanos);
         }
         for (Lease lease : mLeases.values()) {
@@ -209,7 +276,7 @@
             mPendingAssignments = next;
         }
         mWriteInFlight = true;
-        mCalls.write(mPendingAssignments, mTable == null ? 0 : mTable.version().revision());
+        mCalls.write(mPendingAssignments, mStoredRevision);
     }
 
     /** Processes an accepted write of the table, which is stored at {@code version}. */
@@ -230,11 +297,25 @@
         }
         // An earlier attempt of this write, whose answer was lost, may have changed the table.
         if (mPendingAssignments != null
+                && current.version().epoch() == mEpoch
                 && current.assignments()
                         .equals(
                                 RangeTable.of(current.version(), mPendingAssignments)
                                         .assignments())) {
             install(current, nowNanos);
+        } else {
+            onOtherTable(current, nowNanos);
+        }
+    }
+
+    /** Processes a table in the store that does not come from this term. */
+    private void onOtherTable(RangeTable current, long nowNanos) {
+        if (mTable != null && current.version().epoch() < mEpoch) {
+            // A restore brought the table back, or a write from before the restore was late. This
+            // coordinator knows what was granted since and replaces it.
+            mPendingAssignments = null;
+            mNeedsNewFences = true;
+            mStoredRevision = current.version().revision();
         } else {
             mFormerHoldEnd = Long.MAX_VALUE;
             beginTerm(Optional.of(current), nowNanos);
@@ -248,10 +329,12 @@
     }
 
     private void install(RangeTable table, long nowNanos) {
-        Optional<RangeTable> former = mNeedsNewFences ? Optional.of(mTable) : Optional.empty();
+        Optional<RangeTable> former = mFormerTable;
+        mFormerTable = Optional.empty();
         mPendingAssignments = null;
         mNeedsNewFences = false;
         mTable = table;
+        mStoredRevision = table.version().revision();
         Map<LeaseKey, Lease> previousLeases = new HashMap<>(mLeases);
         mLeases.clear();
         for (Assignment assignment : table.assignments()) {
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** Tests the order of writes, releases and grants. */
@@ -36,10 +38,12 @@
         private final List<Assignment> mGrants = new ArrayList<>();
         private final List<Long> mHolds = new ArrayList<>();
         private final List<String> mReleases = new ArrayList<>();
+        private final List<Long> mExpectedRevisions = new ArrayList<>();
 
         @Override
         public void write(ImmutableList<Assignment> assignments, long expectedRevision) {
             mWrites.add(assignments);
+            mExpectedRevisions.add(expectedRevision);
         }
 
         @Override
@@ -53,6 +57,13 @@
             mReleases.add(incarnationId);
         }
 
+        Set<KeyRange> grantedRanges(String owner) {
+            return mGrants.stream()
+                    .filter(g -> g.owner().equals(owner))
+                    .map(Assignment::range)
+                    .collect(Collectors.toSet());
+        }
+
         List<String> grantedOwners() {
             return mGrants.stream().map(Assignment::owner).toList();
         }
@@ -222,8 +233,9 @@
         assertThat(mCalls.mHolds).containsExactly(7_500 * MILLI);
     }
 
-    /** Starts a term in which a and b own half of the keys each and are granted them. */
+    /** Starts a term in epoch 1 in which a and b own half of the keys each and are granted them. */
     private void startGranted() {
+        mCoordinator.setInitialEpoch(1);
         setServers("a", "b");
         mCoordinator.start(Optional.empty(), 0, 0);
         mCoordinator.tick(0);
@@ -233,6 +245,112 @@
         mCalls.mGrants.clear();
     }
 
+    /**
+     * The restored table lacks the moves of the lost seconds, and fences were revisions, which the
+     * store assigns again: two servers held the same keys for 3.4 s in vtgw-gate, seed 11 of the
+     * day of issue 18.
+     */
+    @Test
+    void onNewEpoch_restoredTableIsOlder_tableInMemoryIsWrittenWithHigherFences() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+        mCoordinator.tick(10 * MILLI);
+        assertThat(mCalls.mWrites).hasSize(1);
+
+        mCoordinator.onStoredTable(Optional.of(MOVING), 20 * MILLI);
+        mCoordinator.tick(20 * MILLI);
+        assertThat(mCalls.mExpectedRevisions).containsExactly(0L, FENCE).inOrder();
+        mCoordinator.onWritten(new StoreVersion(2, 6), 30 * MILLI);
+        mCoordinator.tick(30 * MILLI);
+
+        assertThat(mCalls.grantedOwners()).containsExactly("a", "b");
+        assertThat(mCalls.mGrants.get(0).fence()).isGreaterThan(new StoreVersion(1, 90).toFence());
+        assertThat(mCalls.mReleases).isEmpty();
+    }
+
+    /** Grants that were sent before the restore are renewed while the table is not written yet. */
+    @Test
+    void onNewEpoch_storedTableIsNotReadYet_grantsAreRenewed() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+
+        mCoordinator.tick(1_500 * MILLI);
+
+        assertThat(mCalls.grantedOwners()).containsExactly("a", "b");
+    }
+
+    /** The owner may still hold the range by the earlier fence until that hold has run out. */
+    @Test
+    void onNewEpoch_ownerIsLostBeforeNewGrant_nextOwnerWaitsForItsHold() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+        mCoordinator.onStoredTable(Optional.empty(), 10 * MILLI);
+        mCoordinator.tick(10 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(2, 6), 20 * MILLI);
+
+        setServers("b");
+        mCoordinator.tick(20 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(2, 7), 30 * MILLI);
+        mCoordinator.tick(30 * MILLI);
+        assertThat(mCalls.grantedRanges("b")).hasSize(1);
+        assertThat(mCalls.mReleases).containsExactly("a");
+
+        mCoordinator.tick(4_000 * MILLI);
+        assertThat(mCalls.grantedRanges("b")).hasSize(1);
+        mCoordinator.tick(4_500 * MILLI);
+        assertThat(mCalls.grantedRanges("b")).hasSize(2);
+    }
+
+    /** A late write from before the restore can replace the table, as revisions are reused. */
+    @Test
+    void onWriteConflict_tableOfEarlierEpoch_isReplaced() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+        mCoordinator.onStoredTable(Optional.empty(), 10 * MILLI);
+        mCoordinator.tick(10 * MILLI);
+
+        mCoordinator.onWriteConflict(MOVING, 20 * MILLI);
+        mCoordinator.tick(20 * MILLI);
+
+        assertThat(mCalls.mExpectedRevisions).containsExactly(0L, 0L, FENCE).inOrder();
+        assertThat(mCalls.mWrites.get(2).stream().map(Assignment::owner).toList())
+                .containsExactly("a", "b");
+    }
+
+    /**
+     * The lost tables may have granted any key to any server. Another daemon that takes over must
+     * also see that the table is from before the restore.
+     */
+    @Test
+    void start_tableOfEarlierEpoch_neitherWritesNorGrantsBeforeAllHoldsEnded() {
+        mCoordinator.onNewEpoch(2);
+        setServers("b", "c");
+        mCoordinator.start(Optional.of(MOVING), 5_000 * MILLI, 6_000 * MILLI);
+
+        mCoordinator.tick(16_500 * MILLI);
+        assertThat(mCalls.mWrites).isEmpty();
+        assertThat(mCalls.mGrants).isEmpty();
+
+        mCoordinator.tick(16_700 * MILLI);
+        assertThat(mCalls.mWrites).hasSize(1);
+        mCoordinator.onWritten(new StoreVersion(2, 6), 16_700 * MILLI);
+        mCoordinator.tick(16_800 * MILLI);
+        assertThat(mCalls.grantedOwners()).containsExactly("b");
+    }
+
+    @Test
+    void start_tableIsMissingAfterRestore_neitherWritesNorGrantsBeforeAllHoldsEnded() {
+        mCoordinator.onNewEpoch(2);
+        setServers("b", "c");
+        mCoordinator.start(Optional.empty(), 0, 0);
+
+        mCoordinator.tick(10_500 * MILLI);
+        assertThat(mCalls.mWrites).isEmpty();
+
+        mCoordinator.tick(10_700 * MILLI);
+        assertThat(mCalls.mWrites).hasSize(1);
+    }
+
     /**
      * A fenced owner gets a new fence. If it is lost before the next grant, its keys must still
      * wait for the hold by the earlier fence.
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -145,6 +146,34 @@
                         context.settings().maxHoldNanos(),
                         mLoad,
                         mDirectory.tables().formerHolders(service));
+        StoreEpoch epoch = mStore.epoch();
+        if (epoch.mayBeRestored()) {
+            mCoordinator.onNewEpoch(epoch.current());
+        } else {
+            mCoordinator.setInitialEpoch(epoch.current());
+        }
+    }
+
+    /**
+     * Continues after a restore of the store, and reads the table that the store has now to learn
+     * which revision to replace.
+     */
+    void onNewEpoch() {
+        mCoordinator.onNewEpoch(mStore.epoch().current());
+        if (mCoordinator.isStarted()) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Continues to coordinate the service after a restore of the store",
+                    "service",
+                    mService,
+                    "epoch",
+                    mStore.epoch().current(),
+                    "table",
+                    mCoordinator.table().map(t -> t.version().toString()).orElse(""));
+            readTable();
+        } else {
+            mTableReadInFlight = false;
+        }
     }
 
     /**
@@ -160,6 +189,9 @@
             readTableIfDue(now);
             return;
         }
+        if (mCoordinator.needsStoredTable() && !mTableReadInFlight) {
+            readTable();
+        }
         tickIfAuthorized(now);
         publishGrantsWhileMoving(now);
     }
@@ -194,9 +226,24 @@
                 || now - mServersChangedAt < tableReadDelayNanos()) {
             return;
         }
+        readTable();
+    }
+
+    private void readTable() {
         mTableReadInFlight = true;
+        long epoch = mStore.epoch().current();
         mStore.read(StoreKind.RANGES, mService)
-                .thenAccept(result -> mThread.execute(() -> onTableRead(result)));
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () -> runIfCurrent(epoch, () -> onTableRead(result))));
+    }
+
+    /** Runs the task unless the store was restored since a call was sent in {@code epoch}. */
+    private void runIfCurrent(long epoch, Runnable task) {
+        if (epoch == mStore.epoch().current()) {
+            task.run();
+        }
     }
 
     private long tableReadDelayNanos() {
@@ -205,16 +252,30 @@
 
     private void onTableRead(StoreResult result) {
         mTableReadInFlight = false;
+        if (!(result instanceof StoreResult.Written || result instanceof StoreResult.NotFound)) {
+            return;
+        }
         long now = mClock.getAsLong();
-        if (result instanceof StoreResult.Written found) {
-            mCoordinator.start(
-                    Optional.of(decode(found.object())), mFormerCoordinatorConfirmedBy, now);
-        } else if (result instanceof StoreResult.NotFound) {
-            mCoordinator.start(Optional.empty(), mFormerCoordinatorConfirmedBy, now);
+        Optional<RangeTable> table =
+                result instanceof StoreResult.Written found
+                        ? Optional.of(decode(found.object()))
+                        : Optional.empty();
+        if (mCoordinator.isStarted()) {
+            mCoordinator.onStoredTable(table, now);
         } else {
-            return;
+            mCoordinator.start(table, mFormerCoordinatorConfirmedBy, now);
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Started to coordinate the service",
+                    "service",
+                    mService,
+                    "table",
+                    table.map(t -> t.version().toString()).orElse(""),
+                    "epoch",
+                    mStore.epoch().current(),
+                    "first_write_in_ms",
+                    TimeUnit.NANOSECONDS.toMillis(mCoordinator.nextWriteAt() - now));
         }
-        mLog.write(Part.OWNERSHIP, "Started to coordinate the service", "service", mService);
         tickIfAuthorized(now);
     }
 
@@ -344,7 +405,10 @@
                 epoch,
                 "expected_revision",
                 expectedRevision);
-        call.thenAccept(result -> mThread.execute(() -> onWriteResult(result, epoch)));
+        call.thenAccept(
+                result ->
+                        mThread.execute(
+                                () -> runIfCurrent(epoch, () -> onWriteResult(result, epoch))));
     }
 
     private void onWriteResult(StoreResult result, long epoch) {
--- a/entry/src/main/java/org/geraniumusher/entry/StoreEpoch.java
+++ b/entry/src/main/java/org/geraniumusher/entry/StoreEpoch.java
@@ -9,13 +9,15 @@
 
 /**
  * The highest epoch of the store that this daemon has seen, in an answer of the store or in a
- * message of another daemon. The epoch rises with each restore of the store from a backup; its
- * first value is up to the store.
+ * message of another daemon. The epoch rises by one with each restore of the store from a backup.
  *
  * <p>Invariant: the epoch never decreases, and all listeners have run for it before anything that
  * carries it is processed. Confined to the event loop.
  */
 public final class StoreEpoch {
+    /** Highest epoch of a store that was never restored. */
+    private static final long FIRST = 1;
+
     private static final long UNKNOWN = -1;
 
     private final DecisionLog mLog;
@@ -43,6 +45,14 @@
         return mHasRisen;
     }
 
+    /**
+     * Returns whether the store may have been restored at any time, also before this daemon
+     * started.
+     */
+    public boolean mayBeRestored() {
+        return mHasRisen || mCurrent > FIRST;
+    }
+
     /**
      * Adds a listener that runs each time the epoch rises, after {@link #current} has changed. The
      * first epoch seen is no rise.
--- a/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
@@ -25,6 +25,7 @@
 
         assertThat(mEpoch.observe(1)).isTrue();
         assertThat(mEpoch.hasRisen()).isFalse();
+        assertThat(mEpoch.mayBeRestored()).isFalse();
         assertThat(mHeard).isEmpty();
         assertThat(mEpoch.observe(3)).isTrue();
         assertThat(mEpoch.observe(3)).isTrue();
@@ -33,6 +34,17 @@
         assertThat(mEpoch.hasRisen()).isTrue();
     }
 
+    /**
+     * A daemon that starts after a restore cannot take a missing record for that of a new store.
+     */
+    @Test
+    void mayBeRestored_firstEpochSeenIsHigh_isTrue() {
+        mEpoch.observe(2);
+
+        assertThat(mEpoch.mayBeRestored()).isTrue();
+        assertThat(mEpoch.hasRisen()).isFalse();
+    }
+
     @Test
     void observe_earlierEpoch_isFalseAndCounted() {
         mEpoch.observe(2);
