Continue or elect the coordinator after a restore

The election kept the record with the highest revision. A daemon that found its earlier incarnation in the restored record took over at once, while the last coordinator still had authority.

The epoch now makes the election forget the record and read it again at once, abandoning a call in flight. The daemon that had authority when it first saw the epoch continues its term if nobody has written the record in the new epoch. All others wait for the takeover time from their first read, since neither a vacant nor a missing record of a restored store shows who has authority. A daemon that starts later sees by the epoch that the store was restored.

Tests: CoordinatorElectionTest, CoordinatorServiceTest with restored backups.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -8,10 +8,18 @@
  * Decides when this daemon may act as the coordinator and when it may take over from another.
  *
  * <p>Invariant: at most one daemon has authority at a time. A coordinator has authority only for
- * {@link #AUTHORITY_NANOS} after it sent its last write that the store accepted. Another daemon
- * takes over only with a conditional write, and only when the record is vacant, names an earlier
- * incarnation of itself, or has not changed for {@link #TAKEOVER_NANOS} on its own clock. A stale
- * read can only delay a takeover, because a change is always seen after it was written.
+ * {@link #AUTHORITY_NANOS} after it sent its last write that the store accepted in the same epoch.
+ * Another daemon takes over only with a conditional write, and only when the record is vacant,
+ * names an earlier incarnation of itself, or has not changed for {@link #TAKEOVER_NANOS} on its own
+ * clock. A stale read can only delay a takeover, because a change is always seen after it was
+ * written.
+ *
+ * <p>A restore of the store, which starts a new epoch, can bring back any earlier record. The
+ * record that was known is then forgotten. The daemon that had authority when it first saw the new
+ * epoch was the last one to have it, as a takeover takes longer, so it may continue as long as
+ * nobody has written the record in the new epoch. For all others a record that was not written in
+ * the new epoch shows nothing about who has authority, and they wait {@link #TAKEOVER_NANOS} from
+ * their first read of it, which is longer than an authority from before the restore lasts.
  *
  * <p>All times are in nanoseconds of one monotonic clock of this daemon. Not thread-safe.
  */
@@ -36,6 +44,9 @@
     private CoordinatorRecord mRecord;
     private long mRecordChangedAt;
     private boolean mRecordRead;
+    private long mEpoch;
+    private boolean mRestored;
+    private boolean mMayContinue;
     private long mAuthorityUntil;
     private boolean mHasAuthority;
     private long mFormerCoordinatorConfirmedBy;
@@ -50,21 +61,72 @@
         return new CoordinatorElection(checkNotNull(daemon), incarnation);
     }
 
+    /** Sets the epoch of the store that this daemon sees first. */
+    public void setInitialEpoch(long epoch) {
+        mEpoch = epoch;
+    }
+
+    /** Processes a restore of the store, which may have taken back any write of the record. */
+    public void onNewEpoch(long epoch, long nowNanos) {
+        mMayContinue = hasAuthority(nowNanos);
+        if (!mMayContinue) {
+            mHasAuthority = false;
+        }
+        mEpoch = epoch;
+        mRestored = true;
+        mRecord = null;
+        mRecordRead = false;
+    }
+
+    /** Returns whether the record was read in the current epoch. */
+    public boolean isRecordRead() {
+        return mRecordRead;
+    }
+
+    /**
+     * Returns whether this daemon may continue its term of the previous epoch by writing the
+     * record, because it had authority at the restore and nobody is known to have written the
+     * record since.
+     */
+    public boolean mayContinue() {
+        return mMayContinue;
+    }
+
     /** Processes a read of the record, which is empty if the store has none. */
     public void onRead(Optional<CoordinatorRecord> record, long nowNanos) {
         long revision = record.map(r -> r.version().revision()).orElse(0L);
         long knownRevision = mRecord == null ? 0 : mRecord.version().revision();
-        if (mRecordRead && revision <= knownRevision) {
-            return;
+        if (!mRecordRead || revision > knownRevision) {
+            setRecord(record.orElse(null), nowNanos);
         }
+    }
+
+    /**
+     * Processes a rejected write, with the record that the store has. It is current, also if its
+     * revision is lower than that of a stale read.
+     */
+    public void onConflict(CoordinatorRecord record, long nowNanos) {
+        if (!mRecordRead || !record.equals(mRecord)) {
+            setRecord(record, nowNanos);
+        }
+    }
+
+    private void setRecord(CoordinatorRecord record, long nowNanos) {
         mRecordRead = true;
-        mRecord = record.orElse(null);
+        mRecord = record;
         mRecordChangedAt = nowNanos;
-        if (!isOwn()) {
+        if (isFromCurrentEpoch()) {
+            mMayContinue = false;
+        }
+        if (!isOwn() && !mMayContinue) {
             mHasAuthority = false;
         }
     }
 
+    private boolean isFromCurrentEpoch() {
+        return mRecord != null && mRecord.version().epoch() == mEpoch;
+    }
+
     /** Processes the store's acceptance of a write that this daemon sent at {@code sentNanos}. */
     public void onWritten(CoordinatorRecord record, long sentNanos, long nowNanos) {
         if (!hasAuthority(nowNanos)) {
@@ -112,10 +174,12 @@
         if (mHasAuthority && isOwn()) {
             return nowNanos >= mAuthorityUntil - AUTHORITY_NANOS + RENEWAL_NANOS;
         }
+        if (mMayContinue || nowNanos - mRecordChangedAt >= TAKEOVER_NANOS) {
+            return true;
+        }
         return mRecord == null
-                || mRecord.isVacant()
-                || mRecord.daemon().equals(mDaemon)
-                || nowNanos - mRecordChangedAt >= TAKEOVER_NANOS;
+                ? !mRestored
+                : isFromCurrentEpoch() && (mRecord.isVacant() || mRecord.daemon().equals(mDaemon));
     }
 
     /** Returns the record as last seen, or empty if there is none. */
@@ -123,9 +187,12 @@
         return Optional.ofNullable(mRecord);
     }
 
-    /** Reports whether the record, as last seen, names this incarnation of this daemon. */
+    /**
+     * Reports whether the record, as last seen, names this incarnation of this daemon and was
+     * written in the current epoch.
+     */
     public boolean isOwn() {
-        return mRecord != null
+        return isFromCurrentEpoch()
                 && mRecord.daemon().equals(mDaemon)
                 && mRecord.incarnation() == mIncarnation;
     }
--- a/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
@@ -90,6 +90,111 @@
         assertThat(mElection.hasAuthority(SECOND)).isFalse();
     }
 
+    private static CoordinatorRecord record(
+            String daemon, long incarnation, long epoch, long revision) {
+        return new CoordinatorRecord(
+                daemon, incarnation, "127.0.0.1:1", new StoreVersion(epoch, revision));
+    }
+
+    private void takeAuthorityAt(long nanos) {
+        mElection.setInitialEpoch(1);
+        mElection.onRead(Optional.empty(), nanos);
+        mElection.onWritten(record("a", 7, 1, 90), nanos, nanos);
+    }
+
+    /**
+     * The restored record has a lower revision than the known one. It was ignored, so every daemon
+     * wrote at the known revision in vain, and nobody coordinated for the rest of the day.
+     */
+    @Test
+    void onRead_restoredRecordHasLowerRevision_isTaken() {
+        takeAuthorityAt(0);
+        mElection.onNewEpoch(2, SECOND);
+
+        mElection.onRead(Optional.of(record("a", 7, 1, 40)), SECOND);
+
+        assertThat(mElection.record()).isEqualTo(Optional.of(record("a", 7, 1, 40)));
+    }
+
+    @Test
+    void shouldWrite_hadAuthorityAtRestore_claimsTheRecordAtOnce() {
+        takeAuthorityAt(0);
+        mElection.onNewEpoch(2, 4 * SECOND);
+        assertThat(mElection.hasAuthority(4 * SECOND)).isTrue();
+        assertThat(mElection.shouldWrite(4 * SECOND)).isFalse();
+
+        mElection.onRead(Optional.of(record("b", 3, 1, 40)), 4 * SECOND);
+        assertThat(mElection.hasAuthority(4 * SECOND)).isTrue();
+        assertThat(mElection.shouldWrite(4 * SECOND)).isTrue();
+
+        mElection.onWritten(record("a", 7, 2, 41), 4 * SECOND, 4 * SECOND);
+        assertThat(mElection.hasAuthority(8 * SECOND)).isTrue();
+        assertThat(mElection.mayContinue()).isFalse();
+    }
+
+    /** The first daemon that writes the record in the new epoch is the coordinator. */
+    @Test
+    void onConflict_otherWroteInTheNewEpoch_endsAuthority() {
+        takeAuthorityAt(0);
+        mElection.onNewEpoch(2, SECOND);
+        mElection.onRead(Optional.of(record("a", 7, 1, 40)), SECOND);
+
+        mElection.onConflict(record("b", 3, 2, 41), SECOND);
+
+        assertThat(mElection.hasAuthority(SECOND)).isFalse();
+        assertThat(mElection.shouldWrite(SECOND)).isFalse();
+    }
+
+    /** A renewal from before the restore that the store executes late proves nothing. */
+    @Test
+    void onConflict_lateWriteOfTheEarlierEpoch_claimIsRepeated() {
+        takeAuthorityAt(0);
+        mElection.onNewEpoch(2, SECOND);
+        mElection.onRead(Optional.of(record("b", 3, 1, 40)), SECOND);
+
+        mElection.onConflict(record("a", 7, 1, 41), SECOND);
+
+        assertThat(mElection.hasAuthority(SECOND)).isTrue();
+        assertThat(mElection.shouldWrite(SECOND)).isTrue();
+    }
+
+    /** The authority of an unknown daemon from before the restore must have ended. */
+    @Test
+    void shouldWrite_authorityEndedBeforeRestore_waitsForTakeoverTime() {
+        takeAuthorityAt(0);
+        long restored = 5 * SECOND;
+        mElection.onNewEpoch(2, restored);
+
+        mElection.onRead(Optional.of(record("a", 7, 1, 40)), restored);
+
+        assertThat(mElection.shouldWrite(restored + CoordinatorElection.AUTHORITY_NANOS)).isFalse();
+        assertThat(mElection.shouldWrite(restored + CoordinatorElection.TAKEOVER_NANOS)).isTrue();
+    }
+
+    /** The backup can hold any earlier record, so none of the shortcuts is safe. */
+    @Test
+    void shouldWrite_recordOfEarlierEpoch_noShortcutApplies() {
+        mElection.setInitialEpoch(2);
+
+        mElection.onRead(Optional.of(record("", 1, 1, 5)), 0);
+        assertThat(mElection.shouldWrite(0)).isFalse();
+
+        mElection.onRead(Optional.of(record("a", 6, 1, 6)), 0);
+        assertThat(mElection.shouldWrite(0)).isFalse();
+    }
+
+    @Test
+    void shouldWrite_recordIsMissingAfterRestore_waitsForTakeoverTime() {
+        mElection.setInitialEpoch(1);
+        mElection.onRead(Optional.of(record("b", 3, 1, 40)), 0);
+        mElection.onNewEpoch(2, SECOND);
+
+        mElection.onRead(Optional.empty(), SECOND);
+
+        assertThat(mElection.shouldWrite(SECOND)).isFalse();
+        assertThat(mElection.shouldWrite(SECOND + CoordinatorElection.TAKEOVER_NANOS)).isTrue();
+    }
+
     /** A late answer to a write must not restore authority after another daemon took over. */
     @Test
     void hasAuthority_answerToOldWriteIsLate_isFalse() {
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -10,6 +10,7 @@
 import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +34,9 @@
     /** Interval of reads of the record by a daemon without authority. */
     private static final long POLL_INTERVAL_NANOS = 1_000_000_000L;
 
+    /** Interval between attempts to write the record, or to read it after a restore. */
+    private static final long RETRY_INTERVAL_NANOS = 300_000_000L;
+
     private final DaemonContext mContext;
     private final EntrySettings mSettings;
     private final long mIncarnation;
@@ -48,6 +52,10 @@
 
     private RangeCoordinatorDriver.Publisher mPublisher = RangeCoordinatorDriver.Publisher.NONE;
     private boolean mStoreCallInFlight;
+
+    /** Incremented to invalidate the call in flight. */
+    private long mCallGeneration;
+
     private long mNextPollAt;
     private long mNextWriteAt;
     private boolean mActing;
@@ -63,6 +71,7 @@
         mClock = context.clock();
         mLog = context.log();
         mElection = CoordinatorElection.create(identity(), mIncarnation);
+        mStore.epoch().addListener(this::onNewEpoch);
     }
 
     /**
@@ -114,13 +123,7 @@
         if (mResigned) {
             return;
         }
-        if (!mStoreCallInFlight) {
-            if (mElection.shouldWrite(now) && now >= mNextWriteAt) {
-                writeRecord(now);
-            } else if (!mElection.hasAuthority(now) && now >= mNextPollAt) {
-                readRecord(now);
-            }
-        }
+        callStoreIfDue(now);
         tickDrivers(now);
         mThread.schedule(
                 this::tick,
@@ -128,6 +131,47 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void callStoreIfDue(long now) {
+        if (mStoreCallInFlight) {
+            return;
+        }
+        boolean needsRead = !mElection.isRecordRead() || !mElection.hasAuthority(now);
+        if (mElection.shouldWrite(now) && now >= mNextWriteAt) {
+            writeRecord(now);
+        } else if (needsRead && now >= mNextPollAt) {
+            readRecord(now);
+        }
+    }
+
+    /**
+     * Forgets the record after a restore of the store and reads it again at once: the authority of
+     * a coordinator that may continue can end within a second. A call in flight is abandoned.
+     */
+    private void onNewEpoch() {
+        if (mResigned) {
+            return;
+        }
+        long now = mClock.getAsLong();
+        mElection.onNewEpoch(mStore.epoch().current(), now);
+        mCallGeneration++;
+        mStoreCallInFlight = false;
+        mNextPollAt = now;
+        mNextWriteAt = now;
+        if (mElection.mayContinue()) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Coordinator continues after a restore of the store",
+                    "epoch",
+                    mStore.epoch().current(),
+                    "confirmed_ms_ago",
+                    TimeUnit.NANOSECONDS.toMillis(now - mElection.confirmedAt()));
+            mDrivers.values().forEach(RangeCoordinatorDriver::onNewEpoch);
+        } else {
+            mDrivers.clear();
+        }
+        callStoreIfDue(now);
+    }
+
     private void tickDrivers(long now) {
         boolean acting = mElection.hasAuthority(now);
         if (acting != mActing) {
@@ -148,7 +192,7 @@
                                 c.services().values().stream()
                                         .filter(ServiceRule::keyed)
                                         .forEach(s -> driver(s.name())));
-        mDrivers.values().forEach(d -> d.tick(mElection));
+        List.copyOf(mDrivers.values()).forEach(d -> d.tick(mElection));
     }
 
     /** Applies a change of the directory without waiting for the next tick. */
@@ -170,14 +214,29 @@
 
     private void readRecord(long now) {
         mStoreCallInFlight = true;
-        mNextPollAt = now + POLL_INTERVAL_NANOS;
+        mNextPollAt = now + (mElection.mayContinue() ? RETRY_INTERVAL_NANOS : POLL_INTERVAL_NANOS);
+        long generation = mCallGeneration;
         mStore.list(StoreKind.COORDINATORS, "", mElection.record().isPresent())
-                .thenAccept(result -> mThread.execute(() -> onRecordRead(result)));
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () ->
+                                                runIfCurrent(
+                                                        generation, () -> onRecordRead(result))));
+    }
+
+    private void runIfCurrent(long generation, Runnable task) {
+        if (generation == mCallGeneration) {
+            task.run();
+        }
     }
 
     private void onRecordRead(StoreResult result) {
         mStoreCallInFlight = false;
         if (result instanceof StoreResult.Page page) {
+            if (!mElection.isRecordRead()) {
+                setInitialEpoch();
+            }
             mElection.onRead(
                     page.objects().stream()
                             .filter(o -> o.name().equals(RECORD_NAME))
@@ -185,15 +244,29 @@
                             .map(CoordinatorService::decode),
                     mClock.getAsLong());
             discardDriversUnlessOwn();
+            if (mElection.mayContinue()) {
+                callStoreIfDue(mClock.getAsLong());
+            }
+        }
+    }
+
+    private void setInitialEpoch() {
+        StoreEpoch epoch = mStore.epoch();
+        if (!epoch.mayBeRestored()) {
+            mElection.setInitialEpoch(epoch.current());
+        } else if (!epoch.hasRisen()) {
+            // The restore was before the start of this daemon.
+            mElection.onNewEpoch(epoch.current(), mClock.getAsLong());
         }
     }
 
     private void writeRecord(long now) {
         mStoreCallInFlight = true;
-        mNextWriteAt = now + TimeUnit.MILLISECONDS.toNanos(300);
+        mNextWriteAt = now + RETRY_INTERVAL_NANOS;
         ObjectNode spec = encode(identity());
         Optional<CoordinatorRecord> known = mElection.record();
-        boolean newTerm = !mElection.isOwn();
+        boolean newTerm = !mElection.isOwn() && !mElection.mayContinue();
+        long generation = mCallGeneration;
         CompletableFuture<StoreResult> call =
                 known.isEmpty()
                         ? mStore.create(StoreKind.COORDINATORS, RECORD_NAME, spec)
@@ -202,7 +275,13 @@
                                 RECORD_NAME,
                                 spec,
                                 known.get().version().revision());
-        call.thenAccept(result -> mThread.execute(() -> onRecordWritten(result, now, newTerm)));
+        call.thenAccept(
+                result ->
+                        mThread.execute(
+                                () ->
+                                        runIfCurrent(
+                                                generation,
+                                                () -> onRecordWritten(result, now, newTerm))));
     }
 
     private ObjectNode encode(String daemon) {
@@ -230,7 +309,14 @@
                 tickDrivers(now);
             }
         } else if (result instanceof StoreResult.Conflict conflict) {
-            mElection.onRead(Optional.of(decode(conflict.object())), now);
+            mElection.onConflict(decode(conflict.object()), now);
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Coordinator record was written by another daemon or is of another epoch",
+                    "coordinator",
+                    mElection.record().map(CoordinatorRecord::daemon).orElse(""),
+                    "version",
+                    mElection.record().map(r -> r.version().toString()).orElse(""));
             discardDriversUnlessOwn();
         } else {
             mLog.write(
@@ -240,7 +326,7 @@
 
     /** Discards the state of a term that has ended because another daemon was elected. */
     private void discardDriversUnlessOwn() {
-        if (!mElection.isOwn()) {
+        if (!mElection.isOwn() && !mElection.mayContinue()) {
             mDrivers.clear();
         }
     }
@@ -263,7 +349,7 @@
         mResigned = true;
         mActing = false;
         mDrivers.clear();
-        if (hadAuthority && !mStoreCallInFlight) {
+        if (hadAuthority && !mStoreCallInFlight && mElection.record().isPresent()) {
             vacateRecord();
         }
     }
--- a/entry/src/test/java/org/geraniumusher/entry/CoordinatorServiceTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CoordinatorServiceTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -86,6 +88,56 @@
         assertThat(recordedDaemon()).startsWith("a/");
     }
 
+    /**
+     * After a restore nobody coordinated for the rest of the day: all daemons ignored the restored
+     * record, whose revision is lower, and wrote at the revision that they knew.
+     */
+    @Test
+    void tick_storeIsRestored_coordinatorContinuesAndRenews() {
+        CoordinatorService service = startService("a");
+        FakeStore.Backup backup = mStore.backup();
+        mThread.advance(5_000 * MILLI);
+        mStore.restore(backup);
+
+        for (int i = 0; i < 100; i++) {
+            mThread.advance(100 * MILLI);
+            assertThat(service.isActing()).isTrue();
+        }
+
+        JsonNode record = mStore.spec(StoreKind.COORDINATORS, RECORD_NAME);
+        assertThat(record.path("epoch").asLong()).isEqualTo(2);
+        assertThat(record.path("daemon").asText()).startsWith("a/");
+    }
+
+    /** The restored record can name a former coordinator, which must not take over at once. */
+    @Test
+    void tick_restoredRecordNamesFormerCoordinator_currentOneContinues() {
+        CoordinatorService first = startService("a");
+        CoordinatorService second = startService("b");
+        FakeStore.Backup backup = mStore.backup();
+        first.resign();
+        mThread.advance(2_000 * MILLI);
+        assertThat(second.isActing()).isTrue();
+
+        mStore.restore(backup);
+        mThread.advance(3_000 * MILLI);
+
+        assertThat(second.isActing()).isTrue();
+        assertThat(recordedDaemon()).startsWith("b/");
+    }
+
+    /** The backup may be older than the first record, and another daemon may still coordinate. */
+    @Test
+    void start_recordIsMissingFromRestoredStore_waitsForTakeoverTime() {
+        mStore.restore(mStore.backup());
+        CoordinatorService service = startService("a");
+
+        mThread.advance(3_500 * MILLI);
+        assertThat(service.isActing()).isFalse();
+        mThread.advance(2_000 * MILLI);
+        assertThat(service.isActing()).isTrue();
+    }
+
     /** During a store outage a coordinator acts until its authority expires, and again after it. */
     @Test
     void tick_storeIsUnavailable_actsOnlyWithAuthority() {
