--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -4,22 +4,26 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** Tests the order of writes, releases and grants. */
 final class RangeCoordinatorTest {
     private static final long MILLI = 1_000_000L;
     private static final long FENCE = 5;
+    private static final StoreVersion VERSION = new StoreVersion(0, FENCE);
 
     /** A table in which all keys move from a to b. */
     private static final RangeTable MOVING =
             RangeTable.of(
-                    FENCE,
+                    VERSION,
                     ImmutableList.of(
                             new Assignment(KeyRange.ALL, "b", FENCE, ImmutableList.of("a"))));
 
@@ -34,10 +38,12 @@
         private final List<Assignment> mGrants = new ArrayList<>();
         private final List<Long> mHolds = new ArrayList<>();
         private final List<String> mReleases = new ArrayList<>();
+        private final List<Long> mExpectedRevisions = new ArrayList<>();
 
         @Override
         public void write(ImmutableList<Assignment> assignments, long expectedRevision) {
             mWrites.add(assignments);
+            mExpectedRevisions.add(expectedRevision);
         }
 
         @Override
@@ -51,6 +57,13 @@
             mReleases.add(incarnationId);
         }
 
+        Set<KeyRange> grantedRanges(String owner) {
+            return mGrants.stream()
+                    .filter(g -> g.owner().equals(owner))
+                    .map(Assignment::range)
+                    .collect(Collectors.toSet());
+        }
+
         List<String> grantedOwners() {
             return mGrants.stream().map(Assignment::owner).toList();
         }
@@ -76,7 +89,7 @@
         setServers("b", "c");
         mCoordinator.start(Optional.of(MOVING), formerCoordinatorConfirmedBy, now);
         mCoordinator.tick(now);
-        mCoordinator.onWritten(10, now);
+        mCoordinator.onWritten(new StoreVersion(0, 10), now);
     }
 
     /**
@@ -97,7 +110,7 @@
         coordinator.onServers(all);
         coordinator.start(Optional.empty(), 0, 0);
         coordinator.tick(0);
-        coordinator.onWritten(10, 0);
+        coordinator.onWritten(new StoreVersion(0, 10), 0);
         coordinator.tick(MILLI);
         List.copyOf(mCalls.mGrants).forEach(a -> coordinator.onGranted(a, 2 * MILLI));
         List<Assignment> first = mCalls.mWrites.get(0);
@@ -144,7 +157,7 @@
         mCoordinator.tick(4 * MILLI);
         assertThat(mCalls.mGrants).isEmpty();
 
-        mCoordinator.onWritten(11, 5 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(0, 11), 5 * MILLI);
         mCoordinator.tick(6 * MILLI);
         assertThat(mCalls.grantedOwners()).doesNotContain("b");
     }
@@ -172,16 +185,16 @@
     void tick_ownerWithHoldOfFormerCoordinatorIsLost_waitsForTheLongerHold() {
         setServers("a", "b");
         Assignment owned = new Assignment(KeyRange.ALL, "a", FENCE, ImmutableList.of());
-        mCoordinator.start(Optional.of(RangeTable.of(FENCE, ImmutableList.of(owned))), 0, 0);
+        mCoordinator.start(Optional.of(RangeTable.of(VERSION, ImmutableList.of(owned))), 0, 0);
         mCoordinator.tick(0);
-        mCoordinator.onWritten(10, 0);
+        mCoordinator.onWritten(new StoreVersion(0, 10), 0);
         mCoordinator.tick(MILLI);
         assertThat(mCalls.grantedOwners()).containsExactly("a");
 
         setServers("b");
         mCoordinator.onGrantUnknown(mCalls.mGrants.get(0), 2 * MILLI);
         mCoordinator.tick(2 * MILLI);
-        mCoordinator.onWritten(11, 3 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(0, 11), 3 * MILLI);
         mCoordinator.tick(10_500 * MILLI);
         assertThat(mCalls.grantedOwners()).doesNotContain("b");
 
@@ -220,6 +233,148 @@
         assertThat(mCalls.mHolds).containsExactly(7_500 * MILLI);
     }
 
+    /** Starts a term in epoch 1 in which a and b own half of the keys each and are granted them. */
+    private void startGranted() {
+        mCoordinator.setInitialEpoch(1);
+        setServers("a", "b");
+        mCoordinator.start(Optional.empty(), 0, 0);
+        mCoordinator.tick(0);
+        mCoordinator.onWritten(new StoreVersion(1, 90), 0);
+        mCoordinator.tick(MILLI);
+        List.copyOf(mCalls.mGrants).forEach(g -> mCoordinator.onGranted(g, 2 * MILLI));
+        mCalls.mGrants.clear();
+    }
+
+    /**
+     * The restored table lacks the moves of the lost seconds, and fences were revisions, which the
+     * store assigns again: two servers held the same keys for 3.4 s in vtgw-gate, seed 11 of the
+     * day of issue 18.
+     */
+    @Test
+    void onNewEpoch_restoredTableIsOlder_tableInMemoryIsWrittenWithHigherFences() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+        mCoordinator.tick(10 * MILLI);
+        assertThat(mCalls.mWrites).hasSize(1);
+
+        mCoordinator.onStoredTable(Optional.of(MOVING), 20 * MILLI);
+        mCoordinator.tick(20 * MILLI);
+        assertThat(mCalls.mExpectedRevisions).containsExactly(0L, FENCE).inOrder();
+        mCoordinator.onWritten(new StoreVersion(2, 6), 30 * MILLI);
+        mCoordinator.tick(30 * MILLI);
+
+        assertThat(mCalls.grantedOwners()).containsExactly("a", "b");
+        assertThat(mCalls.mGrants.get(0).fence()).isGreaterThan(new StoreVersion(1, 90).toFence());
+        assertThat(mCalls.mReleases).isEmpty();
+    }
+
+    /** Grants that were sent before the restore are renewed while the table is not written yet. */
+    @Test
+    void onNewEpoch_storedTableIsNotReadYet_grantsAreRenewed() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+
+        mCoordinator.tick(1_500 * MILLI);
+
+        assertThat(mCalls.grantedOwners()).containsExactly("a", "b");
+    }
+
+    /** The owner may still hold the range by the earlier fence until that hold has run out. */
+    @Test
+    void onNewEpoch_ownerIsLostBeforeNewGrant_nextOwnerWaitsForItsHold() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+        mCoordinator.onStoredTable(Optional.empty(), 10 * MILLI);
+        mCoordinator.tick(10 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(2, 6), 20 * MILLI);
+
+        setServers("b");
+        mCoordinator.tick(20 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(2, 7), 30 * MILLI);
+        mCoordinator.tick(30 * MILLI);
+        assertThat(mCalls.grantedRanges("b")).hasSize(1);
+        assertThat(mCalls.mReleases).containsExactly("a");
+
+        mCoordinator.tick(4_000 * MILLI);
+        assertThat(mCalls.grantedRanges("b")).hasSize(1);
+        mCoordinator.tick(4_500 * MILLI);
+        assertThat(mCalls.grantedRanges("b")).hasSize(2);
+    }
+
+    /** A late write from before the restore can replace the table, as revisions are reused. */
+    @Test
+    void onWriteConflict_tableOfEarlierEpoch_isReplaced() {
+        startGranted();
+        mCoordinator.onNewEpoch(2);
+        mCoordinator.onStoredTable(Optional.empty(), 10 * MILLI);
+        mCoordinator.tick(10 * MILLI);
+
+        mCoordinator.onWriteConflict(MOVING, 20 * MILLI);
+        mCoordinator.tick(20 * MILLI);
+
+        assertThat(mCalls.mExpectedRevisions).containsExactly(0L, 0L, FENCE).inOrder();
+        assertThat(mCalls.mWrites.get(2).stream().map(Assignment::owner).toList())
+                .containsExactly("a", "b");
+    }
+
+    /**
+     * The lost tables may have granted any key to any server. Another daemon that takes over must
+     * also see that the table is from before the restore.
+     */
+    @Test
+    void start_tableOfEarlierEpoch_neitherWritesNorGrantsBeforeAllHoldsEnded() {
+        mCoordinator.onNewEpoch(2);
+        setServers("b", "c");
+        mCoordinator.start(Optional.of(MOVING), 5_000 * MILLI, 6_000 * MILLI);
+
+        mCoordinator.tick(16_500 * MILLI);
+        assertThat(mCalls.mWrites).isEmpty();
+        assertThat(mCalls.mGrants).isEmpty();
+
+        mCoordinator.tick(16_700 * MILLI);
+        assertThat(mCalls.mWrites).hasSize(1);
+        mCoordinator.onWritten(new StoreVersion(2, 6), 16_700 * MILLI);
+        mCoordinator.tick(16_800 * MILLI);
+        assertThat(mCalls.grantedOwners()).containsExactly("b");
+    }
+
+    @Test
+    void start_tableIsMissingAfterRestore_neitherWritesNorGrantsBeforeAllHoldsEnded() {
+        mCoordinator.onNewEpoch(2);
+        setServers("b", "c");
+        mCoordinator.start(Optional.empty(), 0, 0);
+
+        mCoordinator.tick(10_500 * MILLI);
+        assertThat(mCalls.mWrites).isEmpty();
+
+        mCoordinator.tick(10_700 * MILLI);
+        assertThat(mCalls.mWrites).hasSize(1);
+    }
+
+    /**
+     * A fenced owner gets a new fence. If it is lost before the next grant, its keys must still
+     * wait for the hold by the earlier fence.
+     */
+    @Test
+    void onGrantFenced_ownerIsLostAfterNewFence_nextOwnerWaitsForItsHold() {
+        startGranted();
+        mCoordinator.tick(1_100 * MILLI);
+        Assignment fenced = mCalls.mGrants.get(0);
+        String other = fenced.owner().equals("a") ? "b" : "a";
+        mCoordinator.onGrantFenced(fenced);
+        mCoordinator.tick(1_200 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(1, 91), 1_200 * MILLI);
+
+        setServers(other);
+        mCalls.mGrants.clear();
+        mCoordinator.tick(1_210 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(1, 92), 1_220 * MILLI);
+        mCoordinator.tick(1_300 * MILLI);
+
+        assertThat(mCalls.mReleases).containsExactly(fenced.owner());
+        assertThat(mCalls.grantedOwners()).doesNotContain(other);
+    }
+
     /**
      * A pending write must not prevent the completion of a move while the store does not answer.
      */
