Model a restore of the store

The models of the grants had a store that never goes back. A restore now puts an earlier table back, and writes and answers of the lost history may still arrive. With all rules no range gets two holders; with the wait of a new coordinator, the wait for holders that the restored table does not name, the epoch of an answer or the epoch of a table switched off, two holders are found. A second model shows that fences made of epoch and revision rise, and that revisions alone repeat.

--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeModelTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeModelTest.java
@@ -14,26 +14,42 @@
  *
  * <p>Runs the commands of {@code key-ranges.als}. For each rule, one command switches it off and
  * must find two holders; otherwise the check of the complete rules would prove nothing. Scope: two
- * or three servers, 7 to 10 steps and 3 or 4 instants.
+ * or three servers, 7 to 12 steps and 2 to 4 instants. {@code store-fences.als} checks that fences
+ * rise when the store is restored and gives its revisions out again.
  */
 final class RangeModelTest {
     private static final AlloyModel MODEL = AlloyModel.parse("key-ranges.als");
+    private static final AlloyModel FENCES = AlloyModel.parse("store-fences.als");
 
     @Test
     void commands_areTheExpectedOnes() {
-        assertThat(MODEL.commandsThatExpect(false)).containsExactly("OneHolder", "OneHolderDeep");
+        assertThat(MODEL.commandsThatExpect(false))
+                .containsExactly("OneHolder", "OneHolderDeep", "LateWriteAfterMove");
         assertThat(MODEL.commandsThatExpect(true))
                 .containsExactly(
                         "Move",
                         "MoveAfterTakeover",
+                        "MoveAfterRestore",
+                        "ContinueAfterRestore",
                         "NoInheritedHold",
                         "NoConfirmation",
                         "NoWait",
-                        "NoFormerHolder");
+                        "NoFormerHolder",
+                        "NoRestoreWait",
+                        "NoUnnamedHolder",
+                        "NoEpochOfAnswer",
+                        "NoEpochOfWrite");
+    }
+
+    @Test
+    void commandsOfFences_areTheExpectedOnes() {
+        assertThat(FENCES.commandsThatExpect(false)).containsExactly("FencesRise");
+        assertThat(FENCES.commandsThatExpect(true))
+                .containsExactly("GrantAfterTwoRestores", "NoEpochInFence");
     }
 
     @TestFactory
     Stream<DynamicTest> commands_haveTheExpectedResults() {
-        return MODEL.tests();
+        return Stream.concat(MODEL.tests(), FENCES.tests());
     }
 }
--- a/decisions/src/test/resources/key-ranges.als
+++ b/decisions/src/test/resources/key-ranges.als
@@ -2,7 +2,8 @@
  * Model of the grants of one key range by successive coordinators; see docs/model.md.
  *
  * A grant lasts one instant, or two while the store is unavailable. Elections are not modelled: one
- * coordinator acts at a time, and another may take over at any step.
+ * coordinator acts at a time, and another may take over at any step. The store may be restored from
+ * a backup; a coordinator that acts then goes on until another one takes over.
  */
 module keyranges
 
@@ -17,9 +18,25 @@
 
 one sig Clock { var now: one Instant }
 
+one sig Yes {}
+
 // The assignment in the store.
 one sig Table {
   var owner: one Server,
+  var former: set Server,
+  // Whether it was sent in an earlier epoch than that of the store.
+  var ofLostEpoch: lone Yes
+}
+
+// An earlier state of the table, to which a restore goes back.
+one sig Backup {
+  var owner: one Server,
+  var former: set Server
+}
+
+// A write of the lost history whose execution, or whose answer, is still to come.
+one sig LostWrite {
+  var owner: lone Server,
   var former: set Server
 }
 
@@ -31,16 +48,30 @@
   // The latest end of the grants sent to each server in this term.
   var grantEnd: Server -> lone Instant,
   // Upper bound of the ends of all grants of former coordinators.
-  var formerGrantsBound: one Instant
+  var formerGrantsBound: one Instant,
+  // Whether the store accepted a write of which the coordinator has not learned yet.
+  var writeAccepted: lone Yes,
+  // Whether that write belongs to the lost history.
+  var lostWriteAccepted: lone Yes,
+  // The instant before which a coordinator that started from a table of a lost epoch waits.
+  var blockedUntil: lone Instant
 }
 
 // Another daemon. It records from which instant on each former holder receives no grants.
 one sig Observer { var noGrantsFrom: Server -> lone Instant }
 
 // Each of these switches off one rule.
-lone sig InheritedHoldOff, ConfirmationOff, WaitOff, FormerHolderOff {}
+lone sig InheritedHoldOff, ConfirmationOff, WaitOff, FormerHolderOff,
+  RestoreWaitOff, UnnamedHolderOff, EpochOfAnswerOff, EpochOfWriteOff {}
 
-pred allRulesOn { no InheritedHoldOff + ConfirmationOff + WaitOff + FormerHolderOff }
+fun switchedOff: univ {
+  InheritedHoldOff + ConfirmationOff + WaitOff + FormerHolderOff
+    + RestoreWaitOff + UnnamedHolderOff + EpochOfAnswerOff + EpochOfWriteOff
+}
+
+pred allRulesOn { no switchedOff }
+
+pred onlyOff[rule: univ] { some rule and switchedOff = rule }
 
 pred holdsRange[s: Server] { some s.holdEnd and lt[Clock.now, s.holdEnd] }
 
@@ -58,9 +89,27 @@
   no Table.former and no View.former and View.owner = Table.owner
   no View.grantEnd and View.formerGrantsBound = first
   no Observer.noGrantsFrom
+  Backup.owner = Table.owner and no Backup.former
+  no LostWrite.owner and no LostWrite.former
+  no ofLostEpoch and no writeAccepted and no lostWriteAccepted and no blockedUntil
+}
+
+pred tableUnchanged {
+  Table.owner' = Table.owner and Table.former' = Table.former and ofLostEpoch' = ofLostEpoch
+}
+
+pred answersUnchanged {
+  writeAccepted' = writeAccepted and lostWriteAccepted' = lostWriteAccepted
 }
 
-pred tableUnchanged { Table.owner' = Table.owner and Table.former' = Table.former }
+pred lostUnchanged {
+  Backup.owner' = Backup.owner and Backup.former' = Backup.former
+  LostWrite.owner' = LostWrite.owner and LostWrite.former' = LostWrite.former
+}
+
+pred epochUnchanged {
+  lostUnchanged and answersUnchanged and blockedUntil' = blockedUntil
+}
 
 pred viewUnchanged { View.owner' = View.owner and View.former' = View.former }
 
@@ -72,18 +121,19 @@
 pred tick {
   some Clock.now.next and Clock.now' = Clock.now.next
   holdEnd' = holdEnd and tableUnchanged and viewUnchanged and termUnchanged
-  noGrantsFrom' = noGrantsFrom
+  noGrantsFrom' = noGrantsFrom and epochUnchanged
 }
 
 // The coordinator sends a grant, which may be a renewal, to the owner in its view.
 pred grant {
-  no View.former
+  no View.former and no View.blockedUntil
   some end: shortHold[Clock.now] + longHold[Clock.now] {
     holdEnd' = holdEnd ++ View.owner -> laterOf[View.owner.holdEnd, end]
     View.grantEnd' = View.grantEnd ++ View.owner -> laterOf[View.owner.(View.grantEnd), end]
   }
   View.formerGrantsBound' = View.formerGrantsBound
   Clock.now' = Clock.now and tableUnchanged and viewUnchanged and noGrantsFrom' = noGrantsFrom
+  epochUnchanged
 }
 
 fun formerAfterMove: set Server {
@@ -92,7 +142,9 @@
 
 // The store accepts a move; the coordinator has not learned of it yet.
 pred write {
-  viewIsCurrent
+  viewIsCurrent and no Table.ofLostEpoch and no View.writeAccepted and no View.blockedUntil
+  View.writeAccepted' = Yes and lostWriteAccepted' = lostWriteAccepted
+  lostUnchanged and ofLostEpoch' = ofLostEpoch and blockedUntil' = blockedUntil
   some target: Server - Table.owner {
     Table.owner' = target
     Table.former' = formerAfterMove
@@ -106,22 +158,29 @@
 
 // The coordinator learns that its write was accepted and sends the table to the daemons.
 pred learnOfWrite {
-  not viewIsCurrent
+  some View.writeAccepted
+  no writeAccepted' and lostWriteAccepted' = lostWriteAccepted
+  lostUnchanged and blockedUntil' = blockedUntil
   View.owner' = Table.owner and View.former' = Table.former
   Observer.noGrantsFrom' = Table.former <: Observer.noGrantsFrom
     + (Table.former - (Observer.noGrantsFrom).Instant) -> Clock.now
   holdEnd' = holdEnd and Clock.now' = Clock.now and tableUnchanged and termUnchanged
 }
 
+// The coordinator goes on from its own table also when the store has lost it.
 pred removeFormer[s: Server] {
-  View.former' = View.former - s and Table.former' = Table.former - s
+  no View.writeAccepted and no View.blockedUntil
+  View.former' = View.former - s
+  viewIsCurrent and no Table.ofLostEpoch
+    implies Table.former' = Table.former - s
+    else Table.former' = Table.former
   View.owner' = View.owner and Table.owner' = Table.owner
+  ofLostEpoch' = ofLostEpoch and epochUnchanged
   Clock.now' = Clock.now and termUnchanged
   Observer.noGrantsFrom' = Observer.noGrantsFrom - s -> Instant
 }
 
 pred release {
-  viewIsCurrent
   some s: View.former {
     holdEnd' = holdEnd - s -> Instant
     removeFormer[s]
@@ -139,7 +198,6 @@
 
 // The hold of a former holder has run out.
 pred expire {
-  viewIsCurrent
   some s: View.former {
     some WaitOff
       or (termGrantsEnded[s]
@@ -154,16 +212,98 @@
   View.owner' = Table.owner and View.former' = Table.former
   no View.grantEnd' and View.formerGrantsBound' = longHold[Clock.now]
   holdEnd' = holdEnd and Clock.now' = Clock.now and tableUnchanged and noGrantsFrom' = noGrantsFrom
+  no writeAccepted' and no lostWriteAccepted' and lostUnchanged
+  some Table.ofLostEpoch
+    implies View.blockedUntil' = longHold[Clock.now]
+    else no View.blockedUntil'
 }
 
-pred stutter {
+pred backup {
+  Backup.owner' = Table.owner and Backup.former' = Table.former
+  LostWrite.owner' = LostWrite.owner and LostWrite.former' = LostWrite.former
   holdEnd' = holdEnd and Clock.now' = Clock.now and noGrantsFrom' = noGrantsFrom
   tableUnchanged and viewUnchanged and termUnchanged
+  answersUnchanged and blockedUntil' = blockedUntil
+}
+
+// The store goes back to the backup. A write of the lost history may be executed or answered later.
+pred restore {
+  Table.owner' = Backup.owner and Table.former' = Backup.former and Table.ofLostEpoch' = Yes
+  Backup.owner' = Backup.owner and Backup.former' = Backup.former
+  no writeAccepted' and View.lostWriteAccepted' = View.writeAccepted + View.lostWriteAccepted
+  some View.writeAccepted
+    implies (LostWrite.owner' = Table.owner and LostWrite.former' = Table.former)
+    else (LostWrite.owner' = LostWrite.owner and LostWrite.former' = LostWrite.former
+      or (no View.lostWriteAccepted and no View.blockedUntil
+        and LostWrite.owner' in Server - View.owner and some LostWrite.owner'
+        and LostWrite.former' = formerAfterMove))
+  holdEnd' = holdEnd and Clock.now' = Clock.now and noGrantsFrom' = noGrantsFrom
+  viewUnchanged and termUnchanged and blockedUntil' = blockedUntil
+}
+
+// The coordinator learns that a write of the lost history was accepted.
+pred learnOfLostWrite {
+  some View.lostWriteAccepted
+  View.owner' = LostWrite.owner and View.former' = LostWrite.former
+  Observer.noGrantsFrom' = LostWrite.former <: Observer.noGrantsFrom
+    + (LostWrite.former - (Observer.noGrantsFrom).Instant) -> Clock.now
+  no lostWriteAccepted' and writeAccepted' = writeAccepted
+  lostUnchanged and blockedUntil' = blockedUntil
+  holdEnd' = holdEnd and Clock.now' = Clock.now and tableUnchanged and termUnchanged
+}
+
+// The store executes a write of the lost history after the restore.
+pred lateWrite {
+  some LostWrite.owner and no View.writeAccepted
+  Table.owner' = LostWrite.owner and Table.former' = LostWrite.former
+  some EpochOfWriteOff
+    implies ofLostEpoch' = ofLostEpoch
+    else Table.ofLostEpoch' = Yes
+  no LostWrite.owner' and no LostWrite.former'
+  Backup.owner' = Backup.owner and Backup.former' = Backup.former
+  no lostWriteAccepted' and no writeAccepted'
+  holdEnd' = holdEnd and Clock.now' = Clock.now and noGrantsFrom' = noGrantsFrom
+  viewUnchanged and termUnchanged and blockedUntil' = blockedUntil
+}
+
+// A coordinator that still acts writes its own table in the epoch of the store.
+pred claim {
+  some Table.ofLostEpoch and no View.blockedUntil
+  Table.owner' = View.owner and Table.former' = View.former and no ofLostEpoch'
+  Observer.noGrantsFrom' = View.former <: Observer.noGrantsFrom
+  no writeAccepted'
+  some EpochOfAnswerOff
+    implies lostWriteAccepted' = lostWriteAccepted
+    else no lostWriteAccepted'
+  lostUnchanged and blockedUntil' = blockedUntil
+  holdEnd' = holdEnd and Clock.now' = Clock.now and viewUnchanged and termUnchanged
+}
+
+pred lostGrantsEnded {
+  gte[Clock.now, View.blockedUntil]
+  or some RestoreWaitOff
+  or (some UnnamedHolderOff and no s: Table.owner + Table.former | holdsRange[s])
+}
+
+// A coordinator that took over after a restore has waited, and writes the table in its epoch.
+pred adopt {
+  some View.blockedUntil and some Table.ofLostEpoch and viewIsCurrent and lostGrantsEnded
+  no ofLostEpoch' and no blockedUntil'
+  Observer.noGrantsFrom' = Table.former <: Observer.noGrantsFrom
+  Table.owner' = Table.owner and Table.former' = Table.former
+  answersUnchanged and lostUnchanged
+  holdEnd' = holdEnd and Clock.now' = Clock.now and viewUnchanged and termUnchanged
+}
+
+pred stutter {
+  holdEnd' = holdEnd and Clock.now' = Clock.now and noGrantsFrom' = noGrantsFrom
+  tableUnchanged and viewUnchanged and termUnchanged and epochUnchanged
 }
 
 fact trace {
   init
-  always (tick or grant or write or learnOfWrite or release or expire or takeover or stutter)
+  always (tick or grant or write or learnOfWrite or release or expire or takeover or stutter
+    or backup or restore or learnOfLostWrite or lateWrite or claim or adopt)
 }
 
 pred twoHolders { not lone s: Server | holdsRange[s] }
@@ -174,12 +314,12 @@
 OneHolderDeep: check oneHolder for 2 but 9 steps, 4 Instant expect 0
 
 Move: run {
-  allRulesOn
+  allRulesOn and always not (backup or restore)
   some disj a, b: Server | eventually (holdsRange[a] and eventually holdsRange[b])
 } for 2 but 8 steps, 4 Instant expect 1
 
 MoveAfterTakeover: run {
-  allRulesOn
+  allRulesOn and always not (backup or restore)
   some disj a, b: Server |
     eventually (holdsRange[a]
       and eventually (takeover and eventually (expire and eventually holdsRange[b])))
@@ -187,22 +327,68 @@
 
 // The owner still has a hold from a longer grant of the previous coordinator.
 NoInheritedHold: run {
-  some InheritedHoldOff and no ConfirmationOff + WaitOff + FormerHolderOff
+  onlyOff[InheritedHoldOff] and always not (backup or restore)
   eventually twoHolders
 } for 2 but 9 steps, 3 Instant expect 1
 
 // The writer has not learned of its own write and renews the grant of the former owner.
 NoConfirmation: run {
-  some ConfirmationOff and no InheritedHoldOff + WaitOff + FormerHolderOff
+  onlyOff[ConfirmationOff] and always not (backup or restore)
   eventually twoHolders
 } for 2 but 8 steps, 4 Instant expect 1
 
 NoWait: run {
-  some WaitOff and no InheritedHoldOff + ConfirmationOff + FormerHolderOff
+  onlyOff[WaitOff] and always not (backup or restore)
   eventually twoHolders
 } for 2 but 7 steps, 4 Instant expect 1
 
 NoFormerHolder: run {
-  some FormerHolderOff and no InheritedHoldOff + ConfirmationOff + WaitOff
+  onlyOff[FormerHolderOff] and always not (backup or restore)
   eventually twoHolders
 } for 2 but 7 steps, 4 Instant expect 1
+
+MoveAfterRestore: run {
+  allRulesOn
+  grant ; restore ; takeover ; tick ; tick ; adopt ; write ; learnOfWrite ; release ; grant
+  some disj a, b: Server | eventually (holdsRange[a] and eventually holdsRange[b])
+} for 2 but 12 steps, 4 Instant expect 1
+
+ContinueAfterRestore: run {
+  allRulesOn
+  write ; learnOfWrite ; release ; grant ; restore ; claim ; grant
+  eventually (claim and some s: Server | holdsRange[s] and s not in Backup.owner)
+} for 2 but 9 steps, 3 Instant expect 1
+
+// The restored table does not name the holder, and the next coordinator grants from it at once.
+NoRestoreWait: run {
+  onlyOff[RestoreWaitOff]
+  write ; learnOfWrite ; release ; grant
+  eventually twoHolders
+} for 2 but 9 steps, 3 Instant expect 1
+
+// The next coordinator waits for the holds of the servers that the restored table names only.
+NoUnnamedHolder: run {
+  onlyOff[UnnamedHolderOff]
+  write ; learnOfWrite ; release ; grant
+  eventually twoHolders
+} for 2 but 9 steps, 3 Instant expect 1
+
+// A coordinator that went on takes the answer of a lost write for one of the restored store.
+NoEpochOfAnswer: run {
+  onlyOff[EpochOfAnswerOff]
+  write ; restore ; claim
+  eventually twoHolders
+} for 2 but 9 steps, 3 Instant expect 1
+
+// A write of the lost history is executed after the keys moved on in the restored store.
+pred lateWriteAfterMove { restore ; claim ; write ; learnOfWrite ; release ; grant ; lateWrite }
+
+LateWriteAfterMove: check {
+  allRulesOn and lateWriteAfterMove implies always not twoHolders
+} for 3 but 11 steps, 3 Instant expect 0
+
+// A late write of the lost history counts as a table of the restored store.
+NoEpochOfWrite: run {
+  onlyOff[EpochOfWriteOff]
+  lateWriteAfterMove and eventually twoHolders
+} for 3 but 11 steps, 2 Instant expect 1
