Limit the bytes of a response that are not its body

A server could keep a forwarded request open with bytes that the HTTP decoder drops or turns into parts that the connection skips: empty lines before a status line, 1xx responses, responses to other requests and chunk extensions. Only the body was counted, so the caller got 504 at the deadline, and a request that is not idempotent kept its connection, and the event loop busy, until the server stopped.

Count all bytes in front of the decoder. A response with more than 256 KiB beside its body now fails like a lost one: connection closed, outcome unknown, server suspect for a while. The line "No usable response" has the limit, the bytes and the age, and a counter responses.over_limit.framing is served with the metrics.

EndlessResponseTest.response_framingWithoutEnd before: the four kinds above 504 instead of 502 and no close; endless status line, header fields and trailers were ended by the decoder's own limits, but without bytes and age in the log. After: all seven pass, as does EntryPathTest.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -434,8 +434,8 @@
                     }
 
                     @Override
-                    public void onNoResponse(String cause) {
-                        Dispatcher.this.onBroken(exchange, upstream, cause);
+                    public void onNoResponse(ResponseFailure failure) {
+                        Dispatcher.this.onBroken(exchange, upstream, now, failure);
                     }
                 };
         UpstreamConnection connection =
@@ -520,12 +520,14 @@
         }
     }
 
-    private void onBroken(Exchange exchange, Upstream upstream, String cause) {
+    private void onBroken(
+            Exchange exchange, Upstream upstream, long sentAtNanos, ResponseFailure failure) {
         long now = mClock.getAsLong();
         exchange.endAttempt();
         exchange.setMayHaveRun();
         upstream.load().onNoAnswer(now);
-        mRequestLog.logBroken(exchange, upstream, cause);
+        failure.limit().ifPresent(mMetrics::onResponseOverLimit);
+        mRequestLog.logBroken(exchange, upstream, failure, now - sentAtNanos);
         if (!exchange.isEnded() && !retryIfAllowed(exchange, now)) {
             fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
         }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Counts a response of a backend server that exceeded a limit. */
+    void onResponseOverLimit(ResponseLimit limit) {
+        mRegistry.counter(limit.counterName()).inc();
+    }
+
     /** Counts a call of the daemon to a server, or a write of a table, by its result. */
     void onCall(String name, String result) {
         mRegistry.counter("calls." + name + "." + result).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -85,8 +85,12 @@
                 tableRevision(exchange));
     }
 
-    /** Logs that there is no usable response to a request that may have been executed. */
-    void logBroken(Exchange exchange, Upstream upstream, String cause) {
+    /**
+     * Logs that there is no usable response to a request that may have been executed.
+     *
+     * @param ageNanos time since the request was sent to the server
+     */
+    void logBroken(Exchange exchange, Upstream upstream, ResponseFailure failure, long ageNanos) {
         mLog.write(
                 Part.REQUEST,
                 "No usable response",
@@ -95,7 +99,13 @@
                 "server",
                 upstream.entry().incarnationId(),
                 "cause",
-                cause);
+                failure.cause(),
+                "limit",
+                failure.limit().map(ResponseLimit::name).orElse(""),
+                "bytes",
+                failure.receivedBytes(),
+                "age_ms",
+                ageNanos / NANOS_PER_MILLI);
     }
 
     /** Logs that no connection to the server could be opened. */
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -21,8 +21,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 import org.geraniumusher.http.KeepAliveProbes;
+import org.geraniumusher.http.ReceiveLimiter;
 import org.geraniumusher.model.Address;
 
+import java.util.Optional;
+
 /**
  * An HTTP connection to a backend server that carries one request at a time. Confined to the event
  * loop.
@@ -35,6 +38,9 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
+    /** Limit of the bytes other than bodies that arrive until a response is complete. */
+    private static final int MAX_FRAMING_BYTES = 256 << 10;
+
     /** Idle timeout of a server that sends none in its {@code Keep-Alive} header. */
     private static final long DEFAULT_IDLE_TIMEOUT_NANOS = 4_000_000_000L;
 
@@ -53,7 +59,7 @@
         void onNotSent(Throwable cause);
 
         /** Called if there is no usable response; the server may have executed the request. */
-        void onNoResponse(String cause);
+        void onNoResponse(ResponseFailure failure);
     }
 
     /** Owner of the connection, which reuses it while it is idle. */
@@ -67,6 +73,8 @@
 
     private final Pool mPool;
     private final String mRequestIdHeader;
+    private final ReceiveLimiter mLimiter =
+            new ReceiveLimiter(MAX_FRAMING_BYTES, () -> failOverLimit(ResponseLimit.FRAMING));
     private SocketChannel mChannel;
     private Listener mListener;
     private String mRequestId;
@@ -99,6 +107,7 @@
                             protected void initChannel(SocketChannel channel) {
                                 mChannel = channel;
                                 channel.pipeline()
+                                        .addLast(mLimiter)
                                         .addLast(new HttpClientCodec())
                                         .addLast(UpstreamConnection.this);
                             }
@@ -134,6 +143,7 @@
     void send(FullHttpRequest request, Listener listener) {
         mListener = listener;
         mRequestId = request.headers().get(mRequestIdHeader);
+        mLimiter.onRequest();
         mChannel.writeAndFlush(request);
     }
 
@@ -169,6 +179,7 @@
                 fail("response is longer than " + MAX_RESPONSE_BYTES + " bytes");
                 return;
             }
+            mLimiter.onBody(content.content().readableBytes());
             mResponseBody.writeBytes(content.content());
         }
         if (part instanceof LastHttpContent && mResponseHead != null) {
@@ -261,14 +272,22 @@
         fail("connection failed: " + cause.getMessage());
     }
 
-    /** Closes the connection and reports that the request in flight has no response. */
     private void fail(String cause) {
+        fail(cause, Optional.empty());
+    }
+
+    private void failOverLimit(ResponseLimit limit) {
+        fail("response exceeds a limit", Optional.of(limit));
+    }
+
+    /** Closes the connection and reports that the request in flight has no response. */
+    private void fail(String cause, Optional<ResponseLimit> limit) {
         Listener listener = mListener;
         mListener = null;
         mResponseHead = null;
         mChannel.close();
         if (listener != null) {
-            listener.onNoResponse(cause);
+            listener.onNoResponse(new ResponseFailure(cause, limit, mLimiter.receivedBytes()));
         }
     }
 }
