Limit the memory of responses that are not complete

Each response could buffer 16 MiB, in an array that doubles as it grows, and nothing limited all of them together. 40 bodies without end at once used up the heap of a daemon with -Xmx96m: 62 requests in its log failed with "Java heap space".

Limit the body to 4 MiB, with those of responses to other requests that come before it, and the memory of all incomplete bodies to 16 MiB. Over the latter limit the response with the most memory is given up, so that a short response does not fail because of long ones. Counters responses.over_limit.body and .buffered, gauge responses.buffered_bytes.

What a complete response takes until its caller has read it is not limited by this.

--- a/entry/src/main/java/org/geraniumusher/entry/ResponseLimit.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ResponseLimit.java
@@ -5,7 +5,13 @@
 /** Limits of the response of a backend server. A response that exceeds one is not used. */
 enum ResponseLimit {
     /** Bytes that are not the body: heads, chunk sizes, trailers and interim responses. */
-    FRAMING;
+    FRAMING,
+
+    /** Bytes of the body. */
+    BODY,
+
+    /** Memory that the bodies of all incomplete responses take; the longest one is given up. */
+    BUFFERED;
 
     /** Returns the name of the counter of responses that exceeded this limit. */
     String counterName() {
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -19,6 +19,7 @@
 final class Upstream implements UpstreamConnection.Pool {
     private final EventLoopGroup mGroup;
     private final LongSupplier mClock;
+    private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
     private final ServerLoad mLoad;
     private final Deque<UpstreamConnection> mIdleConnections = new ArrayDeque<>();
@@ -30,6 +31,7 @@
      * Creates an upstream without connections.
      *
      * @param clock monotonic clock in nanoseconds
+     * @param buffers buffers for the bodies of responses, which all upstreams share
      * @param requestIdHeader name of the header that carries the request ID
      * @param initialServiceNanos assumed service time until a request has completed
      * @param initialColdTokens initial tokens of a cold server; see {@link ServerLoad#create}
@@ -38,12 +40,14 @@
             ServerEntry entry,
             EventLoopGroup group,
             LongSupplier clock,
+            ResponseBuffers buffers,
             String requestIdHeader,
             long initialServiceNanos,
             double initialColdTokens) {
         mEntry = entry;
         mGroup = group;
         mClock = clock;
+        mBuffers = buffers;
         mRequestIdHeader = requestIdHeader;
         mLoad = ServerLoad.create(entry.slots(), initialServiceNanos, initialColdTokens);
         updateColdTime(entry);
@@ -112,7 +116,7 @@
             idle.close();
             idle = mIdleConnections.pollFirst();
         }
-        UpstreamConnection created = new UpstreamConnection(this, mRequestIdHeader);
+        UpstreamConnection created = new UpstreamConnection(this, mBuffers, mRequestIdHeader);
         created.connectAndSend(mGroup, mEntry.address(), request, listener);
         return created;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -1,9 +1,6 @@
 package org.geraniumusher.entry;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -36,7 +33,12 @@
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
-    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
+    /**
+     * Limit of the bytes of bodies that arrive until a response is complete, those of responses to
+     * other requests included.
+     */
+    private static final int MAX_BODY_BYTES = 4 << 20;
 
     /** Limit of the bytes other than bodies that arrive until a response is complete. */
     private static final int MAX_FRAMING_BYTES = 256 << 10;
@@ -72,6 +74,7 @@
     }
 
     private final Pool mPool;
+    private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
     private final ReceiveLimiter mLimiter =
             new ReceiveLimiter(MAX_FRAMING_BYTES, () -> failOverLimit(ResponseLimit.FRAMING));
@@ -79,15 +82,16 @@
     private Listener mListener;
     private String mRequestId;
     private HttpResponse mResponseHead;
-    private ByteBuf mResponseBody;
+    private ResponseBuffers.Buffer mResponseBody;
     private boolean mSkipResponse;
     private boolean mFailed;
     private boolean mCloseAfterResponse;
     private long mIdleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long mUsableUntilNanos;
 
-    UpstreamConnection(Pool pool, String requestIdHeader) {
+    UpstreamConnection(Pool pool, ResponseBuffers buffers, String requestIdHeader) {
         mPool = pool;
+        mBuffers = buffers;
         mRequestIdHeader = requestIdHeader;
     }
 
@@ -174,13 +178,12 @@
             return;
         }
         if (part instanceof HttpContent content && mResponseHead != null) {
-            if (mResponseBody.readableBytes() + content.content().readableBytes()
-                    > MAX_RESPONSE_BYTES) {
-                fail("response is longer than " + MAX_RESPONSE_BYTES + " bytes");
+            mLimiter.onBody(content.content().readableBytes());
+            if (mLimiter.bodyBytes() > MAX_BODY_BYTES) {
+                failOverLimit(ResponseLimit.BODY);
                 return;
             }
-            mLimiter.onBody(content.content().readableBytes());
-            mResponseBody.writeBytes(content.content());
+            mResponseBody.append(content.content());
         }
         if (part instanceof LastHttpContent && mResponseHead != null) {
             onResponseEnd();
@@ -199,15 +202,14 @@
         String id = head.headers().get(mRequestIdHeader);
         mSkipResponse = id != null && !id.equals(mRequestId);
         mResponseHead = head;
-        mResponseBody = Unpooled.buffer(512);
+        mResponseBody = mBuffers.open(() -> failOverLimit(ResponseLimit.BUFFERED));
         return true;
     }
 
     private void onResponseEnd() {
         HttpResponse head = mResponseHead;
-        byte[] body = ByteBufUtil.getBytes(mResponseBody);
-        mResponseHead = null;
-        mResponseBody = null;
+        byte[] body = mResponseBody.toByteArray();
+        dropResponse();
         if (mFailed) {
             fail("connection failed during a response without a length");
             return;
@@ -272,6 +274,14 @@
         fail("connection failed: " + cause.getMessage());
     }
 
+    private void dropResponse() {
+        mResponseHead = null;
+        if (mResponseBody != null) {
+            mResponseBody.close();
+            mResponseBody = null;
+        }
+    }
+
     private void fail(String cause) {
         fail(cause, Optional.empty());
     }
@@ -284,7 +294,7 @@
     private void fail(String cause, Optional<ResponseLimit> limit) {
         Listener listener = mListener;
         mListener = null;
-        mResponseHead = null;
+        dropResponse();
         mChannel.close();
         if (listener != null) {
             listener.onNoResponse(new ResponseFailure(cause, limit, mLimiter.receivedBytes()));
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -29,6 +29,7 @@
     private final DecisionLog mLog;
     private final String mRequestIdHeader;
     private final Random mRandom;
+    private final ResponseBuffers mBuffers = new ResponseBuffers();
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, List<Upstream>> mByService = new HashMap<>();
 
@@ -47,11 +48,12 @@
         mRandom = random;
     }
 
-    /** Registers gauges of the number of servers in each state. */
+    /** Registers gauges of the servers in each state and of the buffered responses. */
     void registerGauges(EntryMetrics metrics) {
         metrics.registerGauge("servers.usable", () -> count(u -> !u.isLeaving() && !isSuspect(u)));
         metrics.registerGauge("servers.suspect", () -> count(u -> !u.isLeaving() && isSuspect(u)));
         metrics.registerGauge("servers.leaving", () -> count(Upstream::isLeaving));
+        metrics.registerGauge("responses.buffered_bytes", mBuffers::totalBytes);
     }
 
     private boolean isSuspect(Upstream upstream) {
@@ -133,6 +135,7 @@
                 entry,
                 mGroup,
                 mClock,
+                mBuffers,
                 mRequestIdHeader,
                 INITIAL_SERVICE_NANOS,
                 mRandom.nextDouble());
