Close the connection of an order 2 s after its deadline

A request that is not idempotent is left to its server when its deadline passes or its caller leaves, and from then on nothing ended its connection: a server that sent one byte every 20 ms kept it open for as long as it liked, and its load estimate counted the request all the while.

End such an attempt 2 s after the deadline, which the server knows from the request. It counts as an attempt without a response (server suspect, line "No usable response" with limit DEADLINE, counter responses.over_limit.deadline). The caller has been told that the outcome is unknown by then.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -60,6 +60,12 @@
     /** Allowance for the transit of a request to a server and of a change from the store. */
     private static final long TRANSIT_NANOS = 200_000_000;
 
+    /**
+     * Time after the deadline for which an attempt that must not be repeated is left to its server,
+     * which knows the deadline and stops there.
+     */
+    private static final long ATTEMPT_GRACE_NANOS = 2_000_000_000;
+
     private static final int MAX_WAITING_REQUESTS = 2_000;
 
     private static final Comparator<Exchange> BY_PRIORITY_THEN_GOAL =
@@ -575,14 +581,24 @@
 
     /**
      * Cancels the attempt in progress, if any. An attempt that must not be repeated is left to
-     * complete at the server.
+     * complete at the server, until {@link #ATTEMPT_GRACE_NANOS} after the deadline.
      */
     private void cancelAttempt(Exchange exchange) {
-        if (exchange.attempt().isPresent() && exchange.route().kind().mayRepeat()) {
-            Exchange.Attempt attempt = exchange.attempt().get();
+        if (exchange.attempt().isEmpty()) {
+            return;
+        }
+        Exchange.Attempt attempt = exchange.attempt().get();
+        if (exchange.route().kind().mayRepeat()) {
             attempt.upstream().load().onCancelled();
             attempt.connection().cancel();
             exchange.endAttempt();
+        } else {
+            long endNanos = exchange.deadlineAtNanos() + ATTEMPT_GRACE_NANOS;
+            exchange.setAttemptTimer(
+                    mThread.schedule(
+                            attempt.connection()::expire,
+                            endNanos - mClock.getAsLong(),
+                            TimeUnit.NANOSECONDS));
         }
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -40,6 +40,7 @@
     private ResultCode mWaitReason = ResultCode.OVERLOADED;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<ScheduledFuture<?>> mDeadlineTimer = Optional.empty();
+    private Optional<ScheduledFuture<?>> mAttemptTimer = Optional.empty();
 
     /** Sends the response to the caller. */
     interface CallerResponder {
@@ -171,8 +172,16 @@
         mTriedIncarnations.add(incarnationId);
     }
 
+    /** Ends the attempt in progress, if any, and cancels its timer. */
     void endAttempt() {
         mAttempt = Optional.empty();
+        mAttemptTimer.ifPresent(t -> t.cancel(false));
+        mAttemptTimer = Optional.empty();
+    }
+
+    /** Sets the timer that ends the attempt in progress. */
+    void setAttemptTimer(ScheduledFuture<?> timer) {
+        mAttemptTimer = Optional.of(timer);
     }
 
     /** Returns the attempt in progress, if any. */
--- a/entry/src/main/java/org/geraniumusher/entry/ResponseLimit.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ResponseLimit.java
@@ -11,7 +11,10 @@
     BODY,
 
     /** Memory that the bodies of all incomplete responses take; the longest one is given up. */
-    BUFFERED;
+    BUFFERED,
+
+    /** Time after the deadline for which a request that must not be repeated may go on. */
+    DEADLINE;
 
     /** Returns the name of the counter of responses that exceeded this limit. */
     String counterName() {
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -157,6 +157,11 @@
         close();
     }
 
+    /** Ends the request in flight as one without a usable response. */
+    void expire() {
+        failOverLimit(ResponseLimit.DEADLINE);
+    }
+
     void close() {
         if (mChannel != null) {
             mChannel.close();
