Close an idle connection to a server on the first byte

Bytes on an idle connection went to the HTTP decoder, which drops empty lines: a server that sent them without end kept the event loop busy until the connection expired 3 s later, and a part of a status line stayed in the decoder, in front of the next response.

Let no byte through while no response is expected: the connection is closed at the first one, with a line "Closed an idle connection on which bytes arrived" and the counter connections.unsolicited.

response_bytesBeyondLengthWithoutEnd_isPassedOnAndConnectionIsClosed before: still open 1.5 s after the response, when the test gave up. After: passes, as do the other tests of EndlessResponseTest, EndlessResponseMemoryTest and EntryPathTest. Bytes that arrive in one read with the end of the response still reach the decoder.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -155,9 +155,10 @@
         mKeyedRequestStats = keyedRequestStats;
         mRandom = new Random(settings.name().hashCode());
         mUpstreams =
-                new UpstreamSet(directory, group, clock, log, wire.headers().requestId(), mRandom);
+                new UpstreamSet(
+                        directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
-        mUpstreams.registerGauges(metrics);
+        mUpstreams.registerGauges();
         metrics.registerGauge("requests.in_progress", () -> mRequestsInProgress);
         metrics.registerGauge("requests.waiting", mWaiting::size);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Counts an idle connection that was closed because the server sent bytes on it. */
+    void onUnsolicitedBytes() {
+        mRegistry.counter("connections.unsolicited").inc();
+    }
+
     /** Counts a response of a backend server that exceeded a limit. */
     void onResponseOverLimit(ResponseLimit limit) {
         mRegistry.counter(limit.counterName()).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -22,6 +22,7 @@
     private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
     private final ServerLoad mLoad;
+    private final Runnable mOnUnsolicitedBytes;
     private final Deque<UpstreamConnection> mIdleConnections = new ArrayDeque<>();
     private ServerEntry mEntry;
     private boolean mLeaving;
@@ -33,6 +34,7 @@
      * @param clock monotonic clock in nanoseconds
      * @param buffers buffers for the bodies of responses, which all upstreams share
      * @param requestIdHeader name of the header that carries the request ID
+     * @param onUnsolicitedBytes called when the server sends bytes on an idle connection
      * @param initialServiceNanos assumed service time until a request has completed
      * @param initialColdTokens initial tokens of a cold server; see {@link ServerLoad#create}
      */
@@ -42,12 +44,14 @@
             LongSupplier clock,
             ResponseBuffers buffers,
             String requestIdHeader,
+            Runnable onUnsolicitedBytes,
             long initialServiceNanos,
             double initialColdTokens) {
         mEntry = entry;
         mGroup = group;
         mClock = clock;
         mBuffers = buffers;
+        mOnUnsolicitedBytes = onUnsolicitedBytes;
         mRequestIdHeader = requestIdHeader;
         mLoad = ServerLoad.create(entry.slots(), initialServiceNanos, initialColdTokens);
         updateColdTime(entry);
@@ -148,6 +152,11 @@
         mIdleConnections.addFirst(connection);
     }
 
+    @Override
+    public void onUnsolicitedBytes() {
+        mOnUnsolicitedBytes.run();
+    }
+
     @Override
     public void onClosed(UpstreamConnection connection) {
         mIdleConnections.remove(connection);
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -69,6 +69,9 @@
         /** Called when the connection can carry another request. */
         void onIdle(UpstreamConnection connection);
 
+        /** Called when the server sends bytes on an idle connection, which is then closed. */
+        void onUnsolicitedBytes();
+
         /** Called when the connection was closed or could not be opened. */
         void onClosed(UpstreamConnection connection);
     }
@@ -77,7 +80,19 @@
     private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
     private final ReceiveLimiter mLimiter =
-            new ReceiveLimiter(MAX_FRAMING_BYTES, () -> failOverLimit(ResponseLimit.FRAMING));
+            new ReceiveLimiter(
+                    MAX_FRAMING_BYTES,
+                    new ReceiveLimiter.Listener() {
+                        @Override
+                        public void onTooManyBytes() {
+                            failOverLimit(ResponseLimit.FRAMING);
+                        }
+
+                        @Override
+                        public void onUnsolicitedBytes() {
+                            UpstreamConnection.this.onUnsolicitedBytes();
+                        }
+                    });
     private SocketChannel mChannel;
     private Listener mListener;
     private String mRequestId;
@@ -100,6 +115,7 @@
             EventLoopGroup group, Address address, FullHttpRequest request, Listener listener) {
         mListener = listener;
         mRequestId = request.headers().get(mRequestIdHeader);
+        mLimiter.onRequest();
         KeepAliveProbes.enable(new Bootstrap())
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -224,6 +240,7 @@
             mCloseAfterResponse = true;
             return;
         }
+        mLimiter.onResponseEnd();
         updateIdleTimeout(head);
         boolean reusable = HttpUtil.isKeepAlive(head) && hasLength(head) && !mCloseAfterResponse;
         Listener listener = mListener;
@@ -279,6 +296,13 @@
         fail("connection failed: " + cause.getMessage());
     }
 
+    private void onUnsolicitedBytes() {
+        if (mChannel.isActive()) {
+            mPool.onUnsolicitedBytes();
+            mChannel.close();
+        }
+    }
+
     private void dropResponse() {
         mResponseHead = null;
         if (mResponseBody != null) {
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -27,6 +27,7 @@
     private final EventLoopGroup mGroup;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
     private final String mRequestIdHeader;
     private final Random mRandom;
     private final ResponseBuffers mBuffers = new ResponseBuffers();
@@ -38,22 +39,24 @@
             EventLoopGroup group,
             LongSupplier clock,
             DecisionLog log,
+            EntryMetrics metrics,
             String requestIdHeader,
             Random random) {
         mDirectory = directory;
         mGroup = group;
         mClock = clock;
         mLog = log;
+        mMetrics = metrics;
         mRequestIdHeader = requestIdHeader;
         mRandom = random;
     }
 
     /** Registers gauges of the servers in each state and of the buffered responses. */
-    void registerGauges(EntryMetrics metrics) {
-        metrics.registerGauge("servers.usable", () -> count(u -> !u.isLeaving() && !isSuspect(u)));
-        metrics.registerGauge("servers.suspect", () -> count(u -> !u.isLeaving() && isSuspect(u)));
-        metrics.registerGauge("servers.leaving", () -> count(Upstream::isLeaving));
-        metrics.registerGauge("responses.buffered_bytes", mBuffers::totalBytes);
+    void registerGauges() {
+        mMetrics.registerGauge("servers.usable", () -> count(u -> !u.isLeaving() && !isSuspect(u)));
+        mMetrics.registerGauge("servers.suspect", () -> count(u -> !u.isLeaving() && isSuspect(u)));
+        mMetrics.registerGauge("servers.leaving", () -> count(Upstream::isLeaving));
+        mMetrics.registerGauge("responses.buffered_bytes", mBuffers::totalBytes);
     }
 
     private boolean isSuspect(Upstream upstream) {
@@ -137,10 +140,20 @@
                 mClock,
                 mBuffers,
                 mRequestIdHeader,
+                () -> onUnsolicitedBytes(entry),
                 INITIAL_SERVICE_NANOS,
                 mRandom.nextDouble());
     }
 
+    private void onUnsolicitedBytes(ServerEntry entry) {
+        mMetrics.onUnsolicitedBytes();
+        mLog.write(
+                Part.SERVER,
+                "Closed an idle connection on which bytes arrived",
+                "server",
+                entry.incarnationId());
+    }
+
     /** Returns the upstream of an incarnation, or null if there is none. */
     Upstream get(String incarnationId) {
         return mUpstreams.get(incarnationId);
