Fail a control call whose reply cannot be parsed

HttpClient returned bytes that are no HTTP response as a reply with status 999, a reply whose body could not be decoded as whole, and an interim response (1xx) as the reply itself. A grant that a server answered in such a way was counted and logged as refused with status 999 or 100, although it may have been carried out. The coordinator treats both alike, as a call with an unknown result.

Fail the call when decoding has failed, and pass over interim responses.

HttpClientTest before: call_replyCannotBeParsed_fails and call_bodyCannotBeParsed_fails got replies.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -248,6 +249,13 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (response.decoderResult().isFailure()) {
+                fail(new IOException("reply cannot be parsed", response.decoderResult().cause()));
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
             response.headers()
                     .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
