Limit what a control call reads from its server

A reply to a grant or release could be 8 MiB long, and bytes that the decoder drops were read until the call timed out. On a pooled connection they were read for as long as the server sent them. Parts of a body each kept the buffer into which they were read, up to 1,024 of them.

Put the ReceiveLimiter in front of the decoder of HttpClient too: a call fails when its reply is longer than the limit of the client and 64 KiB, and an idle connection is closed at the first byte. At most 16 parts of a body are kept before they are copied together.

HttpClientTest before (with a reply limit of 64 KiB): endless chunk extensions did not end the call within 10 s, endless empty lines, 1xx responses and a body without length ended it with a reply, and a pooled connection with endless empty lines stayed open for the 10 s of the test. After: all ten tests pass, as do EntryPathTest, RelayTest, DaemonLossTest and OperatorEndpointTest.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -55,17 +55,40 @@
     /** Upper limit of the connect timeout, so that an unreachable peer is detected early. */
     private static final long MAX_CONNECT_TIMEOUT_MILLIS = 1_000;
 
+    /** Limit of a reply's body unless another one is given. */
+    private static final int DEFAULT_MAX_REPLY_BYTES = HttpServer.MAX_BODY_BYTES * 4;
+
+    /** Limit of the bytes that a reply may have beside its body. */
+    private static final int MAX_FRAMING_BYTES = 64 << 10;
+
+    /**
+     * Number of parts of a body that are kept before they are copied together. Each part retains
+     * the buffer into which it was read, however small the part is.
+     */
+    private static final int MAX_BODY_PARTS = 16;
+
     private final EventLoopGroup mGroup;
+    private final int mMaxReplyBytes;
     private final Map<Address, Queue<ClientConnection>> mIdleConnections =
             new ConcurrentHashMap<>();
 
-    private HttpClient(EventLoopGroup group) {
+    private HttpClient(EventLoopGroup group, int maxReplyBytes) {
         mGroup = checkNotNull(group);
+        mMaxReplyBytes = maxReplyBytes;
     }
 
     /** Returns a client whose connections run on {@code group}. */
     public static HttpClient create(EventLoopGroup group) {
-        return new HttpClient(group);
+        return create(group, DEFAULT_MAX_REPLY_BYTES);
+    }
+
+    /**
+     * Returns a client whose connections run on {@code group}.
+     *
+     * @param maxReplyBytes limit of the body of a reply; a call with a longer one fails
+     */
+    public static HttpClient create(EventLoopGroup group, int maxReplyBytes) {
+        return new HttpClient(group, maxReplyBytes);
     }
 
     /**
@@ -108,17 +131,18 @@
     private CompletableFuture<HttpReply> callOnNewConnection(
             Address address, HttpCall call, Duration timeout) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
-        ClientConnection connection = new ClientConnection(this::offerIdle);
+        HttpObjectAggregator aggregator = new HttpObjectAggregator(mMaxReplyBytes);
+        aggregator.setMaxCumulationBufferComponents(MAX_BODY_PARTS);
+        ClientConnection connection = new ClientConnection(mMaxReplyBytes, this::offerIdle);
         ChannelFuture connecting =
                 connect(
                         address,
                         timeout,
                         channel ->
                                 channel.pipeline()
+                                        .addLast(connection.limiter())
                                         .addLast(new HttpClientCodec())
-                                        .addLast(
-                                                new HttpObjectAggregator(
-                                                        HttpServer.MAX_BODY_BYTES * 4))
+                                        .addLast(aggregator)
                                         .addLast(connection));
         connecting.addListener(
                 (ChannelFuture opened) -> {
@@ -188,17 +212,24 @@
      * loop of the channel.
      */
     private static final class ClientConnection
-            extends SimpleChannelInboundHandler<FullHttpResponse> {
+            extends SimpleChannelInboundHandler<FullHttpResponse>
+            implements ReceiveLimiter.Listener {
+        private final ReceiveLimiter mLimiter;
         private final BiConsumer<Address, ClientConnection> mOnIdle;
         private volatile Channel mChannel;
         private Address mAddress;
         private CompletableFuture<HttpReply> mPendingReply;
         private ScheduledFuture<?> mTimeout;
 
-        ClientConnection(BiConsumer<Address, ClientConnection> onIdle) {
+        ClientConnection(int maxReplyBytes, BiConsumer<Address, ClientConnection> onIdle) {
+            mLimiter = new ReceiveLimiter((long) maxReplyBytes + MAX_FRAMING_BYTES, this);
             mOnIdle = onIdle;
         }
 
+        ReceiveLimiter limiter() {
+            return mLimiter;
+        }
+
         boolean isActive() {
             return mChannel.isActive();
         }
@@ -239,6 +270,7 @@
                                                                     + " ms")),
                                     timeout.toMillis(),
                                     TimeUnit.MILLISECONDS);
+            mLimiter.onRequest();
             mChannel.writeAndFlush(toRequest(address, call));
         }
 
@@ -259,6 +291,7 @@
             ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
             response.headers()
                     .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+            mLimiter.onResponseEnd();
             HttpReply reply =
                     new HttpReply(
                             response.status().code(),
@@ -278,6 +311,20 @@
             }
         }
 
+        @Override
+        public void onTooManyBytes() {
+            fail(
+                    new IOException(
+                            "reply exceeds the limit, received "
+                                    + mLimiter.receivedBytes()
+                                    + " bytes"));
+        }
+
+        @Override
+        public void onUnsolicitedBytes() {
+            mChannel.close();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail(new IOException("connection closed before the response"));
--- a/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
@@ -4,6 +4,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.common.base.Strings;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -17,15 +19,24 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Guards the client against servers that send anything but one reply to each call. */
 final class HttpClientTest {
+    private static final int MAX_REPLY_BYTES = 64 << 10;
+
+    /** Bytes in the socket buffers of both sides, of at most 10 MiB on Linux, and one read. */
+    private static final long SOCKET_BUFFER_BYTES = 11 << 20;
+
     /** So long that a call that ends within {@link #LATEST_END_SECONDS} was not timed out. */
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
@@ -33,9 +44,30 @@
 
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    private final HttpClient mClient = HttpClient.create(mGroup);
+    private final HttpClient mClient = HttpClient.create(mGroup, MAX_REPLY_BYTES);
+    private final CountDownLatch mConnectionClosed = new CountDownLatch(1);
+    private final AtomicLong mBytesSent = new AtomicLong();
     private TcpListener mListener;
 
+    /** Replies without end. */
+    enum Endless {
+        CONTROL_CHARACTERS("", Strings.repeat("\r\n", 500)),
+        INTERIM_RESPONSES("", Strings.repeat("HTTP/1.1 100 Continue\r\n\r\n", 10)),
+        CHUNK_EXTENSIONS(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "1;x=" + Strings.repeat("y", 2_000) + "\r\nz\r\n"),
+        BODY_WITHOUT_LENGTH("HTTP/1.1 200 OK\r\n\r\n", Strings.repeat("x", 1_000)),
+        STATUS_LINE("HTTP/1.1 200 ", Strings.repeat("x", 100));
+
+        private final String mHead;
+        private final String mFiller;
+
+        Endless(String head, String filler) {
+            mHead = head;
+            mFiller = filler;
+        }
+    }
+
     @AfterEach
     void stop() {
         mListener.close();
@@ -60,6 +92,20 @@
         return mClient.call(mListener.address(), HttpCall.of("POST", "/grant"), CALL_TIMEOUT);
     }
 
+    /** A reply without end must end its call by its size, not by the timeout. */
+    @ParameterizedTest
+    @EnumSource
+    void call_replyWithoutEnd_failsAndConnectionIsClosed(Endless endless) throws Exception {
+        startServer(endless.mHead, endless.mFiller);
+
+        CompletableFuture<HttpReply> reply = call();
+
+        assertThrows(
+                ExecutionException.class, () -> reply.get(LATEST_END_SECONDS, TimeUnit.SECONDS));
+        assertThat(mConnectionClosed.await(LATEST_END_SECONDS, TimeUnit.SECONDS)).isTrue();
+        assertThat(mBytesSent.get()).isLessThan(2 * MAX_REPLY_BYTES + SOCKET_BUFFER_BYTES);
+    }
+
     /** Bytes that are no reply must not be reported as a reply, of whatever status. */
     @Test
     void call_replyCannotBeParsed_fails() {
@@ -94,6 +140,32 @@
         assertThat(reply.text()).isEqualTo("ok");
     }
 
+    /** A pooled connection must not be read for as long as the server sends. */
+    @Test
+    void call_bytesAfterReplyWithoutEnd_replyIsReturnedAndConnectionIsClosed() throws Exception {
+        startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "\r\n");
+
+        HttpReply reply = call().get(LATEST_END_SECONDS, TimeUnit.SECONDS);
+
+        assertThat(reply.text()).isEqualTo("ok");
+        assertThat(mConnectionClosed.await(LATEST_END_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** A reply within the limit is returned whole. */
+    @Test
+    void call_replyOfMaximumSize_isReturned() throws Exception {
+        startServer(
+                "HTTP/1.1 200 OK\r\nContent-Length: "
+                        + MAX_REPLY_BYTES
+                        + "\r\n\r\n"
+                        + Strings.repeat("x", MAX_REPLY_BYTES),
+                "");
+
+        HttpReply reply = call().get(LATEST_END_SECONDS, TimeUnit.SECONDS);
+
+        assertThat(reply.body()).hasLength(MAX_REPLY_BYTES);
+    }
+
     /** Sends its bytes on each read, whatever the request is. */
     private final class RawServer extends ChannelInboundHandlerAdapter {
         private final String mHead;
@@ -118,12 +190,18 @@
 
         private void onSent(ChannelHandlerContext context, ChannelFuture sent, int length) {
             if (sent.isSuccess() && !mFiller.isEmpty()) {
+                mBytesSent.addAndGet(length);
                 // The delay keeps the parts apart.
                 context.executor()
                         .schedule(() -> send(context, mFiller), 200, TimeUnit.MICROSECONDS);
             }
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mConnectionClosed.countDown();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
