--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -62,6 +62,12 @@
     /** Allowance for the transit of a request to a server and of a change from the store. */
     private static final long TRANSIT_NANOS = 200_000_000;
 
+    /**
+     * Time after the deadline for which an attempt that must not be repeated is left to its server,
+     * which knows the deadline and stops there.
+     */
+    private static final long ATTEMPT_GRACE_NANOS = 2_000_000_000;
+
     private static final int MAX_WAITING_REQUESTS = 2_000;
 
     private static final Comparator<Exchange> BY_PRIORITY_THEN_GOAL =
@@ -151,9 +157,10 @@
         mKeyedRequestStats = keyedRequestStats;
         mRandom = new Random(settings.name().hashCode());
         mUpstreams =
-                new UpstreamSet(directory, group, clock, log, wire.headers().requestId(), mRandom);
+                new UpstreamSet(
+                        directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
-        mUpstreams.registerGauges(metrics);
+        mUpstreams.registerGauges();
         metrics.registerGauge("requests.in_progress", mInProgress::size);
         metrics.registerGauge("requests.waiting", mWaiting::size);
     }
@@ -454,8 +461,8 @@
                     }
 
                     @Override
-                    public void onNoResponse(String cause) {
-                        Dispatcher.this.onBroken(exchange, upstream, cause);
+                    public void onNoResponse(ResponseFailure failure) {
+                        Dispatcher.this.onBroken(exchange, upstream, now, failure);
                     }
                 };
         UpstreamConnection connection =
@@ -540,12 +547,14 @@
         }
     }
 
-    private void onBroken(Exchange exchange, Upstream upstream, String cause) {
+    private void onBroken(
+            Exchange exchange, Upstream upstream, long sentAtNanos, ResponseFailure failure) {
         long now = mClock.getAsLong();
         exchange.endAttempt();
         exchange.setMayHaveRun();
         upstream.load().onNoAnswer(now);
-        mRequestLog.logBroken(exchange, upstream, cause);
+        failure.limit().ifPresent(mMetrics::onResponseOverLimit);
+        mRequestLog.logBroken(exchange, upstream, failure, now - sentAtNanos);
         if (!exchange.isEnded() && !retryIfAllowed(exchange, now)) {
             fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
         }
@@ -593,14 +602,24 @@
 
     /**
      * Cancels the attempt in progress, if any. An attempt that must not be repeated is left to
-     * complete at the server.
+     * complete at the server, until {@link #ATTEMPT_GRACE_NANOS} after the deadline.
      */
     private void cancelAttempt(Exchange exchange) {
-        if (exchange.attempt().isPresent() && exchange.route().kind().mayRepeat()) {
-            Exchange.Attempt attempt = exchange.attempt().get();
+        if (exchange.attempt().isEmpty()) {
+            return;
+        }
+        Exchange.Attempt attempt = exchange.attempt().get();
+        if (exchange.route().kind().mayRepeat()) {
             attempt.upstream().load().onCancelled();
             attempt.connection().cancel();
             exchange.endAttempt();
+        } else {
+            long endNanos = exchange.deadlineAtNanos() + ATTEMPT_GRACE_NANOS;
+            exchange.setAttemptTimer(
+                    mThread.schedule(
+                            attempt.connection()::expire,
+                            endNanos - mClock.getAsLong(),
+                            TimeUnit.NANOSECONDS));
         }
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -101,6 +101,16 @@
         }
     }
 
+    /** Counts an idle connection that was closed because the server sent bytes on it. */
+    void onUnsolicitedBytes() {
+        mRegistry.counter("connections.unsolicited").inc();
+    }
+
+    /** Counts a response of a backend server that exceeded a limit. */
+    void onResponseOverLimit(ResponseLimit limit) {
+        mRegistry.counter(limit.counterName()).inc();
+    }
+
     /** Counts a call of the daemon to a server, or a write of a table, by its result. */
     void onCall(String name, String result) {
         mRegistry.counter("calls." + name + "." + result).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -1,9 +1,6 @@
 package org.geraniumusher.entry;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -21,8 +18,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 import org.geraniumusher.http.KeepAliveProbes;
+import org.geraniumusher.http.ReceiveLimiter;
 import org.geraniumusher.model.Address;
 
+import java.util.Optional;
+
 /**
  * An HTTP connection to a backend server that carries one request at a time. Confined to the event
  * loop.
@@ -33,7 +33,15 @@
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
-    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
+    /**
+     * Limit of the bytes of bodies that arrive until a response is complete, those of responses to
+     * other requests included.
+     */
+    private static final int MAX_BODY_BYTES = 4 << 20;
+
+    /** Limit of the bytes other than bodies that arrive until a response is complete. */
+    private static final int MAX_FRAMING_BYTES = 256 << 10;
 
     /** Idle timeout of a server that sends none in its {@code Keep-Alive} header. */
     private static final long DEFAULT_IDLE_TIMEOUT_NANOS = 4_000_000_000L;
@@ -53,7 +61,7 @@
         void onNotSent(Throwable cause);
 
         /** Called if there is no usable response; the server may have executed the request. */
-        void onNoResponse(String cause);
+        void onNoResponse(ResponseFailure failure);
     }
 
     /** Owner of the connection, which reuses it while it is idle. */
@@ -61,25 +69,44 @@
         /** Called when the connection can carry another request. */
         void onIdle(UpstreamConnection connection);
 
+        /** Called when the server sends bytes on an idle connection, which is then closed. */
+        void onUnsolicitedBytes();
+
         /** Called when the connection was closed or could not be opened. */
         void onClosed(UpstreamConnection connection);
     }
 
     private final Pool mPool;
+    private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
+    private final ReceiveLimiter mLimiter =
+            new ReceiveLimiter(
+                    MAX_FRAMING_BYTES,
+                    new ReceiveLimiter.Listener() {
+                        @Override
+                        public void onTooManyBytes() {
+                            failOverLimit(ResponseLimit.FRAMING);
+                        }
+
+                        @Override
+                        public void onUnsolicitedBytes() {
+                            UpstreamConnection.this.onUnsolicitedBytes();
+                        }
+                    });
     private SocketChannel mChannel;
     private Listener mListener;
     private String mRequestId;
     private HttpResponse mResponseHead;
-    private ByteBuf mResponseBody;
+    private ResponseBuffers.Buffer mResponseBody;
     private boolean mSkipResponse;
     private boolean mFailed;
     private boolean mCloseAfterResponse;
     private long mIdleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long mUsableUntilNanos;
 
-    UpstreamConnection(Pool pool, String requestIdHeader) {
+    UpstreamConnection(Pool pool, ResponseBuffers buffers, String requestIdHeader) {
         mPool = pool;
+        mBuffers = buffers;
         mRequestIdHeader = requestIdHeader;
     }
 
@@ -88,6 +115,7 @@
             EventLoopGroup group, Address address, FullHttpRequest request, Listener listener) {
         mListener = listener;
         mRequestId = request.headers().get(mRequestIdHeader);
+        mLimiter.onRequest();
         KeepAliveProbes.enable(new Bootstrap())
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -99,6 +127,7 @@
                             protected void initChannel(SocketChannel channel) {
                                 mChannel = channel;
                                 channel.pipeline()
+                                        .addLast(mLimiter)
                                         .addLast(new HttpClientCodec())
                                         .addLast(UpstreamConnection.this);
                             }
@@ -134,6 +163,7 @@
     void send(FullHttpRequest request, Listener listener) {
         mListener = listener;
         mRequestId = request.headers().get(mRequestIdHeader);
+        mLimiter.onRequest();
         mChannel.writeAndFlush(request);
     }
 
@@ -143,6 +173,11 @@
         close();
     }
 
+    /** Ends the request in flight as one without a usable response. */
+    void expire() {
+        failOverLimit(ResponseLimit.DEADLINE);
+    }
+
     void close() {
         if (mChannel != null) {
             mChannel.close();
@@ -164,12 +199,12 @@
             return;
         }
         if (part instanceof HttpContent content && mResponseHead != null) {
-            if (mResponseBody.readableBytes() + content.content().readableBytes()
-                    > MAX_RESPONSE_BYTES) {
-                fail("response is longer than " + MAX_RESPONSE_BYTES + " bytes");
+            mLimiter.onBody(content.content().readableBytes());
+            if (mLimiter.bodyBytes() > MAX_BODY_BYTES) {
+                failOverLimit(ResponseLimit.BODY);
                 return;
             }
-            mResponseBody.writeBytes(content.content());
+            mResponseBody.append(content.content());
         }
         if (part instanceof LastHttpContent && mResponseHead != null) {
             onResponseEnd();
@@ -188,15 +223,14 @@
         String id = head.headers().get(mRequestIdHeader);
         mSkipResponse = id != null && !id.equals(mRequestId);
         mResponseHead = head;
-        mResponseBody = Unpooled.buffer(512);
+        mResponseBody = mBuffers.open(() -> failOverLimit(ResponseLimit.BUFFERED));
         return true;
     }
 
     private void onResponseEnd() {
         HttpResponse head = mResponseHead;
-        byte[] body = ByteBufUtil.getBytes(mResponseBody);
-        mResponseHead = null;
-        mResponseBody = null;
+        byte[] body = mResponseBody.toByteArray();
+        dropResponse();
         if (mFailed) {
             fail("connection failed during a response without a length");
             return;
@@ -206,6 +240,7 @@
             mCloseAfterResponse = true;
             return;
         }
+        mLimiter.onResponseEnd();
         updateIdleTimeout(head);
         boolean reusable = HttpUtil.isKeepAlive(head) && hasLength(head) && !mCloseAfterResponse;
         Listener listener = mListener;
@@ -261,14 +296,37 @@
         fail("connection failed: " + cause.getMessage());
     }
 
-    /** Closes the connection and reports that the request in flight has no response. */
+    private void onUnsolicitedBytes() {
+        if (mChannel.isActive()) {
+            mPool.onUnsolicitedBytes();
+            mChannel.close();
+        }
+    }
+
+    private void dropResponse() {
+        mResponseHead = null;
+        if (mResponseBody != null) {
+            mResponseBody.close();
+            mResponseBody = null;
+        }
+    }
+
     private void fail(String cause) {
+        fail(cause, Optional.empty());
+    }
+
+    private void failOverLimit(ResponseLimit limit) {
+        fail("response exceeds a limit", Optional.of(limit));
+    }
+
+    /** Closes the connection and reports that the request in flight has no response. */
+    private void fail(String cause, Optional<ResponseLimit> limit) {
         Listener listener = mListener;
         mListener = null;
-        mResponseHead = null;
+        dropResponse();
         mChannel.close();
         if (listener != null) {
-            listener.onNoResponse(cause);
+            listener.onNoResponse(new ResponseFailure(cause, limit, mLimiter.receivedBytes()));
         }
     }
 }
