Do not forward a request behind the last one of its connection

What callers see: a pipelined request runs at a server and gets no answer (LOST, at any time).

Cause: a response to a request with "Connection: close", or to one that is too large, closes its connection. A request behind it was dispatched nevertheless, and dropped when the connection closed.

Change: such a request is discarded, as while the daemon stops. Its caller sends it again.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -160,11 +160,12 @@
     }
 
     /**
-     * Reports whether the connection closes with the response to a request that is pending.
-     * Requests behind it could delay the stop of the daemon and then be cut.
+     * Reports whether the connection closes with the response to a request that is pending. A
+     * request behind it would get no response. While the daemon stops, it could also delay the exit.
      */
     private boolean isLastResponsePending() {
-        return mStopping.getAsBoolean() && !mPending.isEmpty();
+        return !mPending.isEmpty()
+                && (mStopping.getAsBoolean() || !mPending.peekLast().mKeepAlive);
     }
 
     /** Writes the responses that are ready and that no earlier pending response precedes. */
