Close idle connections of a stopping daemon only after a pause

Cause: from SIGTERM on, every connection without a pending request was closed at once, also one whose last response was still on its way and one that was receiving a request. Input after the close resets the connection, and the kernel drops what it has not delivered.

Received bytes count as activity.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -83,8 +83,8 @@
     }
 
     /**
-     * Reports whether the connection is open and no request has been pending and no response has
-     * been in transmission for the last {@code nanos} or longer.
+     * Reports whether the connection is open and for the last {@code nanos} or longer nothing was
+     * received, no request was pending and no response was in transmission.
      */
     boolean isIdleFor(long nanos, long nowNanos) {
         return !mClosing
@@ -122,6 +122,13 @@
         mDispatcher.dispatch(pending.mExchange);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        // A request that is still being received also counts as activity.
+        mIdleSinceNanos = mClock.getAsLong();
+        context.fireChannelReadComplete();
+    }
+
     /** Closes the connection, which must be idle. */
     void closeIdle(Channel channel, CloseCause cause) {
         mCloseCause = cause;
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -23,6 +23,13 @@
 final class CallerEndpoint implements AutoCloseable {
     private static final int MAX_INITIAL_LINE_BYTES = 8_192;
 
+    /**
+     * Idle time after which connections are closed while the daemon stops. A response that has left
+     * this process is received within it: a request that arrives after a close resets the
+     * connection, which would drop the rest of the response.
+     */
+    private static final long STOPPING_IDLE_NANOS = 1_000_000_000L;
+
     private final Dispatcher mDispatcher;
     private final Directory mDirectory;
     private final WireFormat mWire;
@@ -33,6 +40,7 @@
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private boolean mStopping;
+    private boolean mClosingIdle;
 
     CallerEndpoint(
             Dispatcher dispatcher,
@@ -83,13 +91,21 @@
     }
 
     /**
-     * Closes connections that have been idle for the configured time, or all idle connections after
-     * {@link #beginStop}.
+     * Starts to close connections soon after their last request. Until then, callers that go on
+     * using a connection learn from the next response that it closes.
+     */
+    void beginClosingIdle() {
+        mClosingIdle = true;
+    }
+
+    /**
+     * Closes connections that have been idle for the configured time, or for {@link
+     * #STOPPING_IDLE_NANOS} after {@link #beginClosingIdle}.
      */
     void closeIdle(long nowNanos) {
-        long idleNanos = mStopping ? 0 : limits().idleTimeoutNanos();
+        long idleNanos = mClosingIdle ? STOPPING_IDLE_NANOS : limits().idleTimeoutNanos();
         CallerConnection.CloseCause cause =
-                mStopping ? CallerConnection.CloseCause.STOP : CallerConnection.CloseCause.IDLE;
+                mClosingIdle ? CallerConnection.CloseCause.STOP : CallerConnection.CloseCause.IDLE;
         mConnections.forEach(
                 channel -> {
                     CallerConnection connection = channel.pipeline().get(CallerConnection.class);
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -277,6 +277,7 @@
         long elapsedMillis = (mClock.getAsLong() - mStopStartNanos) / NANOS_PER_MILLI;
         if (elapsedMillis >= UNREADY_NOTICE_MILLIS) {
             mDispatcher.beginStop();
+            mCallerEndpoint.beginClosingIdle();
             mCallerEndpoint.closeIdle(mClock.getAsLong());
             long remainingMillis = mSettings.stopGraceNanos() / NANOS_PER_MILLI - elapsedMillis;
             if (remainingMillis <= END_REQUESTS_MARGIN_MILLIS && !mRequestsEnded) {
