Dispatch pipelined requests of a stopping daemon again

Cause: discarded these requests so that the exit would not cut them.

Change: they are dispatched until the daemon rejects new requests, and answered in their turn.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -96,7 +96,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         if (mClosing || isLastResponsePending()) {
-            // The caller sends it again elsewhere, as the response before it closes the connection.
+            // The caller sends it again, as the response before it closes the connection.
             return;
         }
         String id = request.headers().get(mHeaders.requestId(), "");
@@ -168,11 +168,10 @@
 
     /**
      * Reports whether the connection closes with the response to a request that is pending. A
-     * request behind it would get no response. While the daemon stops, it could also delay the exit.
+     * request behind it would get no response.
      */
     private boolean isLastResponsePending() {
-        return !mPending.isEmpty()
-                && (mStopping.getAsBoolean() || !mPending.peekLast().mKeepAlive);
+        return !mPending.isEmpty() && !mPending.peekLast().mKeepAlive;
     }
 
     /** Writes the responses that are ready and that no earlier pending response precedes. */
