Close connections whose caller stopped reading

What operators see: a caller that vanishes or stops reading in the middle of a response keeps its connection and the response in memory, and delays each stop of the daemon. Since the idle timeout does not end it any more, because a response in transmission is not idle time.

Change: a connection on which nothing of a response was sent for the idle timeout is closed, and counted as callers.closed.stalled.

CallerConnectionTest.isStalledFor_nothingIsSent_stalledAfterTheTime.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -49,6 +50,10 @@
     /** Responses that were passed to the channel and are not sent completely. */
     private int mUnsentResponses;
 
+    /** Unsent bytes at the last check, and the time since which they have been the same. */
+    private long mLastUnsentBytes;
+
+    private long mSendingSinceNanos;
     private CloseCause mCloseCause = CloseCause.CALLER;
     private String mFailure = "";
 
@@ -60,6 +65,8 @@
         IDLE,
         /** It had no requests and the daemon stops. */
         STOP,
+        /** The caller received nothing of a response for the configured idle time. */
+        STALLED,
         /** The last response announced that it would be closed. */
         LAST_RESPONSE,
         /** Reading, writing or handling a request failed. */
@@ -93,6 +100,23 @@
                 && nowNanos - mIdleSinceNanos >= nanos;
     }
 
+    /**
+     * Reports whether a response is in transmission and nothing of it has been sent for {@code
+     * nanos} or longer. Progress is noticed between two calls.
+     */
+    boolean isStalledFor(Channel channel, long nanos, long nowNanos) {
+        long unsentBytes = unsentBytes(channel.unsafe().outboundBuffer());
+        if (mUnsentResponses == 0 || unsentBytes != mLastUnsentBytes) {
+            mLastUnsentBytes = unsentBytes;
+            mSendingSinceNanos = nowNanos;
+        }
+        return mUnsentResponses > 0 && nowNanos - mSendingSinceNanos >= nanos;
+    }
+
+    private static long unsentBytes(ChannelOutboundBuffer buffer) {
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         if (mClosing || isLastResponsePending()) {
@@ -129,8 +153,8 @@
         context.fireChannelReadComplete();
     }
 
-    /** Closes the connection, which must be idle. */
-    void closeIdle(Channel channel, CloseCause cause) {
+    /** Closes the connection, which must be idle or stalled. */
+    void close(Channel channel, CloseCause cause) {
         mCloseCause = cause;
         channel.close();
     }
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -100,17 +100,24 @@
 
     /**
      * Closes connections that have been idle for the configured time, or for {@link
-     * #STOPPING_IDLE_NANOS} after {@link #beginClosingIdle}.
+     * #STOPPING_IDLE_NANOS} after {@link #beginClosingIdle}. Also closes those whose caller has
+     * received nothing of a response for the configured time.
      */
     void closeIdle(long nowNanos) {
         long idleNanos = mClosingIdle ? STOPPING_IDLE_NANOS : limits().idleTimeoutNanos();
         CallerConnection.CloseCause cause =
                 mClosingIdle ? CallerConnection.CloseCause.STOP : CallerConnection.CloseCause.IDLE;
+        long stalledNanos = limits().idleTimeoutNanos();
         mConnections.forEach(
                 channel -> {
                     CallerConnection connection = channel.pipeline().get(CallerConnection.class);
-                    if (connection != null && connection.isIdleFor(idleNanos, nowNanos)) {
-                        connection.closeIdle(channel, cause);
+                    if (connection == null) {
+                        return;
+                    }
+                    if (connection.isIdleFor(idleNanos, nowNanos)) {
+                        connection.close(channel, cause);
+                    } else if (connection.isStalledFor(channel, stalledNanos, nowNanos)) {
+                        connection.close(channel, CallerConnection.CloseCause.STALLED);
                     }
                 });
     }
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -114,6 +114,23 @@
         assertThat(mConnection.isIdleFor(1, mFixture.thread().now())).isTrue();
     }
 
+    /** A caller that stopped reading kept its connection and its responses in memory for ever. */
+    @Test
+    void isStalledFor_nothingIsSent_stalledAfterTheTime() {
+        mChannel.writeInbound(request());
+
+        assertThat(isStalledFor(1)).isFalse();
+        mFixture.thread().advance(1);
+        assertThat(isStalledFor(1)).isTrue();
+
+        mWrites.completeNext();
+        assertThat(isStalledFor(1)).isFalse();
+    }
+
+    private boolean isStalledFor(long nanos) {
+        return mConnection.isStalledFor(mChannel, nanos, mFixture.thread().now());
+    }
+
     /** A request that asks for it closes its connection once its response is sent. */
     @Test
     void response_requestAsksToClose_closesAfterTheResponse() {
