Close a connection whose response cannot be sent

What callers see: a response that cannot be encoded is left out, and the next response of the connection is taken for it.

Cause: a failed write left the connection open.

Change: it closes the connection with the failure as its cause. A caller that leaves within a request is counted as the caller's close, not as a failure of this daemon.

CallerConnectionTest.response_cannotBeSent_connectionCloses.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -181,11 +182,15 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // A reset by the caller arrives as an IOException.
-        if (!(cause instanceof IOException)) {
+        // A reset by the caller arrives as an IOException, its close within a request as the other.
+        boolean byCaller =
+                cause instanceof IOException || cause instanceof PrematureChannelClosureException;
+        if (!byCaller) {
             mCloseCause = CloseCause.FAILURE;
         }
-        mFailure = String.valueOf(cause);
+        if (mFailure.isEmpty()) {
+            mFailure = String.valueOf(cause);
+        }
         // Closing the channel calls channelInactive.
         context.close();
     }
@@ -209,7 +214,7 @@
             HttpUtil.setKeepAlive(pending.mResponse, keepAlive);
             mUnsentResponses++;
             ChannelFuture sent = context.writeAndFlush(pending.mResponse);
-            sent.addListener(this::onSent);
+            sent.addListener(f -> onSent(context, f));
             if (!keepAlive) {
                 mClosing = true;
                 mCloseCause = CloseCause.LAST_RESPONSE;
@@ -219,12 +224,13 @@
         }
     }
 
-    private void onSent(Future<? super Void> sent) {
+    private void onSent(ChannelHandlerContext context, Future<?> sent) {
         if (sent.isSuccess()) {
             mUnsentResponses--;
             mIdleSinceNanos = mClock.getAsLong();
-        } else if (mFailure.isEmpty()) {
-            mFailure = String.valueOf(sent.cause());
+        } else {
+            // The caller would take a later response for the one that was not sent.
+            exceptionCaught(context, sent.cause());
         }
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -38,6 +38,10 @@
             mPromises.add(promise);
         }
 
+        void failNext() {
+            mPromises.remove().setFailure(new IllegalArgumentException("cannot be encoded"));
+        }
+
         void completeNext() {
             mPromises.remove().setSuccess();
         }
@@ -131,6 +135,17 @@
         return mConnection.isStalledFor(mChannel, nanos, mFixture.thread().now());
     }
 
+    /** After a failed write, the next response was taken for the one that was not sent. */
+    @Test
+    void response_cannotBeSent_connectionCloses() {
+        mChannel.writeInbound(request());
+
+        mWrites.failNext();
+        mChannel.runPendingTasks();
+
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
     /** A request that asks for it closes its connection once its response is sent. */
     @Test
     void response_requestAsksToClose_closesAfterTheResponse() {
