Answer an expectation of a request that is too large in its turn

What callers see: a request with "Expect: 100-continue" and a body above the limit gets 413 before the responses to earlier requests of its connection, which the caller takes for theirs.

Cause: Netty's aggregator answers expectations itself, before it checks the size.

Change: the expectation of such a request is not answered, so that its 413 comes in its turn. Expectations other than 100-continue are ignored.

--- a/entry/src/main/java/org/geraniumusher/http/RequestAggregator.java
+++ b/entry/src/main/java/org/geraniumusher/http/RequestAggregator.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
@@ -23,6 +25,16 @@
         super(maxBodyBytes);
     }
 
+    /** Returns the response to an expectation, or null if there is none or the body is too long. */
+    @Override
+    protected Object newContinueResponse(
+            HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
+        return HttpUtil.is100ContinueExpected(start)
+                        && !isContentLengthInvalid(start, maxContentLength)
+                ? super.newContinueResponse(start, maxContentLength, pipeline)
+                : null;
+    }
+
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized)
             throws Exception {
