--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -5,7 +5,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -49,6 +51,10 @@
     /** Responses that were passed to the channel and are not sent completely. */
     private int mUnsentResponses;
 
+    /** Unsent bytes at the last check, and the time since which they have been the same. */
+    private long mLastUnsentBytes;
+
+    private long mSendingSinceNanos;
     private CloseCause mCloseCause = CloseCause.CALLER;
     private String mFailure = "";
 
@@ -60,6 +66,8 @@
         IDLE,
         /** It had no requests and the daemon stops. */
         STOP,
+        /** The caller received nothing of a response for the configured idle time. */
+        STALLED,
         /** The last response announced that it would be closed. */
         LAST_RESPONSE,
         /** Reading, writing or handling a request failed. */
@@ -83,8 +91,8 @@
     }
 
     /**
-     * Reports whether the connection is open and no request has been pending and no response has
-     * been in transmission for the last {@code nanos} or longer.
+     * Reports whether the connection is open and for the last {@code nanos} or longer nothing was
+     * received, no request was pending and no response was in transmission.
      */
     boolean isIdleFor(long nanos, long nowNanos) {
         return !mClosing
@@ -93,10 +101,27 @@
                 && nowNanos - mIdleSinceNanos >= nanos;
     }
 
+    /**
+     * Reports whether a response is in transmission and nothing of it has been sent for {@code
+     * nanos} or longer. Progress is noticed between two calls.
+     */
+    boolean isStalledFor(Channel channel, long nanos, long nowNanos) {
+        long unsentBytes = unsentBytes(channel.unsafe().outboundBuffer());
+        if (mUnsentResponses == 0 || unsentBytes != mLastUnsentBytes) {
+            mLastUnsentBytes = unsentBytes;
+            mSendingSinceNanos = nowNanos;
+        }
+        return mUnsentResponses > 0 && nowNanos - mSendingSinceNanos >= nanos;
+    }
+
+    private static long unsentBytes(ChannelOutboundBuffer buffer) {
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         if (mClosing || isLastResponsePending()) {
-            // The caller sends it again elsewhere, as the response before it closes the connection.
+            // The caller sends it again, as the response before it closes the connection.
             return;
         }
         String id = request.headers().get(mHeaders.requestId(), "");
@@ -122,8 +147,15 @@
         mDispatcher.dispatch(pending.mExchange);
     }
 
-    /** Closes the connection, which must be idle. */
-    void closeIdle(Channel channel, CloseCause cause) {
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        // A request that is still being received also counts as activity.
+        mIdleSinceNanos = mClock.getAsLong();
+        context.fireChannelReadComplete();
+    }
+
+    /** Closes the connection, which must be idle or stalled. */
+    void close(Channel channel, CloseCause cause) {
         mCloseCause = cause;
         channel.close();
     }
@@ -150,21 +182,25 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // A reset by the caller arrives as an IOException.
-        if (!(cause instanceof IOException)) {
+        // A reset by the caller arrives as an IOException, its close within a request as the other.
+        boolean byCaller =
+                cause instanceof IOException || cause instanceof PrematureChannelClosureException;
+        if (!byCaller) {
             mCloseCause = CloseCause.FAILURE;
         }
-        mFailure = String.valueOf(cause);
+        if (mFailure.isEmpty()) {
+            mFailure = String.valueOf(cause);
+        }
         // Closing the channel calls channelInactive.
         context.close();
     }
 
     /**
-     * Reports whether the connection closes with the response to a request that is pending.
-     * Requests behind it could delay the stop of the daemon and then be cut.
+     * Reports whether the connection closes with the response to a request that is pending. A
+     * request behind it would get no response.
      */
     private boolean isLastResponsePending() {
-        return mStopping.getAsBoolean() && !mPending.isEmpty();
+        return !mPending.isEmpty() && !mPending.peekLast().mKeepAlive;
     }
 
     /** Writes the responses that are ready and that no earlier pending response precedes. */
@@ -178,7 +214,7 @@
             HttpUtil.setKeepAlive(pending.mResponse, keepAlive);
             mUnsentResponses++;
             ChannelFuture sent = context.writeAndFlush(pending.mResponse);
-            sent.addListener(this::onSent);
+            sent.addListener(f -> onSent(context, f));
             if (!keepAlive) {
                 mClosing = true;
                 mCloseCause = CloseCause.LAST_RESPONSE;
@@ -188,12 +224,13 @@
         }
     }
 
-    private void onSent(Future<? super Void> sent) {
+    private void onSent(ChannelHandlerContext context, Future<?> sent) {
         if (sent.isSuccess()) {
             mUnsentResponses--;
             mIdleSinceNanos = mClock.getAsLong();
-        } else if (mFailure.isEmpty()) {
-            mFailure = String.valueOf(sent.cause());
+        } else {
+            // The caller would take a later response for the one that was not sent.
+            exceptionCaught(context, sent.cause());
         }
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -38,6 +38,10 @@
             mPromises.add(promise);
         }
 
+        void failNext() {
+            mPromises.remove().setFailure(new IllegalArgumentException("cannot be encoded"));
+        }
+
         void completeNext() {
             mPromises.remove().setSuccess();
         }
@@ -114,6 +118,34 @@
         assertThat(mConnection.isIdleFor(1, mFixture.thread().now())).isTrue();
     }
 
+    /** A caller that stopped reading kept its connection and its responses in memory for ever. */
+    @Test
+    void isStalledFor_nothingIsSent_stalledAfterTheTime() {
+        mChannel.writeInbound(request());
+
+        assertThat(isStalledFor(1)).isFalse();
+        mFixture.thread().advance(1);
+        assertThat(isStalledFor(1)).isTrue();
+
+        mWrites.completeNext();
+        assertThat(isStalledFor(1)).isFalse();
+    }
+
+    private boolean isStalledFor(long nanos) {
+        return mConnection.isStalledFor(mChannel, nanos, mFixture.thread().now());
+    }
+
+    /** After a failed write, the next response was taken for the one that was not sent. */
+    @Test
+    void response_cannotBeSent_connectionCloses() {
+        mChannel.writeInbound(request());
+
+        mWrites.failNext();
+        mChannel.runPendingTasks();
+
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
     /** A request that asks for it closes its connection once its response is sent. */
     @Test
     void response_requestAsksToClose_closesAfterTheResponse() {
