Register daemons again after a restore

The entry of a daemon that started in the lost seconds is gone after a restore, and the daemon took itself for registered: it was missing from the fleet, from which feeders and shares of the retry budget are chosen, until its next start. It now registers again when the epoch rises.

--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -116,6 +116,8 @@
         mKnownAddresses.addAll(mSettings.seedAddresses());
         mTableExchange = new TableExchange(context, this::peerAddresses, client);
         coordinator.setPublisher(mTableExchange);
+        // A restore may have lost the entry of this daemon; the next tick writes it again.
+        mStore.epoch().addListener(() -> mRegistered = false);
         mServer =
                 HttpServer.create(
                         group,
