Write drains again that a restore lost

Only daemons write drains, on behalf of the tool, so nobody wrote a lost one again: the servers returned to service and got keys, although the operator had been told that they were out of it. An ended drain came back in the same way.

Lost drains stay in force for up to 15 s, which covers an election, and the coordinator creates them again. An ended drain that the first list of an epoch shows again is not in force, and the coordinator removes it.

--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -7,6 +7,7 @@
 import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.CoordinatorRecord;
 import org.geraniumusher.model.StoreVersion;
+import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.HashMap;
@@ -34,6 +35,8 @@
     /** Interval of reads of the record by a daemon without authority. */
     private static final long POLL_INTERVAL_NANOS = 1_000_000_000L;
 
+    private static final long DRAIN_WRITE_INTERVAL_NANOS = 1_000_000_000L;
+
     /** Interval between attempts to write the record, or to read it after a restore. */
     private static final long RETRY_INTERVAL_NANOS = 300_000_000L;
 
@@ -58,6 +61,7 @@
 
     private long mNextPollAt;
     private long mNextWriteAt;
+    private long mNextDrainWriteAt = Long.MIN_VALUE;
     private boolean mActing;
     private boolean mResigned;
 
@@ -192,9 +196,40 @@
                                 c.services().values().stream()
                                         .filter(ServiceRule::keyed)
                                         .forEach(s -> driver(s.name())));
+        restoreDrains(now);
         List.copyOf(mDrivers.values()).forEach(d -> d.tick(mElection));
     }
 
+    /**
+     * Writes the drains that a restore of the store lost again, and removes the ended ones that it
+     * brought back. Repeated until the directory has seen the results.
+     */
+    private void restoreDrains(long now) {
+        DrainHistory history = mDirectory.drainHistory();
+        if (now < mNextDrainWriteAt || history.lost().isEmpty() && history.revived().isEmpty()) {
+            return;
+        }
+        mNextDrainWriteAt = now + DRAIN_WRITE_INTERVAL_NANOS;
+        for (Drain drain : history.lost()) {
+            mStore.create(StoreKind.DRAINS, drain.name(), DrainCodec.encode(drain))
+                    .thenAccept(result -> logDrain("Wrote a lost drain", drain.name(), result));
+        }
+        history.revived()
+                .forEach(
+                        (name, revision) ->
+                                mStore.remove(StoreKind.DRAINS, name, revision)
+                                        .thenAccept(
+                                                result ->
+                                                        logDrain(
+                                                                "Removed an ended drain",
+                                                                name,
+                                                                result)));
+    }
+
+    private void logDrain(String event, String name, StoreResult result) {
+        mLog.write(Part.STORE, event + " after a restore", "drain", name, "result", result);
+    }
+
     /** Applies a change of the directory without waiting for the next tick. */
     void onDirectoryChange() {
         if (mActing) {
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -42,6 +42,12 @@
      */
     private static final long REREGISTRATION_NANOS = 2_300_000_000L;
 
+    /**
+     * Time after a restore for which lost drains stay in force. Covers an election, after which the
+     * coordinator writes them again.
+     */
+    private static final long LOST_DRAIN_NANOS = 15_000_000_000L;
+
     /** Number of leaving incarnations that are remembered, more than a restore can bring back. */
     private static final int MAX_LEAVING_INCARNATIONS = 4_096;
 
@@ -70,8 +76,7 @@
      */
     private final Set<String> mEvacuationsBeforeRestore = new HashSet<>();
 
-    /** Drains that were in force before a restore, as for evacuations, by name. */
-    private final Map<String, Drain> mDrainsBeforeRestore = new HashMap<>();
+    private final DrainHistory mDrainHistory = new DrainHistory();
 
     /** Incarnations whose entries said that they are leaving, the oldest first. */
     private final Set<String> mLeavingIncarnations =
@@ -143,38 +148,44 @@
     private void onNewEpoch() {
         mRestoredAtNanos = OptionalLong.of(mClock.getAsLong());
         mEvacuationsBeforeRestore.addAll(mEvacuatedDataCentres);
-        mDrains.forEach(d -> mDrainsBeforeRestore.put(d.name(), d));
         mMirrors.values().forEach(KindMirror::onNewEpoch);
-        mThread.schedule(
-                this::dropObjectsNotWrittenAgain, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
+        mThread.schedule(this::endLostEvacuations, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
+        mThread.schedule(this::endLostDrains, LOST_DRAIN_NANOS, TimeUnit.NANOSECONDS);
     }
 
-    /**
-     * Ends the evacuations and drains of which a restore lost the objects, unless it was followed
-     * by another restore.
-     */
-    private void dropObjectsNotWrittenAgain() {
-        if (isSoonAfterRestore(mClock.getAsLong())
-                || mEvacuationsBeforeRestore.isEmpty() && mDrainsBeforeRestore.isEmpty()) {
+    /** Ends the evacuations that a restore lost, unless it was followed by another restore. */
+    private void endLostEvacuations() {
+        if (isWithinRestore(REREGISTRATION_NANOS) || mEvacuationsBeforeRestore.isEmpty()) {
             return;
         }
         mLog.write(
                 Part.STORE,
-                "Objects lost in the restore were not written again",
-                "evacuations",
-                mEvacuationsBeforeRestore,
-                "drains",
-                mDrainsBeforeRestore.keySet());
+                "Evacuations lost in the restore were not written again",
+                "data_centres",
+                mEvacuationsBeforeRestore);
         mEvacuationsBeforeRestore.clear();
-        mDrainsBeforeRestore.clear();
         decodeEvacuations();
+        mListeners.forEach(Runnable::run);
+    }
+
+    /** Ends the drains that a restore lost, unless it was followed by another restore. */
+    private void endLostDrains() {
+        if (isWithinRestore(LOST_DRAIN_NANOS) || mDrainHistory.lost().isEmpty()) {
+            return;
+        }
+        mLog.write(
+                Part.STORE,
+                "Drains lost in the restore were not written again",
+                "drains",
+                mDrainHistory.lost());
+        mDrainHistory.forgetLost();
         decodeDrains();
         mListeners.forEach(Runnable::run);
     }
 
-    private boolean isSoonAfterRestore(long nowNanos) {
+    private boolean isWithinRestore(long nanos) {
         return mRestoredAtNanos.isPresent()
-                && nowNanos - mRestoredAtNanos.getAsLong() < REREGISTRATION_NANOS;
+                && mClock.getAsLong() - mRestoredAtNanos.getAsLong() < nanos;
     }
 
     /** Returns whether the copy of a kind was read from the store after its last restore. */
@@ -300,18 +311,13 @@
     }
 
     private void decodeDrains() {
-        ImmutableList.Builder<Drain> next = ImmutableList.builder();
-        ImmutableMap<String, StoreObject> objects = mMirrors.get(StoreKind.DRAINS).objects();
-        if (isCurrent(StoreKind.DRAINS)) {
-            mDrainsBeforeRestore.keySet().removeAll(objects.keySet());
-        }
-        next.addAll(mDrainsBeforeRestore.values());
-        for (StoreObject object : objects.values()) {
-            if (mDrainsBeforeRestore.containsKey(object.name())) {
-                continue;
-            }
+        KindMirror mirror = mMirrors.get(StoreKind.DRAINS);
+        Map<String, Drain> listed = new LinkedHashMap<>();
+        Map<String, Long> revisions = new HashMap<>();
+        for (StoreObject object : mirror.objects().values()) {
             try {
-                next.add(DrainCodec.decode(object));
+                listed.put(object.name(), DrainCodec.decode(object));
+                revisions.put(object.name(), object.revision());
             } catch (IllegalArgumentException e) {
                 mLog.write(
                         Part.STORE,
@@ -322,11 +328,24 @@
                         e.getMessage());
             }
         }
-        mDrains = next.build();
-        mLog.write(Part.STORE, "Drains are in force", "drains", mDrains);
+        mDrains = mDrainHistory.onListed(mirror.version().epoch(), listed, revisions);
+        mLog.write(
+                Part.STORE,
+                "Drains are in force",
+                "drains",
+                mDrains,
+                "lost_in_restore",
+                mDrainHistory.lost().size(),
+                "ended_before_restore",
+                mDrainHistory.revived().keySet());
         mOutOfService.clear();
     }
 
+    /** Returns what a restore of the store took back of the drains. */
+    DrainHistory drainHistory() {
+        return mDrainHistory;
+    }
+
     private boolean isDrained(ServerEntry server) {
         return mDrains.stream().anyMatch(drain -> drain.matches(server));
     }
@@ -388,7 +407,7 @@
     boolean mayMissingServersReregister(long nowNanos) {
         KindMirror servers = mMirrors.get(StoreKind.SERVERS);
         return !servers.isReachable()
-                || isSoonAfterRestore(nowNanos)
+                || isWithinRestore(REREGISTRATION_NANOS)
                 || nowNanos - servers.reachableSinceNanos() < REREGISTRATION_NANOS;
     }
 }
