Restore the store in random histories of grants

Histories check that no key has two holders, that a new owner gets a higher fence, and that all keys are held after the faults; a coordinator with authority goes on without a gap.

--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
@@ -172,4 +172,105 @@
                 .that(simulation.moves())
                 .isGreaterThan(20);
     }
+
+    /** A coordinator with authority when the store is restored must go on without a gap. */
+    @Test
+    void run_storeIsRestored_keysStayHeldByTheSameServers() {
+        for (int seed = 0; seed < 10; seed++) {
+            RangeSimulation simulation = new RangeSimulation(200 + seed, 6, 3);
+            simulation.run((4_000 + 170 * seed) * MILLI);
+            simulation.crashServer(seed % 6);
+            simulation.run(3_000 * MILLI);
+
+            simulation.setStoreDown(true);
+            simulation.run(200 * seed * MILLI);
+            simulation.restoreStore(6_000 * MILLI);
+            simulation.setStoreDown(false);
+
+            for (int i = 0; i < 150; i++) {
+                simulation.run(100 * MILLI);
+                assertWithMessage("seed %s, keys held after %s ms", seed, i * 100)
+                        .that(simulation.keysHeld())
+                        .isEqualTo(ALL_KEYS);
+            }
+        }
+    }
+
+    /**
+     * No daemon that starts after a restore may rely on the restored table, which does not name the
+     * servers that got keys in the lost history.
+     */
+    @Test
+    void run_allDaemonsRestartWithRestoredStore_keysAreHeldAgain() {
+        for (int seed = 0; seed < 10; seed++) {
+            RangeSimulation simulation = new RangeSimulation(300 + seed, 6, 3);
+            simulation.run(4_000 * MILLI);
+            for (int i = 0; i < 60; i++) {
+                for (int key = 1_000; key < 1_050; key++) {
+                    simulation.addLoad(key, 0.04);
+                }
+                simulation.run(100 * MILLI);
+            }
+
+            simulation.setStoreDown(true);
+            simulation.run(300 * seed * MILLI);
+            simulation.restoreStore(5_000 * MILLI);
+            for (int i = 0; i < 3; i++) {
+                simulation.restartDaemon(i, 100 * seed * MILLI);
+            }
+            simulation.setStoreDown(false);
+            simulation.run(20_000 * MILLI);
+
+            assertWithMessage("keys held, seed %s", seed)
+                    .that(simulation.keysHeld())
+                    .isEqualTo(ALL_KEYS);
+        }
+    }
+
+    /** Restores overlap with all other faults, and follow each other closely. */
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61, 62, 63, 64, 65, 66})
+    void run_storeIsRestoredDuringOtherFaults_noKeyHasTwoHolders(long seed) {
+        RangeSimulation simulation = runWithRestores(seed);
+
+        assertWithMessage("number of moves with seed %s", seed)
+                .that(simulation.moves())
+                .isGreaterThan(5);
+        simulation.setStoreDown(false);
+        simulation.setLossRate(0);
+        simulation.run(40_000 * MILLI);
+        assertWithMessage("keys held with seed %s", seed)
+                .that(simulation.keysHeld())
+                .isEqualTo(ALL_KEYS);
+    }
+
+    private static RangeSimulation runWithRestores(long seed) {
+        Random random = new Random(seed);
+        RangeSimulation simulation = new RangeSimulation(seed, 6, 3);
+        simulation.run(2_000 * MILLI);
+        for (int step = 0; step < 120; step++) {
+            switch (random.nextInt(9)) {
+                case 0 ->
+                        simulation.restartDaemon(random.nextInt(3), random.nextInt(6_000) * MILLI);
+                case 1 -> simulation.pauseDaemon(random.nextInt(3), random.nextInt(9_000) * MILLI);
+                case 2 -> simulation.setStoreDown(random.nextInt(3) == 0);
+                case 3 -> simulation.setLossRate(0.3 * random.nextInt(2));
+                case 4 -> {
+                    simulation.restoreStore((500 + random.nextInt(12_000)) * MILLI);
+                    simulation.setStoreDown(false);
+                }
+                case 5 ->
+                        simulation.isolateServer(
+                                random.nextInt(6), (2_000 + random.nextInt(12_000)) * MILLI);
+                default -> {
+                    int key = random.nextInt(ALL_KEYS);
+                    for (int i = 0; i < 40; i++) {
+                        simulation.addLoad((key + i) % ALL_KEYS, 0.5);
+                    }
+                }
+            }
+            simulation.run(random.nextInt(1_500) * MILLI);
+        }
+        return simulation;
+    }
 }
