Don't take an unknown epoch for the first one

A daemon that had seen no answer of the store sent epoch 0 to its peers. A peer without an epoch took 0 as the first one and the store's 1 as a rise, so it waited for the holds of lost coordinators at a plain start. The same happened after an answer without the header. Epochs below the first one are now ignored until one is known.

--- a/entry/src/main/java/org/geraniumusher/entry/StoreEpoch.java
+++ b/entry/src/main/java/org/geraniumusher/entry/StoreEpoch.java
@@ -62,7 +62,8 @@
     }
 
     /**
-     * Records an epoch that an answer of the store or a message carries.
+     * Records an epoch that an answer of the store or a message carries. An epoch below the first
+     * one says that the sender does not know it: it is neither the first epoch seen nor a rise.
      *
      * @return whether it is the highest one; otherwise the answer is from before a restore and must
      *     be dropped
@@ -73,7 +74,7 @@
             return false;
         }
         if (mCurrent == UNKNOWN) {
-            mCurrent = epoch;
+            mCurrent = epoch < FIRST ? UNKNOWN : epoch;
         } else if (epoch > mCurrent) {
             long previous = mCurrent;
             mCurrent = epoch;
--- a/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
@@ -45,6 +45,31 @@
         assertThat(mEpoch.hasRisen()).isFalse();
     }
 
+    /**
+     * A daemon that started while the store was away told others the epoch 0. They took the first
+     * answer of the store for one after a restore and waited for the holds of lost coordinators.
+     */
+    @Test
+    void observe_unknownEpochThenFirst_isNoRise() {
+        mEpoch.addListener(() -> mHeard.add(mEpoch.current()));
+
+        assertThat(mEpoch.observe(0)).isTrue();
+        assertThat(mEpoch.observe(1)).isTrue();
+
+        assertThat(mHeard).isEmpty();
+        assertThat(mEpoch.hasRisen()).isFalse();
+        assertThat(mEpoch.mayBeRestored()).isFalse();
+    }
+
+    @Test
+    void observe_unknownEpochThenHigh_mayBeRestoredWithoutRise() {
+        assertThat(mEpoch.observe(0)).isTrue();
+        assertThat(mEpoch.observe(2)).isTrue();
+
+        assertThat(mEpoch.hasRisen()).isFalse();
+        assertThat(mEpoch.mayBeRestored()).isTrue();
+    }
+
     @Test
     void observe_earlierEpoch_isFalseAndCounted() {
         mEpoch.observe(2);
