Give no keys to servers lost before a restore

For 2.3 s after each restore, and after each outage, all incarnations of the term that were not listed counted as about to register again, also those that had been gone for minutes. They had no load, so the planner moved keys of running servers to them. Only those that were listed when the outage or restore began, or since, now keep their place.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -17,9 +17,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -111,6 +113,12 @@
     /** The entries last processed. The directory returns a new map after each change. */
     private ImmutableMap<String, ServerEntry> mLastListedServers = ImmutableMap.of();
 
+    /**
+     * Incarnations that are listed or may register again: those listed when the present outage or
+     * restore began, or since. One that was lost before may not come back.
+     */
+    private final Set<String> mMayReregister = new HashSet<>();
+
     private boolean mTableReadInFlight;
     private long mFormerCoordinatorConfirmedBy;
     private ImmutableList<Assignment> mLastGranted = ImmutableList.of();
@@ -289,14 +297,19 @@
             mLastListedServers = listedServers;
             listedServers.values().forEach(entry -> recordEntry(entry, now));
         }
+        boolean mayReregister = mDirectory.mayMissingServersReregister(now);
+        if (!mayReregister) {
+            mMayReregister.clear();
+        }
+        mMayReregister.addAll(listedServers.keySet());
         List<RangeServer> servers = new ArrayList<>();
         for (ServerEntry entry : mKnownServers.values()) {
             boolean isListed = listedServers.containsKey(entry.incarnationId());
             boolean inService = isListed && !entry.leaving() && !mDirectory.isOutOfService(entry);
-            // An entry may have expired during a store outage while its server still runs. Until
-            // the
-            // server has had time to register again, it keeps its keys.
-            if (isListed || mDirectory.mayMissingServersReregister(now)) {
+            // An entry may have expired during a store outage, or been lost in a restore, while its
+            // server still runs. Until the server has had time to register again, it keeps its
+            // keys.
+            if (isListed || mayReregister && mMayReregister.contains(entry.incarnationId())) {
                 boolean acceptsRanges = inService || !isListed && !entry.leaving();
                 servers.add(
                         new RangeServer(
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -192,6 +192,60 @@
         return mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE).path("ranges").size();
     }
 
+    /** Restores a backup, of which the directory and the driver hear with the next answer. */
+    private void restore(RangeCoordinatorDriver driver, FakeStore.Backup backup) {
+        mStore.epoch().addListener(driver::onNewEpoch);
+        mStore.restore(backup);
+        mDirectory.mirror(StoreKind.SERVERS).start();
+    }
+
+    /** Runs the driver for some seconds in which the store confirms the coordinator. */
+    private void runConfirmed(RangeCoordinatorDriver driver, int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            confirmRecord();
+            run(driver, 1_000);
+        }
+    }
+
+    /**
+     * After a restore all servers seen in the term counted as about to register again. Ones lost
+     * long before it had no load, so keys of running servers were moved to them.
+     */
+    @Test
+    void onNewEpoch_serverWasLostLongBefore_getsNoKeys() {
+        RangeCoordinatorDriver driver = startDriver();
+        mFixture.control().stopAnswering("a");
+        mStore.remove(StoreKind.SERVERS, "a");
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        runConfirmed(driver, 15);
+        assertThat(owners()).containsExactly("b@1");
+
+        restore(driver, mStore.backup());
+        for (int i = 0; i < 20; i++) {
+            List<Integer> keys = new ArrayList<>();
+            for (int key = 0; key < 400; key++) {
+                keys.add(key);
+            }
+            driver.onReport(
+                    new KeyedRequestStats.Report(ImmutableList.copyOf(keys), ImmutableList.of()));
+            confirmRecord();
+            run(driver, 100);
+            assertThat(owners()).containsExactly("b@1");
+        }
+    }
+
+    /** An entry that only the restore lost is written again soon, so its server keeps its keys. */
+    @Test
+    void onNewEpoch_serverWasListedBefore_keepsItsKeys() {
+        FakeStore.Backup backup = mStore.backup();
+        RangeCoordinatorDriver driver = startDriver();
+
+        restore(driver, backup);
+        runConfirmed(driver, 2);
+
+        assertThat(owners()).containsExactly("a@1", "b@1");
+    }
+
     /** An address is reused only after the previous server at it has terminated. */
     @Test
     void tick_laterServerAtAddressOfSilentServer_keysMoveBeforeHoldExpires() {
