Take no refusal soon after a restore for a termination

A server that had marked itself as leaving in the lost time is listed as ready again until it writes its entry. Refused connections then looked like a proof that it had terminated, and its keys were granted to another server while it completed its last requests.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/TerminationDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/TerminationDetector.java
@@ -11,9 +11,9 @@
  *
  * <p>Invariant: a server that may still process requests is never reported as terminated. A leaving
  * server stops listening before its last requests have ended, so refused connections prove nothing
- * if the server is leaving, or if its entry is missing or out of date. A server at its connection
- * limit resets new connections, some of which look refused to the caller, and accepts others in
- * between. Not thread-safe.
+ * if the server is leaving, or if its entry is missing, out of date or restored from a backup. A
+ * server at its connection limit resets new connections, some of which look refused to the caller,
+ * and accepts others in between. Not thread-safe.
  */
 public final class TerminationDetector {
     /**
@@ -40,6 +40,11 @@
         return new TerminationDetector();
     }
 
+    /** Forgets all refusals, after a restore of the store that took back entries of servers. */
+    public void reset() {
+        mRefusals.clear();
+    }
+
     /** Records that a server answered, or accepted a connection before it closed it. */
     public void onAnswered(String incarnationId) {
         mRefusals.remove(checkNotNull(incarnationId));
--- a/decisions/src/test/java/org/geraniumusher/keyrange/TerminationDetectorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/TerminationDetectorTest.java
@@ -47,6 +47,17 @@
         }
     }
 
+    /** Refusals from before a restore of the store were compared with entries that it took back. */
+    @Test
+    void reset_refusedBefore_restartsCount() {
+        refuse("a", 1);
+        refuse("a", 2);
+        refuse("a", 3);
+        mDetector.reset();
+
+        assertThat(refuse("a", 4)).isFalse();
+    }
+
     @Test
     void onConnectionRefused_answeredInBetween_restartsCount() {
         refuse("a", 1);
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -172,7 +172,8 @@
         mListeners.forEach(Runnable::run);
     }
 
-    private boolean isSoonAfterRestore(long nowNanos) {
+    /** Returns whether entries of servers may still be those of the backup that was restored. */
+    boolean isSoonAfterRestore(long nowNanos) {
         return mRestoredAtNanos.isPresent()
                 && nowNanos - mRestoredAtNanos.getAsLong() < REREGISTRATION_NANOS;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -168,6 +168,7 @@
      */
     void onNewEpoch() {
         mCoordinator.onNewEpoch(mStore.epoch().current());
+        mTerminationDetector.reset();
         if (mCoordinator.isStarted()) {
             mLog.write(
                     Part.OWNERSHIP,
@@ -497,6 +498,7 @@
         ServerEntry entry = mDirectory.servers().get(incarnationId);
         return entry != null
                 && !entry.leaving()
+                && !mDirectory.isSoonAfterRestore(mClock.getAsLong())
                 && mDirectory.mirror(StoreKind.SERVERS).isReachable();
     }
 
@@ -511,8 +513,18 @@
                 && isListedAsReady(server.incarnationId())) {
             // This daemon's copy of the entry may be seconds old. The store has the current one, in
             // which a leaving server has marked itself.
+            long epoch = mStore.epoch().current();
             mStore.read(StoreKind.SERVERS, server.id())
-                    .thenAccept(read -> mThread.execute(() -> onEntryRead(server, read, result)));
+                    .thenAccept(
+                            read ->
+                                    mThread.execute(
+                                            () ->
+                                                    runIfCurrent(
+                                                            epoch,
+                                                            () ->
+                                                                    onEntryRead(
+                                                                            server, read,
+                                                                            result))));
         }
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -246,6 +246,27 @@
         assertThat(owners()).containsExactly("a@1", "b@1");
     }
 
+    /**
+     * A server that had marked itself as leaving in the lost time is listed as ready again and
+     * refuses connections while it completes its last requests.
+     */
+    @Test
+    void onNewEpoch_leavingServerIsListedAsReadyAgain_keysStayUntilHoldExpires() {
+        RangeCoordinatorDriver driver = startDriver();
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(A_PORT, true));
+        confirmRecord();
+
+        restore(driver, backup);
+        mFixture.control().refuseConnections("a");
+        for (int i = 0; i < 7; i++) {
+            driver.renewGrants("a@1");
+            run(driver, 300);
+        }
+
+        assertThat(owners()).contains("a@1");
+    }
+
     /** An address is reused only after the previous server at it has terminated. */
     @Test
     void tick_laterServerAtAddressOfSilentServer_keysMoveBeforeHoldExpires() {
