Keep following the store after a failed call or listener

- A listener that failed kept its kind from being watched or listed again, and the later listeners from hearing of the change or the new epoch.
Listeners now run each for itself, failures are logged, and a mirror watches in any case.
- A call whose future failed left its user waiting for ever.
MeteredStore, which all users share, turns it into a call without an answer.
- A conflict with a table that cannot be decoded ended all writes of the term.
It now counts as an unconfirmed write, which is repeated.
- The tick of the coordinator is scheduled also when it fails.
This part has no test.

--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -123,12 +123,15 @@
         if (mResigned) {
             return;
         }
-        callStoreIfDue(now);
-        tickDrivers(now);
-        mThread.schedule(
-                this::tick,
-                mActing ? ACTING_TICK_MILLIS : WATCHING_TICK_MILLIS,
-                TimeUnit.MILLISECONDS);
+        try {
+            callStoreIfDue(now);
+            tickDrivers(now);
+        } finally {
+            mThread.schedule(
+                    this::tick,
+                    mActing ? ACTING_TICK_MILLIS : WATCHING_TICK_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     private void callStoreIfDue(long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -12,13 +12,11 @@
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -55,7 +53,7 @@
     private final DecisionLog mLog;
     private final LongSupplier mClock;
     private final Map<StoreKind, KindMirror> mMirrors = new EnumMap<>(StoreKind.class);
-    private final List<Runnable> mListeners = new ArrayList<>();
+    private final Listeners mListeners;
     private final Map<String, DecodedServer> mDecodedServers = new HashMap<>();
     private Optional<RouterConfig> mConfiguration = Optional.empty();
     private StoreVersion mDecodedConfiguration = StoreVersion.NONE;
@@ -98,14 +96,13 @@
         mEpoch = store.epoch();
         mThread = thread;
         mLog = log;
+        mListeners = new Listeners(log);
         mClock = clock;
         addMirror(StoreKind.CONFIGURATION, store, thread, this::decodeConfiguration);
         addMirror(StoreKind.EVACUATIONS, store, thread, this::decodeEvacuations);
         addMirror(StoreKind.DRAINS, store, thread, this::decodeDrains);
         addMirror(StoreKind.SERVERS, store, thread, this::decodeServers);
-        mTables =
-                new RangeTableCache(
-                        store, thread, clock, log, () -> mListeners.forEach(Runnable::run));
+        mTables = new RangeTableCache(store, thread, clock, log, mListeners::run);
         mEpoch.addListener(this::onNewEpoch);
     }
 
@@ -113,7 +110,7 @@
         Runnable onChange =
                 () -> {
                     decode.run();
-                    mListeners.forEach(Runnable::run);
+                    mListeners.run();
                 };
         boolean detectsFaults = kind == StoreKind.SERVERS;
         Runnable onReachable =
@@ -169,7 +166,7 @@
         mDrainsBeforeRestore.clear();
         decodeEvacuations();
         decodeDrains();
-        mListeners.forEach(Runnable::run);
+        mListeners.run();
     }
 
     /** Returns whether entries of servers may still be those of the backup that was restored. */
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -268,8 +268,11 @@
             mHistory.resetTo(listed.revision());
             mObjects = ImmutableMap.copyOf(mListedSoFar);
             mListedFromStore = true;
-            mOnChange.run();
-            watch();
+            try {
+                mOnChange.run();
+            } finally {
+                watch();
+            }
         } else {
             scheduleIfCurrent(this::start, SHORT_RETRY_MILLIS);
         }
@@ -294,11 +297,14 @@
                 start();
                 return;
             }
-            apply(changes);
-            if (changes.changes().isEmpty()) {
-                watch();
-            } else {
-                scheduleIfCurrent(this::watch, COALESCING_PAUSE_MILLIS);
+            try {
+                apply(changes);
+            } finally {
+                if (changes.changes().isEmpty()) {
+                    watch();
+                } else {
+                    scheduleIfCurrent(this::watch, COALESCING_PAUSE_MILLIS);
+                }
             }
         } else if (result instanceof HistoryGone) {
             onAnswer();
--- a/entry/src/main/java/org/geraniumusher/entry/MeteredStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/MeteredStore.java
@@ -58,11 +58,7 @@
 
     private CompletableFuture<StoreResult> countResult(
             String method, StoreKind kind, CompletableFuture<StoreResult> future) {
-        return future.whenComplete(
-                (result, error) -> {
-                    if (result != null) {
-                        mMetrics.onStoreCall(method, kind, result);
-                    }
-                });
+        return future.exceptionally(error -> new StoreResult.NoAnswer(String.valueOf(error)))
+                .whenComplete((result, error) -> mMetrics.onStoreCall(method, kind, result));
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -431,7 +431,7 @@
         if (result instanceof StoreResult.Written written) {
             mCoordinator.onWritten(new StoreVersion(epoch, written.object().revision()), now);
         } else if (result instanceof StoreResult.Conflict conflict) {
-            mCoordinator.onWriteConflict(decode(conflict.object()), now);
+            onWriteConflict(conflict.object(), now);
         } else {
             mLog.write(Part.OWNERSHIP, "Range table write was not confirmed", "result", result);
             mCoordinator.onWriteUnknown(now);
@@ -440,6 +440,26 @@
         tickIfAuthorized(now);
     }
 
+    private void onWriteConflict(StoreObject object, long now) {
+        RangeTable current;
+        try {
+            current = decode(object);
+        } catch (IllegalArgumentException e) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Cannot decode the range table in the store",
+                    "service",
+                    mService,
+                    "revision",
+                    object.revision(),
+                    "reason",
+                    e.getMessage());
+            mCoordinator.onWriteUnknown(now);
+            return;
+        }
+        mCoordinator.onWriteConflict(current, now);
+    }
+
     private void publishTableIfChanged() {
         Optional<RangeTable> next = mCoordinator.table();
         if (next.isPresent() && !next.equals(mPublishedTable)) {
--- a/entry/src/main/java/org/geraniumusher/entry/StoreEpoch.java
+++ b/entry/src/main/java/org/geraniumusher/entry/StoreEpoch.java
@@ -4,9 +4,6 @@
 
 import org.geraniumusher.entry.DecisionLog.Part;
 
-import java.util.ArrayList;
-import java.util.List;
-
 /**
  * The highest epoch of the store that this daemon has seen, in an answer of the store or in a
  * message of another daemon. The epoch rises by one with each restore of the store from a backup.
@@ -21,13 +18,14 @@
     private static final long UNKNOWN = -1;
 
     private final DecisionLog mLog;
-    private final List<Runnable> mListeners = new ArrayList<>();
+    private final Listeners mListeners;
     private long mCurrent = UNKNOWN;
     private boolean mHasRisen;
     private long mDroppedAnswers;
 
     private StoreEpoch(DecisionLog log) {
         mLog = log;
+        mListeners = new Listeners(log);
     }
 
     /** Returns an instance that has not seen an epoch yet. */
@@ -58,7 +56,7 @@
      * first epoch seen is no rise.
      */
     public void addListener(Runnable listener) {
-        mListeners.add(checkNotNull(listener));
+        mListeners.add(listener);
     }
 
     /**
@@ -86,7 +84,7 @@
                     previous,
                     "epoch",
                     epoch);
-            mListeners.forEach(Runnable::run);
+            mListeners.run();
         }
         return true;
     }
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
 
 import org.geraniumusher.keyrange.Assignment;
@@ -267,6 +269,26 @@
         assertThat(owners()).contains("a@1");
     }
 
+    /** A table that cannot be decoded stopped all writes of the term. */
+    @Test
+    void onWriteResult_conflictingTableIsInvalid_writesAgain() {
+        RangeCoordinatorDriver driver = startDriver();
+        JsonNode table = mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE);
+        mStore.put(
+                StoreKind.RANGES,
+                FakeWireFormat.SERVICE,
+                JsonNodeFactory.instance.objectNode().put("ranges", "invalid"));
+        mFixture.control().stopAnswering("a");
+        mStore.remove(StoreKind.SERVERS, "a");
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        runConfirmed(driver, 2);
+
+        mStore.put(StoreKind.RANGES, FakeWireFormat.SERVICE, table);
+        runConfirmed(driver, 15);
+
+        assertThat(owners()).containsExactly("b@1");
+    }
+
     /** An address is reused only after the previous server at it has terminated. */
     @Test
     void tick_laterServerAtAddressOfSilentServer_keysMoveBeforeHoldExpires() {
--- a/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/StoreEpochTest.java
@@ -70,6 +70,20 @@
         assertThat(mEpoch.mayBeRestored()).isTrue();
     }
 
+    @Test
+    void observe_listenerFails_othersRun() {
+        mEpoch.addListener(
+                () -> {
+                    throw new IllegalStateException("listener fails");
+                });
+        mEpoch.addListener(() -> mHeard.add(mEpoch.current()));
+        mEpoch.observe(1);
+
+        assertThat(mEpoch.observe(2)).isTrue();
+
+        assertThat(mHeard).containsExactly(2L);
+    }
+
     @Test
     void observe_earlierEpoch_isFalseAndCounted() {
         mEpoch.observe(2);
