--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -17,9 +17,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -111,6 +113,12 @@
     /** The entries last processed. The directory returns a new map after each change. */
     private ImmutableMap<String, ServerEntry> mLastListedServers = ImmutableMap.of();
 
+    /**
+     * Incarnations that are listed or may register again: those listed when the present outage or
+     * restore began, or since. One that was lost before may not come back.
+     */
+    private final Set<String> mMayReregister = new HashSet<>();
+
     private boolean mTableReadInFlight;
     private long mFormerCoordinatorConfirmedBy;
     private ImmutableList<Assignment> mLastGranted = ImmutableList.of();
@@ -160,6 +168,7 @@
      */
     void onNewEpoch() {
         mCoordinator.onNewEpoch(mStore.epoch().current());
+        mTerminationDetector.reset();
         if (mCoordinator.isStarted()) {
             mLog.write(
                     Part.OWNERSHIP,
@@ -289,14 +298,19 @@
             mLastListedServers = listedServers;
             listedServers.values().forEach(entry -> recordEntry(entry, now));
         }
+        boolean mayReregister = mDirectory.mayMissingServersReregister(now);
+        if (!mayReregister) {
+            mMayReregister.clear();
+        }
+        mMayReregister.addAll(listedServers.keySet());
         List<RangeServer> servers = new ArrayList<>();
         for (ServerEntry entry : mKnownServers.values()) {
             boolean isListed = listedServers.containsKey(entry.incarnationId());
             boolean inService = isListed && !entry.leaving() && !mDirectory.isOutOfService(entry);
-            // An entry may have expired during a store outage while its server still runs. Until
-            // the
-            // server has had time to register again, it keeps its keys.
-            if (isListed || mDirectory.mayMissingServersReregister(now)) {
+            // An entry may have expired during a store outage, or been lost in a restore, while its
+            // server still runs. Until the server has had time to register again, it keeps its
+            // keys.
+            if (isListed || mayReregister && mMayReregister.contains(entry.incarnationId())) {
                 boolean acceptsRanges = inService || !isListed && !entry.leaving();
                 servers.add(
                         new RangeServer(
@@ -417,7 +431,7 @@
         if (result instanceof StoreResult.Written written) {
             mCoordinator.onWritten(new StoreVersion(epoch, written.object().revision()), now);
         } else if (result instanceof StoreResult.Conflict conflict) {
-            mCoordinator.onWriteConflict(decode(conflict.object()), now);
+            onWriteConflict(conflict.object(), now);
         } else {
             mLog.write(Part.OWNERSHIP, "Range table write was not confirmed", "result", result);
             mCoordinator.onWriteUnknown(now);
@@ -426,6 +440,26 @@
         tickIfAuthorized(now);
     }
 
+    private void onWriteConflict(StoreObject object, long now) {
+        RangeTable current;
+        try {
+            current = decode(object);
+        } catch (IllegalArgumentException e) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Cannot decode the range table in the store",
+                    "service",
+                    mService,
+                    "revision",
+                    object.revision(),
+                    "reason",
+                    e.getMessage());
+            mCoordinator.onWriteUnknown(now);
+            return;
+        }
+        mCoordinator.onWriteConflict(current, now);
+    }
+
     private void publishTableIfChanged() {
         Optional<RangeTable> next = mCoordinator.table();
         if (next.isPresent() && !next.equals(mPublishedTable)) {
@@ -484,6 +518,7 @@
         ServerEntry entry = mDirectory.servers().get(incarnationId);
         return entry != null
                 && !entry.leaving()
+                && !mDirectory.isSoonAfterRestore()
                 && mDirectory.mirror(StoreKind.SERVERS).isReachable();
     }
 
@@ -498,8 +533,18 @@
                 && isListedAsReady(server.incarnationId())) {
             // This daemon's copy of the entry may be seconds old. The store has the current one, in
             // which a leaving server has marked itself.
+            long epoch = mStore.epoch().current();
             mStore.read(StoreKind.SERVERS, server.id())
-                    .thenAccept(read -> mThread.execute(() -> onEntryRead(server, read, result)));
+                    .thenAccept(
+                            read ->
+                                    mThread.execute(
+                                            () ->
+                                                    runIfCurrent(
+                                                            epoch,
+                                                            () ->
+                                                                    onEntryRead(
+                                                                            server, read,
+                                                                            result))));
         }
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
 
 import org.geraniumusher.keyrange.Assignment;
@@ -192,6 +194,101 @@
         return mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE).path("ranges").size();
     }
 
+    /** Restores a backup, of which the directory and the driver hear with the next answer. */
+    private void restore(RangeCoordinatorDriver driver, FakeStore.Backup backup) {
+        mStore.epoch().addListener(driver::onNewEpoch);
+        mStore.restore(backup);
+        mDirectory.mirror(StoreKind.SERVERS).start();
+    }
+
+    /** Runs the driver for some seconds in which the store confirms the coordinator. */
+    private void runConfirmed(RangeCoordinatorDriver driver, int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            confirmRecord();
+            run(driver, 1_000);
+        }
+    }
+
+    /**
+     * After a restore all servers seen in the term counted as about to register again. Ones lost
+     * long before it had no load, so keys of running servers were moved to them.
+     */
+    @Test
+    void onNewEpoch_serverWasLostLongBefore_getsNoKeys() {
+        RangeCoordinatorDriver driver = startDriver();
+        mFixture.control().stopAnswering("a");
+        mStore.remove(StoreKind.SERVERS, "a");
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        runConfirmed(driver, 15);
+        assertThat(owners()).containsExactly("b@1");
+
+        restore(driver, mStore.backup());
+        for (int i = 0; i < 20; i++) {
+            List<Integer> keys = new ArrayList<>();
+            for (int key = 0; key < 400; key++) {
+                keys.add(key);
+            }
+            driver.onReport(
+                    new KeyedRequestStats.Report(ImmutableList.copyOf(keys), ImmutableList.of()));
+            confirmRecord();
+            run(driver, 100);
+            assertThat(owners()).containsExactly("b@1");
+        }
+    }
+
+    /** An entry that only the restore lost is written again soon, so its server keeps its keys. */
+    @Test
+    void onNewEpoch_serverWasListedBefore_keepsItsKeys() {
+        FakeStore.Backup backup = mStore.backup();
+        RangeCoordinatorDriver driver = startDriver();
+
+        restore(driver, backup);
+        runConfirmed(driver, 2);
+
+        assertThat(owners()).containsExactly("a@1", "b@1");
+    }
+
+    /**
+     * A server that had marked itself as leaving in the lost time is listed as ready again and
+     * refuses connections while it completes its last requests.
+     */
+    @Test
+    void onNewEpoch_leavingServerIsListedAsReadyAgain_keysStayUntilHoldExpires() {
+        RangeCoordinatorDriver driver = startDriver();
+        FakeStore.Backup backup = mStore.backup();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(A_PORT, true));
+        confirmRecord();
+
+        restore(driver, backup);
+        mFixture.control().refuseConnections("a");
+        for (int i = 0; i < 7; i++) {
+            driver.renewGrants("a@1");
+            run(driver, 300);
+        }
+
+        assertThat(owners()).contains("a@1");
+    }
+
+    /** A table that cannot be decoded stopped all writes of the term. */
+    @Test
+    void onWriteResult_conflictingTableIsInvalid_writesAgain() {
+        RangeCoordinatorDriver driver = startDriver();
+        JsonNode table = mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE);
+        mStore.put(
+                StoreKind.RANGES,
+                FakeWireFormat.SERVICE,
+                JsonNodeFactory.instance.objectNode().put("ranges", "invalid"));
+        mFixture.control().stopAnswering("a");
+        mStore.remove(StoreKind.SERVERS, "a");
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        runConfirmed(driver, 2);
+
+        mStore.put(StoreKind.RANGES, FakeWireFormat.SERVICE, table);
+        runConfirmed(driver, 15);
+
+        assertThat(owners()).containsExactly("b@1");
+    }
+
     /** An address is reused only after the previous server at it has terminated. */
     @Test
     void tick_laterServerAtAddressOfSilentServer_keysMoveBeforeHoldExpires() {
