Keep ended terms from acting and from looking current

- The driver of an ended term acted on late results when its daemon was the coordinator again, and granted and wrote what it had in memory.
It is now ended for good.
- Such a driver stamped its table with the epoch at the time of the write, with which an incomplete table looked complete.
The stamp is now the epoch of the term.
- A daemon that had resigned still processed the answer to a renewal that the restored store had executed, and vacated the record in the new epoch, so that others took over without waiting.
Calls from before a restore are now dropped then too, and a vacant record has the epoch in which its term was confirmed.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -168,6 +168,11 @@
         }
     }
 
+    /** Returns the epoch of the store that this coordinator knows. */
+    public long epoch() {
+        return mEpoch;
+    }
+
     /** Reports whether writes wait for {@link #onStoredTable}. */
     public boolean needsStoredTable() {
         return mStarted && mStoredRevision == UNKNOWN_REVISION;
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -151,13 +151,13 @@
      * a coordinator that may continue can end within a second. A call in flight is abandoned.
      */
     private void onNewEpoch() {
+        mCallGeneration++;
+        mStoreCallInFlight = false;
         if (mResigned) {
             return;
         }
         long now = mClock.getAsLong();
         mElection.onNewEpoch(mStore.epoch().current(), now);
-        mCallGeneration++;
-        mStoreCallInFlight = false;
         mNextPollAt = now;
         mNextWriteAt = now;
         if (mElection.mayContinue()) {
@@ -170,7 +170,7 @@
                     TimeUnit.NANOSECONDS.toMillis(now - mElection.confirmedAt()));
             mDrivers.values().forEach(RangeCoordinatorDriver::onNewEpoch);
         } else {
-            mDrivers.clear();
+            endDrivers();
         }
         callStoreIfDue(now);
     }
@@ -209,6 +209,11 @@
         return !mResigned && mElection.hasAuthority(mClock.getAsLong());
     }
 
+    private void endDrivers() {
+        mDrivers.values().forEach(RangeCoordinatorDriver::end);
+        mDrivers.clear();
+    }
+
     private RangeCoordinatorDriver driver(String service) {
         return mDrivers.computeIfAbsent(
                 service,
@@ -266,7 +271,7 @@
     private void writeRecord(long now) {
         mStoreCallInFlight = true;
         mNextWriteAt = now + RETRY_INTERVAL_NANOS;
-        ObjectNode spec = encode(identity());
+        ObjectNode spec = encode(identity(), mStore.epoch().current());
         Optional<CoordinatorRecord> known = mElection.record();
         boolean newTerm = !mElection.isOwn() && !mElection.mayContinue();
         long generation = mCallGeneration;
@@ -287,11 +292,11 @@
                                                 () -> onRecordWritten(result, now, newTerm))));
     }
 
-    private ObjectNode encode(String daemon) {
+    private ObjectNode encode(String daemon, long epoch) {
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
         spec.put("daemon", daemon);
         spec.put("incarnation", mIncarnation);
-        spec.put(EPOCH, mStore.epoch().current());
+        spec.put(EPOCH, epoch);
         spec.put("peer", mSettings.peerAddress().toString());
         // The store does not raise the revision for a write without a change.
         spec.put("renewed_at", mClock.getAsLong());
@@ -303,7 +308,7 @@
         long now = mClock.getAsLong();
         if (result instanceof StoreResult.Written written) {
             if (newTerm) {
-                mDrivers.clear();
+                endDrivers();
             }
             mElection.onWritten(decode(written.object()), sentAt, now);
             if (mResigned) {
@@ -330,7 +335,7 @@
     /** Discards the state of a term that has ended because another daemon was elected. */
     private void discardDriversUnlessOwn() {
         if (!mElection.isOwn() && !mElection.mayContinue()) {
-            mDrivers.clear();
+            endDrivers();
         }
     }
 
@@ -351,7 +356,7 @@
         boolean hadAuthority = mElection.hasAuthority(mClock.getAsLong());
         mResigned = true;
         mActing = false;
-        mDrivers.clear();
+        endDrivers();
         if (hadAuthority && !mStoreCallInFlight && mElection.record().isPresent()) {
             vacateRecord();
         }
@@ -359,11 +364,13 @@
 
     private void vacateRecord() {
         mLog.write(Part.OWNERSHIP, "Resigning as the coordinator");
+        // Only a record of the epoch in which the term was confirmed lets others skip the wait.
+        StoreVersion confirmed = mElection.record().orElseThrow().version();
         mStore.replace(
                         StoreKind.COORDINATORS,
                         RECORD_NAME,
-                        encode(""),
-                        mElection.record().orElseThrow().version().revision())
+                        encode("", confirmed.epoch()),
+                        confirmed.revision())
                 .thenAccept(
                         result ->
                                 mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -30,8 +30,8 @@
  * Performs the I/O of the {@link RangeCoordinator} of one keyed service: sends its calls to the
  * store and to backend servers and passes the results back. Confined to the event loop.
  *
- * <p>Invariant: the coordinator sends calls only while this daemon has the authority to coordinate.
- * Results are passed to it at any time.
+ * <p>Invariant: the coordinator sends calls only while this daemon has the authority to coordinate
+ * and the term of this driver has not ended. Results are passed to it at any time.
  */
 final class RangeCoordinatorDriver implements RangeCoordinator.OutgoingCalls {
     /**
@@ -119,6 +119,7 @@
      */
     private final Set<String> mMayReregister = new HashSet<>();
 
+    private boolean mEnded;
     private boolean mTableReadInFlight;
     private long mFormerCoordinatorConfirmedBy;
     private ImmutableList<Assignment> mLastGranted = ImmutableList.of();
@@ -185,6 +186,14 @@
         }
     }
 
+    /**
+     * Ends the term. Results that arrive later cause no calls, also if this daemon has authority
+     * again, which then is that of another driver.
+     */
+    void end() {
+        mEnded = true;
+    }
+
     /**
      * Starts the coordinator if it has not started, and lets it send the calls that are due. Must
      * be called only with authority.
@@ -219,12 +228,12 @@
     }
 
     /**
-     * Lets the coordinator send the calls that are due, if this daemon has authority. The check is
-     * needed because the result of a call may arrive after the authority has expired, when another
-     * daemon may coordinate.
+     * Lets the coordinator send the calls that are due, if this daemon has authority in this term.
+     * The check is needed because the result of a call may arrive after the authority has expired,
+     * when another daemon may coordinate.
      */
     private void tickIfAuthorized(long now) {
-        if (mHasAuthority.getAsBoolean()) {
+        if (!mEnded && mHasAuthority.getAsBoolean()) {
             mCoordinator.tick(now);
         }
     }
@@ -399,7 +408,9 @@
 
     @Override
     public void write(ImmutableList<Assignment> assignments, long expectedRevision) {
-        long epoch = mStore.epoch().current();
+        // The store may have been restored since; the table is one of this term's epoch.
+        long epoch = mCoordinator.epoch();
+        long storeEpoch = mStore.epoch().current();
         var spec = RangeTableCodec.encode(epoch, assignments);
         var call =
                 expectedRevision == 0
@@ -422,7 +433,9 @@
         call.thenAccept(
                 result ->
                         mThread.execute(
-                                () -> runIfCurrent(epoch, () -> onWriteResult(result, epoch))));
+                                () ->
+                                        runIfCurrent(
+                                                storeEpoch, () -> onWriteResult(result, epoch))));
     }
 
     private void onWriteResult(StoreResult result, long epoch) {
@@ -436,7 +449,9 @@
             mLog.write(Part.OWNERSHIP, "Range table write was not confirmed", "result", result);
             mCoordinator.onWriteUnknown(now);
         }
-        publishTableIfChanged();
+        if (!mEnded) {
+            publishTableIfChanged();
+        }
         tickIfAuthorized(now);
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/CoordinatorServiceTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CoordinatorServiceTest.java
@@ -78,6 +78,26 @@
         assertThat(service.isActing()).isFalse();
     }
 
+    /**
+     * A renewal that was sent before a restore was executed after it. The stopped daemon then wrote
+     * a vacant record of the new epoch, with which others took over without waiting.
+     */
+    @Test
+    void resign_renewalExecutedAfterRestore_writesNoRecordOfNewEpoch() {
+        CoordinatorService service = startService("a");
+        mStore.restore(mStore.backup());
+        mStore.holdAnswers();
+        mThread.advance(1_600 * MILLI);
+
+        service.resign();
+        mStore.releaseAnswers();
+        mThread.advance(200 * MILLI);
+
+        JsonNode record = mStore.spec(StoreKind.COORDINATORS, RECORD_NAME);
+        assertThat(mStore.epoch().current()).isEqualTo(2);
+        assertThat(record.path("epoch").asLong()).isEqualTo(1);
+    }
+
     @Test
     void resign_notActing_writesNothing() {
         startService("a");
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -168,6 +168,44 @@
         assertThat(mFixture.control().callCount()).isEqualTo(callCount);
     }
 
+    /** The daemon has authority again, in a later term with other drivers. */
+    @Test
+    void onWriteResult_ended_callsNoServer() {
+        RangeCoordinatorDriver driver = startDriver();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(A_PORT, true));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        mStore.holdAnswers();
+        driver.tick(mElection);
+        mThread.advance(MILLI);
+        int callCount = mFixture.control().callCount();
+
+        driver.end();
+        mStore.releaseAnswers();
+        mThread.advance(500 * MILLI);
+
+        assertThat(mFixture.control().callCount()).isEqualTo(callCount);
+    }
+
+    /**
+     * A write that a driver sends before it hears of a restore must not make its table look
+     * complete in the new epoch.
+     */
+    @Test
+    void write_epochHasRisenSinceItsTerm_tableHasEpochOfTerm() {
+        RangeCoordinatorDriver driver = startDriver();
+        confirmRecord();
+        mStore.restore(mStore.backup());
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(A_PORT, true));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        JsonNode before = mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE);
+
+        run(driver, 500);
+
+        JsonNode table = mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE);
+        assertThat(table).isNotEqualTo(before);
+        assertThat(table.path("epoch").asLong()).isEqualTo(1);
+    }
+
     /**
      * A server that is overloaded by hot keys completes few requests. Load counted from completed
      * requests moved keys too late: 1.4 s after the start of the traffic in the run willowgate
