Forget failures from before a restore

Calls that failed in the outage before a restore made the first failed list after it look like a later one, which is repeated only after 3 s, so that a configuration could come into force too late.

KindMirrorTest: onNewEpoch_firstListFailsAfterOutage_isRetriedSoon failed before; both tests pass now.

--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -122,6 +122,7 @@
     void onNewEpoch() {
         if (mStarted) {
             mListedFromStore = false;
+            mFailures = 0;
             start();
         }
     }
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -48,6 +48,22 @@
         mMirror.start();
     }
 
+    /** Failed calls before a restore put off the second try of the list after it by 3 s. */
+    @Test
+    void onNewEpoch_firstListFailsAfterOutage_isRetriedSoon() {
+        mMirror.start();
+        mStore.setDown(true);
+        mStore.failWatches();
+        mThread.advance(200 * MILLI);
+        mMirror.onNewEpoch();
+        mStore.setDown(false);
+        mStore.put(StoreKind.CONFIGURATION, "c", FakeWireFormat.serverSpec(1, false));
+
+        mThread.advance(200 * MILLI);
+
+        assertThat(mMirror.objects().keySet()).containsExactly("c");
+    }
+
     /** A kind whose listener failed once was never watched again. */
     @Test
     void start_listenerFails_laterChangesAreSeen() {
