Log tasks of the event loop that fail with an error

A task that ends with an Error, such as a missing class, ended a chain of timers without a line; only exceptions were logged. The build that ran had been replaced below the running processes at that moment, which fits an error, but no log shows it.

--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -329,7 +329,7 @@
             return () -> {
                 try {
                     task.run();
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) {
                     log.write(Part.DAEMON, "Task failed", "cause", e, "at", e.getStackTrace()[0]);
                     throw e;
                 }
