Release keys over a connection that carried no other call

A server that sends the response to a grant a second time, late, made the coordinator take it for the response to the release that followed on the kept connection. The keys were given to the next owner while the server still worked on them. A repeated 421 or 409 was taken for the response to a later grant alike, so that a server that lives counted as terminated or fenced.

Cause: control calls share kept connections and their responses bear no id.

A release now goes over a new connection, and a connection to a server is kept only after status 200.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -69,17 +69,22 @@
 
     private final EventLoopGroup mGroup;
     private final int mMaxReplyBytes;
+    private final PeerKind mPeerKind;
     private final Map<Address, Queue<ClientConnection>> mIdleConnections =
             new ConcurrentHashMap<>();
 
-    private HttpClient(EventLoopGroup group, int maxReplyBytes) {
+    private HttpClient(EventLoopGroup group, int maxReplyBytes, PeerKind peerKind) {
         mGroup = checkNotNull(group);
         mMaxReplyBytes = maxReplyBytes;
+        mPeerKind = checkNotNull(peerKind);
     }
 
-    /** Returns a client whose connections run on {@code group}. */
+    /**
+     * Returns a client for peers that send one reply to each call, whose connections run on {@code
+     * group}.
+     */
     public static HttpClient create(EventLoopGroup group) {
-        return create(group, DEFAULT_MAX_REPLY_BYTES);
+        return create(group, DEFAULT_MAX_REPLY_BYTES, PeerKind.ONE_REPLY_PER_CALL);
     }
 
     /**
@@ -87,8 +92,8 @@
      *
      * @param maxReplyBytes limit of the body of a reply; a call with a longer one fails
      */
-    public static HttpClient create(EventLoopGroup group, int maxReplyBytes) {
-        return new HttpClient(group, maxReplyBytes);
+    public static HttpClient create(EventLoopGroup group, int maxReplyBytes, PeerKind peerKind) {
+        return new HttpClient(group, maxReplyBytes, peerKind);
     }
 
     /**
@@ -128,12 +133,17 @@
                 : CompletableFuture.failedFuture(error);
     }
 
-    private CompletableFuture<HttpReply> callOnNewConnection(
+    /**
+     * Sends a request as {@link #call} does, on a connection that has carried no other call, so
+     * that the response can't belong to one.
+     */
+    public CompletableFuture<HttpReply> callOnNewConnection(
             Address address, HttpCall call, Duration timeout) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
         HttpObjectAggregator aggregator = new HttpObjectAggregator(mMaxReplyBytes);
         aggregator.setMaxCumulationBufferComponents(MAX_BODY_PARTS);
-        ClientConnection connection = new ClientConnection(mMaxReplyBytes, this::offerIdle);
+        ClientConnection connection =
+                new ClientConnection(mMaxReplyBytes, mPeerKind, this::offerIdle);
         ChannelFuture connecting =
                 connect(
                         address,
@@ -215,14 +225,19 @@
             extends SimpleChannelInboundHandler<FullHttpResponse>
             implements ReceiveLimiter.Listener {
         private final ReceiveLimiter mLimiter;
+        private final PeerKind mPeerKind;
         private final BiConsumer<Address, ClientConnection> mOnIdle;
         private volatile Channel mChannel;
         private Address mAddress;
         private CompletableFuture<HttpReply> mPendingReply;
         private ScheduledFuture<?> mTimeout;
 
-        ClientConnection(int maxReplyBytes, BiConsumer<Address, ClientConnection> onIdle) {
+        ClientConnection(
+                int maxReplyBytes,
+                PeerKind peerKind,
+                BiConsumer<Address, ClientConnection> onIdle) {
             mLimiter = new ReceiveLimiter((long) maxReplyBytes + MAX_FRAMING_BYTES, this);
+            mPeerKind = peerKind;
             mOnIdle = onIdle;
         }
 
@@ -298,13 +313,15 @@
                             headers.buildKeepingLast(),
                             ByteBufUtil.getBytes(response.content()));
             CompletableFuture<HttpReply> future = mPendingReply;
-            if (future == null || !HttpUtil.isKeepAlive(response)) {
+            boolean reusable =
+                    HttpUtil.isKeepAlive(response) && mPeerKind.isReusableAfter(reply.status());
+            if (future == null || !reusable) {
                 context.close();
             }
             if (future != null) {
                 mPendingReply = null;
                 mTimeout.cancel(false);
-                if (HttpUtil.isKeepAlive(response)) {
+                if (reusable) {
                     mOnIdle.accept(mAddress, this);
                 }
                 future.complete(reply);
--- a/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
@@ -44,7 +44,8 @@
 
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    private final HttpClient mClient = HttpClient.create(mGroup, MAX_REPLY_BYTES);
+    private final HttpClient mClient =
+            HttpClient.create(mGroup, MAX_REPLY_BYTES, PeerKind.ONE_REPLY_PER_CALL);
     private final CountDownLatch mConnectionClosed = new CountDownLatch(1);
     private final AtomicLong mBytesSent = new AtomicLong();
     private TcpListener mListener;
