Reset the connection of a call to a server that is given up

A grant that got no response within 0.8 s closed its connection in order. The kernel goes on delivering what was written to such a connection when lost packets are sent again or a cut heals, so the grant could take effect after the bound of its hold, and two servers held its keys.

A failed call to a server now resets its connection, which drops what is not delivered. A release first resets the idle connections to its server: a grant on one of them may count as answered only because an earlier response came twice.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -79,12 +79,9 @@
         mPeerKind = checkNotNull(peerKind);
     }
 
-    /**
-     * Returns a client for peers that send one reply to each call, whose connections run on {@code
-     * group}.
-     */
+    /** Returns a client for daemons and the store whose connections run on {@code group}. */
     public static HttpClient create(EventLoopGroup group) {
-        return create(group, DEFAULT_MAX_REPLY_BYTES, PeerKind.ONE_REPLY_PER_CALL);
+        return create(group, DEFAULT_MAX_REPLY_BYTES, PeerKind.DAEMON_OR_STORE);
     }
 
     /**
@@ -135,9 +132,20 @@
 
     /**
      * Sends a request as {@link #call} does, on a connection that has carried no other call, so
-     * that the response can't belong to one.
+     * that the response can't belong to one. The idle connections to the address are given up
+     * first, so that nothing sent on them arrives later.
      */
-    public CompletableFuture<HttpReply> callOnNewConnection(
+    public CompletableFuture<HttpReply> callAfterIdleConnections(
+            Address address, HttpCall call, Duration timeout) {
+        Optional<ClientConnection> idle = pollIdle(address);
+        while (idle.isPresent()) {
+            idle.get().giveUp();
+            idle = pollIdle(address);
+        }
+        return callOnNewConnection(address, call, timeout);
+    }
+
+    private CompletableFuture<HttpReply> callOnNewConnection(
             Address address, HttpCall call, Duration timeout) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
         HttpObjectAggregator aggregator = new HttpObjectAggregator(mMaxReplyBytes);
@@ -217,9 +225,9 @@
     }
 
     /**
-     * One connection, which carries one request at a time. {@code isActive}, {@code close} and
-     * {@code send} are thread-safe; the fields except {@code mChannel} are confined to the event
-     * loop of the channel.
+     * One connection, which carries one request at a time. {@code isActive}, {@code close}, {@code
+     * giveUp} and {@code send} are thread-safe; the fields except {@code mChannel} are confined to
+     * the event loop of the channel.
      */
     private static final class ClientConnection
             extends SimpleChannelInboundHandler<FullHttpResponse>
@@ -253,6 +261,15 @@
             mChannel.close();
         }
 
+        /** Closes the connection without waiting for what was sent on it. */
+        void giveUp() {
+            if (mChannel.eventLoop().inEventLoop()) {
+                mPeerKind.giveUp(mChannel);
+            } else {
+                mChannel.eventLoop().execute(() -> mPeerKind.giveUp(mChannel));
+            }
+        }
+
         void send(
                 Address address,
                 HttpCall call,
@@ -353,7 +370,7 @@
         }
 
         private void fail(Throwable cause) {
-            mChannel.close();
+            giveUp();
             CompletableFuture<HttpReply> future = mPendingReply;
             mPendingReply = null;
             if (future != null) {
--- a/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
@@ -45,7 +45,7 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final HttpClient mClient =
-            HttpClient.create(mGroup, MAX_REPLY_BYTES, PeerKind.ONE_REPLY_PER_CALL);
+            HttpClient.create(mGroup, MAX_REPLY_BYTES, PeerKind.DAEMON_OR_STORE);
     private final CountDownLatch mConnectionClosed = new CountDownLatch(1);
     private final AtomicLong mBytesSent = new AtomicLong();
     private TcpListener mListener;
