Take a response for that to a request only with its id

A server that wrote an earlier refusal once more on a kept connection made callers be told 'not run, try again' (503) for requests that it ran.

Cause: a response without an id was taken for the response to the request in progress, and a refused request was sent again over the connection of the refusal, where the repeated refusal bore the right id.

A response without the id of the request is now skipped like one with another id, and a connection carries one attempt of a request at most; a request without an id gets a new connection. Skipped responses are logged and counted.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -468,7 +468,8 @@
         UpstreamConnection connection =
                 upstream.send(
                         ForwardedRequests.build(exchange, upstream.entry(), mWire.headers(), now),
-                        listener);
+                        listener,
+                        exchange::mayUse);
         if (!exchange.isEnded()) {
             exchange.beginAttempt(new Exchange.Attempt(upstream, connection));
         }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -106,6 +106,11 @@
         mRegistry.counter("connections.unsolicited").inc();
     }
 
+    /** Counts a response that was skipped, since it isn't that to the request in flight. */
+    void onSkippedResponse() {
+        mRegistry.counter("responses.skipped").inc();
+    }
+
     /** Counts a response of a backend server that exceeded a limit. */
     void onResponseOverLimit(ResponseLimit limit) {
         mRegistry.counter(limit.counterName()).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -28,6 +28,7 @@
     private final long mArrivedAtNanos;
     private final CallerResponder mResponder;
     private final Set<String> mTriedIncarnations = new HashSet<>();
+    private final Set<UpstreamConnection> mUsedConnections = new HashSet<>();
     private RouteRule mRoute;
     private String mService = "";
     private int mKey = NO_KEY;
@@ -164,6 +165,15 @@
     /** Sets the attempt in progress, which {@link #recordSend} has counted. */
     void beginAttempt(Attempt attempt) {
         mAttempt = Optional.of(attempt);
+        mUsedConnections.add(attempt.connection());
+    }
+
+    /**
+     * Returns whether an idle connection may carry the request. A late response to an earlier
+     * attempt, or to another request if this one has no ID, could be taken for its own.
+     */
+    boolean mayUse(UpstreamConnection idle) {
+        return !mId.isEmpty() && !mUsedConnections.contains(idle);
     }
 
     /** Counts a send to a server. */
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -8,7 +8,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Client side of one incarnation of a backend server: its latest entry, its estimated load and the
@@ -22,19 +24,27 @@
     private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
     private final ServerLoad mLoad;
-    private final Runnable mOnUnsolicitedBytes;
+    private final Listener mListener;
     private final Deque<UpstreamConnection> mIdleConnections = new ArrayDeque<>();
     private ServerEntry mEntry;
     private boolean mLeaving;
     private long mLeavingSinceNanos = Long.MAX_VALUE;
 
+    /** Is notified of what the server sends to no request. */
+    interface Listener {
+        /** Called when the server sends bytes on an idle connection. */
+        void onUnsolicitedBytes();
+
+        /** See {@link UpstreamConnection.Pool#onSkippedResponse}. */
+        void onSkippedResponse(String requestId, String responseId, int status);
+    }
+
     /**
      * Creates an upstream without connections.
      *
      * @param clock monotonic clock in nanoseconds
      * @param buffers buffers for the bodies of responses, which all upstreams share
      * @param requestIdHeader name of the header that carries the request ID
-     * @param onUnsolicitedBytes called when the server sends bytes on an idle connection
      * @param initialServiceNanos assumed service time until a request has completed
      * @param initialColdTokens initial tokens of a cold server; see {@link ServerLoad#create}
      */
@@ -44,14 +54,14 @@
             LongSupplier clock,
             ResponseBuffers buffers,
             String requestIdHeader,
-            Runnable onUnsolicitedBytes,
+            Listener listener,
             long initialServiceNanos,
             double initialColdTokens) {
         mEntry = entry;
         mGroup = group;
         mClock = clock;
         mBuffers = buffers;
-        mOnUnsolicitedBytes = onUnsolicitedBytes;
+        mListener = listener;
         mRequestIdHeader = requestIdHeader;
         mLoad = ServerLoad.create(entry.slots(), initialServiceNanos, initialColdTokens);
         updateColdTime(entry);
@@ -107,18 +117,19 @@
     /**
      * Sends a request over an idle connection, the one used last first, or over a new one.
      *
+     * @param mayCarry whether an idle connection may carry the request
      * @return the connection, by which the request can be cancelled
      */
-    UpstreamConnection send(FullHttpRequest request, UpstreamConnection.Listener listener) {
-        long now = mClock.getAsLong();
-        UpstreamConnection idle = mIdleConnections.pollFirst();
-        while (idle != null) {
-            if (idle.isUsable(now)) {
-                idle.send(request, listener);
-                return idle;
-            }
-            idle.close();
-            idle = mIdleConnections.pollFirst();
+    UpstreamConnection send(
+            FullHttpRequest request,
+            UpstreamConnection.Listener listener,
+            Predicate<UpstreamConnection> mayCarry) {
+        closeExpired(mClock.getAsLong());
+        Optional<UpstreamConnection> idle = mIdleConnections.stream().filter(mayCarry).findFirst();
+        if (idle.isPresent()) {
+            mIdleConnections.remove(idle.get());
+            idle.get().send(request, listener);
+            return idle.get();
         }
         UpstreamConnection created = new UpstreamConnection(this, mBuffers, mRequestIdHeader);
         created.connectAndSend(mGroup, mEntry.address(), request, listener);
@@ -154,7 +165,12 @@
 
     @Override
     public void onUnsolicitedBytes() {
-        mOnUnsolicitedBytes.run();
+        mListener.onUnsolicitedBytes();
+    }
+
+    @Override
+    public void onSkippedResponse(String requestId, String responseId, int status) {
+        mListener.onSkippedResponse(requestId, responseId, status);
     }
 
     @Override
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -21,15 +21,18 @@
 import org.geraniumusher.http.ReceiveLimiter;
 import org.geraniumusher.model.Address;
 
+import java.util.Objects;
 import java.util.Optional;
 
 /**
  * An HTTP connection to a backend server that carries one request at a time. Confined to the event
  * loop.
  *
- * <p>Invariant: a response is passed to the listener only when it is complete and doesn't carry the
- * ID of another request than the one in flight. The connection is closed after a response that is
- * malformed, truncated, too long or unsolicited.
+ * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
+ * the request in flight. A response with another ID, or with none, is skipped: the server sent it a
+ * second time, and that to the request in flight may follow. Since all attempts of a request have
+ * the same ID, a connection carries one of them at most. The connection is closed after a response
+ * that is skipped, malformed, truncated, too long or unsolicited.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -72,6 +75,13 @@
         /** Called when the server sends bytes on an idle connection, which is then closed. */
         void onUnsolicitedBytes();
 
+        /**
+         * Called when a response is skipped, since it isn't that to the request in flight.
+         *
+         * @param responseId ID that the response carries, or null if it carries none
+         */
+        void onSkippedResponse(String requestId, String responseId, int status);
+
         /** Called when the connection was closed or could not be opened. */
         void onClosed(UpstreamConnection connection);
     }
@@ -221,7 +231,10 @@
             return false;
         }
         String id = head.headers().get(mRequestIdHeader);
-        mSkipResponse = id != null && !id.equals(mRequestId);
+        mSkipResponse = !Objects.equals(id, mRequestId);
+        if (mSkipResponse) {
+            mPool.onSkippedResponse(mRequestId, id, head.status().code());
+        }
         mResponseHead = head;
         mResponseBody = mBuffers.open(() -> failOverLimit(ResponseLimit.BUFFERED));
         return true;
@@ -236,7 +249,6 @@
             return;
         }
         if (mSkipResponse) {
-            // A late duplicate response to an earlier request; the one to this request follows.
             mCloseAfterResponse = true;
             return;
         }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -140,18 +140,44 @@
                 mClock,
                 mBuffers,
                 mRequestIdHeader,
-                () -> onUnsolicitedBytes(entry),
+                new StrayResponses(entry.incarnationId()),
                 INITIAL_SERVICE_NANOS,
                 mRandom.nextDouble());
     }
 
-    private void onUnsolicitedBytes(ServerEntry entry) {
-        mMetrics.onUnsolicitedBytes();
-        mLog.write(
-                Part.SERVER,
-                "Closed an idle connection on which bytes arrived",
-                "server",
-                entry.incarnationId());
+    /** Counts and logs what a server sends to no request. */
+    private final class StrayResponses implements Upstream.Listener {
+        private final String mIncarnationId;
+
+        StrayResponses(String incarnationId) {
+            mIncarnationId = incarnationId;
+        }
+
+        @Override
+        public void onUnsolicitedBytes() {
+            mMetrics.onUnsolicitedBytes();
+            mLog.write(
+                    Part.SERVER,
+                    "Closed an idle connection on which bytes arrived",
+                    "server",
+                    mIncarnationId);
+        }
+
+        @Override
+        public void onSkippedResponse(String requestId, String responseId, int status) {
+            mMetrics.onSkippedResponse();
+            mLog.write(
+                    Part.SERVER,
+                    "Skipped a response without the id of the request",
+                    "server",
+                    mIncarnationId,
+                    "id",
+                    requestId,
+                    "response_id",
+                    responseId,
+                    "status",
+                    status);
+        }
     }
 
     /** Returns the upstream of an incarnation, or null if there is none. */
