--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -69,17 +69,19 @@
 
     private final EventLoopGroup mGroup;
     private final int mMaxReplyBytes;
+    private final PeerKind mPeerKind;
     private final Map<Address, Queue<ClientConnection>> mIdleConnections =
             new ConcurrentHashMap<>();
 
-    private HttpClient(EventLoopGroup group, int maxReplyBytes) {
+    private HttpClient(EventLoopGroup group, int maxReplyBytes, PeerKind peerKind) {
         mGroup = checkNotNull(group);
         mMaxReplyBytes = maxReplyBytes;
+        mPeerKind = checkNotNull(peerKind);
     }
 
-    /** Returns a client whose connections run on {@code group}. */
+    /** Returns a client for daemons and the store whose connections run on {@code group}. */
     public static HttpClient create(EventLoopGroup group) {
-        return create(group, DEFAULT_MAX_REPLY_BYTES);
+        return create(group, DEFAULT_MAX_REPLY_BYTES, PeerKind.DAEMON_OR_STORE);
     }
 
     /**
@@ -87,8 +89,8 @@
      *
      * @param maxReplyBytes limit of the body of a reply; a call with a longer one fails
      */
-    public static HttpClient create(EventLoopGroup group, int maxReplyBytes) {
-        return new HttpClient(group, maxReplyBytes);
+    public static HttpClient create(EventLoopGroup group, int maxReplyBytes, PeerKind peerKind) {
+        return new HttpClient(group, maxReplyBytes, peerKind);
     }
 
     /**
@@ -128,12 +130,28 @@
                 : CompletableFuture.failedFuture(error);
     }
 
+    /**
+     * Sends a request as {@link #call} does, on a connection that has carried no other call, so
+     * that the response can't belong to one. The idle connections to the address are given up
+     * first, so that nothing sent on them arrives later.
+     */
+    public CompletableFuture<HttpReply> callAfterIdleConnections(
+            Address address, HttpCall call, Duration timeout) {
+        Optional<ClientConnection> idle = pollIdle(address);
+        while (idle.isPresent()) {
+            idle.get().giveUp();
+            idle = pollIdle(address);
+        }
+        return callOnNewConnection(address, call, timeout);
+    }
+
     private CompletableFuture<HttpReply> callOnNewConnection(
             Address address, HttpCall call, Duration timeout) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
         HttpObjectAggregator aggregator = new HttpObjectAggregator(mMaxReplyBytes);
         aggregator.setMaxCumulationBufferComponents(MAX_BODY_PARTS);
-        ClientConnection connection = new ClientConnection(mMaxReplyBytes, this::offerIdle);
+        ClientConnection connection =
+                new ClientConnection(mMaxReplyBytes, mPeerKind, this::offerIdle);
         ChannelFuture connecting =
                 connect(
                         address,
@@ -207,22 +225,27 @@
     }
 
     /**
-     * One connection, which carries one request at a time. {@code isActive}, {@code close} and
-     * {@code send} are thread-safe; the fields except {@code mChannel} are confined to the event
-     * loop of the channel.
+     * One connection, which carries one request at a time. {@code isActive}, {@code close}, {@code
+     * giveUp} and {@code send} are thread-safe; the fields except {@code mChannel} are confined to
+     * the event loop of the channel.
      */
     private static final class ClientConnection
             extends SimpleChannelInboundHandler<FullHttpResponse>
             implements ReceiveLimiter.Listener {
         private final ReceiveLimiter mLimiter;
+        private final PeerKind mPeerKind;
         private final BiConsumer<Address, ClientConnection> mOnIdle;
         private volatile Channel mChannel;
         private Address mAddress;
         private CompletableFuture<HttpReply> mPendingReply;
         private ScheduledFuture<?> mTimeout;
 
-        ClientConnection(int maxReplyBytes, BiConsumer<Address, ClientConnection> onIdle) {
+        ClientConnection(
+                int maxReplyBytes,
+                PeerKind peerKind,
+                BiConsumer<Address, ClientConnection> onIdle) {
             mLimiter = new ReceiveLimiter((long) maxReplyBytes + MAX_FRAMING_BYTES, this);
+            mPeerKind = peerKind;
             mOnIdle = onIdle;
         }
 
@@ -238,6 +261,15 @@
             mChannel.close();
         }
 
+        /** Closes the connection without waiting for what was sent on it. */
+        void giveUp() {
+            if (mChannel.eventLoop().inEventLoop()) {
+                mPeerKind.giveUp(mChannel);
+            } else {
+                mChannel.eventLoop().execute(() -> mPeerKind.giveUp(mChannel));
+            }
+        }
+
         void send(
                 Address address,
                 HttpCall call,
@@ -298,13 +330,15 @@
                             headers.buildKeepingLast(),
                             ByteBufUtil.getBytes(response.content()));
             CompletableFuture<HttpReply> future = mPendingReply;
-            if (future == null || !HttpUtil.isKeepAlive(response)) {
+            boolean reusable =
+                    HttpUtil.isKeepAlive(response) && mPeerKind.isReusableAfter(reply.status());
+            if (future == null || !reusable) {
                 context.close();
             }
             if (future != null) {
                 mPendingReply = null;
                 mTimeout.cancel(false);
-                if (HttpUtil.isKeepAlive(response)) {
+                if (reusable) {
                     mOnIdle.accept(mAddress, this);
                 }
                 future.complete(reply);
@@ -336,7 +370,7 @@
         }
 
         private void fail(Throwable cause) {
-            mChannel.close();
+            giveUp();
             CompletableFuture<HttpReply> future = mPendingReply;
             mPendingReply = null;
             if (future != null) {
