Keep the hold of a former holder that owns the range again

Callers: none seen.

Cause: a table can give keys back to a server that is also listed among their former holders. RangeCoordinator.createLease took what the last term knew of a server from the lease of which it is the owner, and that lease knew no grant. If the server was lost before its first grant, its hold under the previous coordinator counted as ended at once.

Evidence: the new test of RangeCoordinatorTest failed before with "expected not to contain: c but was: [c, c]".

Change: the hold of a former holder that owns the range again is inherited by the lease of the owner. The owner no longer has to release the keys that it is granted next.

Result: RangeCoordinatorTest and RangeHistoryTest pass.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -392,7 +392,12 @@
                             .flatMap(l -> l.holdOf(incarnationId, nowNanos).stream())
                             .reduce(Lease.Hold::max)
                             .orElse(formerHold(incarnationId, assignment.range(), nowNanos));
-            created.addHolder(incarnationId, hold);
+            // The owner need not wait for its own hold, but the next owner must know of it.
+            if (incarnationId.equals(assignment.owner())) {
+                created.inheritHold(hold);
+            } else {
+                created.addHolder(incarnationId, hold);
+            }
         }
         return created;
     }
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -202,6 +202,29 @@
         assertThat(mCalls.grantedOwners()).contains("b");
     }
 
+    /**
+     * A table gives the keys back to a former holder, which is then lost before it gets a grant.
+     * Its hold under the previous coordinator counted as none, and the next owner did not wait.
+     */
+    @Test
+    void tick_formerHolderOwnsAgainAndIsLost_nextOwnerWaitsForItsHold() {
+        setServers("a");
+        mCoordinator.start(Optional.of(MOVING), 0, 0);
+        mCoordinator.tick(0);
+        mCoordinator.onWritten(new StoreVersion(0, 10), 0);
+        setServers("c");
+        mCoordinator.tick(MILLI);
+        mCoordinator.onWritten(new StoreVersion(0, 11), 2 * MILLI);
+        mCoordinator.tick(3 * MILLI);
+        mCoordinator.onTerminated("b");
+
+        mCoordinator.tick(10_500 * MILLI);
+        assertThat(mCalls.grantedOwners()).doesNotContain("c");
+
+        mCoordinator.tick(10_700 * MILLI);
+        assertThat(mCalls.grantedOwners()).contains("c");
+    }
+
     /**
      * A coordinator that saw the move start under another coordinator must not wait for the full
      * hold again.
