Model grants that are executed late

Change: one grant at a time may be without an answer and be executed at any later step, unless its server has accepted a grant of a later term. A release ends a hold only if no such grant can start it again. NoFormerLateGrant switches this off for grants of former coordinators and must find two holders; LateGrants must find none; FencedMoveAfterTakeover shows that a move needs no wait after a grant of the new term. The commands without late grants leave the new rule off. With it on, NoEpochOfWrite found no two holders, because the wait hid the fault that it seeds.

--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeModelTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeModelTest.java
@@ -24,7 +24,7 @@
     @Test
     void commands_areTheExpectedOnes() {
         assertThat(MODEL.commandsThatExpect(false))
-                .containsExactly("OneHolder", "OneHolderDeep", "LateWriteAfterMove");
+                .containsExactly("OneHolder", "OneHolderDeep", "LateWriteAfterMove", "LateGrants");
         assertThat(MODEL.commandsThatExpect(true))
                 .containsExactly(
                         "Move",
@@ -38,7 +38,9 @@
                         "NoRestoreWait",
                         "NoUnnamedHolder",
                         "NoEpochOfAnswer",
-                        "NoEpochOfWrite");
+                        "NoEpochOfWrite",
+                        "NoFormerLateGrant",
+                        "FencedMoveAfterTakeover");
     }
 
     @Test
--- a/decisions/src/test/resources/key-ranges.als
+++ b/decisions/src/test/resources/key-ranges.als
@@ -40,6 +40,14 @@
   var former: set Server
 }
 
+// A grant without an answer that its server may still execute, unless it has seen a higher fence.
+one sig LateGrant {
+  var to: lone Server,
+  var end: lone Instant,
+  // Whether a former coordinator sent it.
+  var ofFormerTerm: lone Yes
+}
+
 // The state that the coordinator acts on. It learns of its own write some time after the store
 // accepted it.
 one sig View {
@@ -47,6 +55,10 @@
   var former: set Server,
   // The latest end of the grants sent to each server in this term.
   var grantEnd: Server -> lone Instant,
+  // The servers that got a grant of this term without an answer.
+  var unanswered: set Server,
+  // The servers that accepted a grant of this term, so that they refuse those of earlier terms.
+  var accepted: set Server,
   // Upper bound of the ends of all grants of former coordinators.
   var formerGrantsBound: one Instant,
   // Whether the store accepted a write of which the coordinator has not learned yet.
@@ -62,11 +74,12 @@
 
 // Each of these switches off one rule.
 lone sig InheritedHoldOff, ConfirmationOff, WaitOff, FormerHolderOff,
-  RestoreWaitOff, UnnamedHolderOff, EpochOfAnswerOff, EpochOfWriteOff {}
+  RestoreWaitOff, UnnamedHolderOff, EpochOfAnswerOff, EpochOfWriteOff, FormerLateGrantOff {}
 
 fun switchedOff: univ {
   InheritedHoldOff + ConfirmationOff + WaitOff + FormerHolderOff
     + RestoreWaitOff + UnnamedHolderOff + EpochOfAnswerOff + EpochOfWriteOff
+    + FormerLateGrantOff
 }
 
 pred allRulesOn { no switchedOff }
@@ -89,6 +102,8 @@
   no Table.former and no View.former and View.owner = Table.owner
   no View.grantEnd and View.formerGrantsBound = first
   no Observer.noGrantsFrom
+  no LateGrant.to and no LateGrant.end and no LateGrant.ofFormerTerm
+  no View.unanswered and no View.accepted
   Backup.owner = Table.owner and no Backup.former
   no LostWrite.owner and no LostWrite.former
   no ofLostEpoch and no writeAccepted and no lostWriteAccepted and no blockedUntil
@@ -113,8 +128,16 @@
 
 pred viewUnchanged { View.owner' = View.owner and View.former' = View.former }
 
+pred lateGrantUnchanged {
+  LateGrant.to' = LateGrant.to and LateGrant.end' = LateGrant.end
+  LateGrant.ofFormerTerm' = LateGrant.ofFormerTerm
+}
+
+pred lateGrantGone { no LateGrant.to' and no LateGrant.end' and no LateGrant.ofFormerTerm' }
+
 pred termUnchanged {
-  View.grantEnd' = View.grantEnd
+  lateGrantUnchanged
+  View.grantEnd' = View.grantEnd and unanswered' = unanswered and accepted' = accepted
   View.formerGrantsBound' = View.formerGrantsBound
 }
 
@@ -132,6 +155,33 @@
     View.grantEnd' = View.grantEnd ++ View.owner -> laterOf[View.owner.(View.grantEnd), end]
   }
   View.formerGrantsBound' = View.formerGrantsBound
+  View.accepted' = View.accepted + View.owner and unanswered' = unanswered
+  (LateGrant.to = View.owner and some LateGrant.ofFormerTerm)
+    implies lateGrantGone
+    else lateGrantUnchanged
+  Clock.now' = Clock.now and tableUnchanged and viewUnchanged and noGrantsFrom' = noGrantsFrom
+  epochUnchanged
+}
+
+// The coordinator gets no answer to a grant, which the owner may execute at a later step.
+pred grantWithoutAnswer {
+  no View.former and no View.blockedUntil and no LateGrant.to
+  LateGrant.to' = View.owner and no LateGrant.ofFormerTerm'
+  LateGrant.end' in shortHold[Clock.now] + longHold[Clock.now] and some LateGrant.end'
+  View.grantEnd' =
+    View.grantEnd ++ View.owner -> laterOf[View.owner.(View.grantEnd), LateGrant.end']
+  View.unanswered' = View.unanswered + View.owner and accepted' = accepted
+  View.formerGrantsBound' = View.formerGrantsBound and holdEnd' = holdEnd
+  Clock.now' = Clock.now and tableUnchanged and viewUnchanged and noGrantsFrom' = noGrantsFrom
+  epochUnchanged
+}
+
+pred executeLateGrant {
+  some LateGrant.to
+  holdEnd' = holdEnd ++ LateGrant.to -> laterOf[LateGrant.to.holdEnd, LateGrant.end]
+  lateGrantGone
+  View.grantEnd' = View.grantEnd and unanswered' = unanswered and accepted' = accepted
+  View.formerGrantsBound' = View.formerGrantsBound
   Clock.now' = Clock.now and tableUnchanged and viewUnchanged and noGrantsFrom' = noGrantsFrom
   epochUnchanged
 }
@@ -180,13 +230,20 @@
   Observer.noGrantsFrom' = Observer.noGrantsFrom - s -> Instant
 }
 
+// A release ends a hold only if no grant without an answer can start it again.
 pred release {
   some s: View.former {
+    lateGrantsEnded[s]
     holdEnd' = holdEnd - s -> Instant
     removeFormer[s]
   }
 }
 
+pred lateGrantsEnded[s: Server] {
+  s in View.accepted or formerGrantsEnded[s] or some FormerLateGrantOff
+  s not in View.unanswered or termGrantsEnded[s]
+}
+
 pred formerGrantsEnded[s: Server] {
   gte[Clock.now, View.formerGrantsBound]
   or (some s.(Observer.noGrantsFrom) and gte[Clock.now, longHold[s.(Observer.noGrantsFrom)]])
@@ -211,6 +268,9 @@
 pred takeover {
   View.owner' = Table.owner and View.former' = Table.former
   no View.grantEnd' and View.formerGrantsBound' = longHold[Clock.now]
+  no View.unanswered' and no View.accepted'
+  LateGrant.to' = LateGrant.to and LateGrant.end' = LateGrant.end
+  some LateGrant.to implies LateGrant.ofFormerTerm' = Yes else no LateGrant.ofFormerTerm'
   holdEnd' = holdEnd and Clock.now' = Clock.now and tableUnchanged and noGrantsFrom' = noGrantsFrom
   no writeAccepted' and no lostWriteAccepted' and lostUnchanged
   some Table.ofLostEpoch
@@ -303,23 +363,49 @@
 fact trace {
   init
   always (tick or grant or write or learnOfWrite or release or expire or takeover or stutter
-    or backup or restore or learnOfLostWrite or lateWrite or claim or adopt)
+    or backup or restore or learnOfLostWrite or lateWrite or claim or adopt
+    or grantWithoutAnswer or executeLateGrant)
 }
 
 pred twoHolders { not lone s: Server | holdsRange[s] }
 
-assert oneHolder { allRulesOn implies always not twoHolders }
+// Runs without late grants need no rule for them. It is off there, as it would hide other faults.
+pred noLateGrants[off: univ] {
+  always not grantWithoutAnswer
+  some FormerLateGrantOff and switchedOff = off + FormerLateGrantOff
+}
+
+pred noRestores { always not (backup or restore) }
+
+assert oneHolder { noLateGrants[none] implies always not twoHolders }
 
 OneHolder: check oneHolder for 3 but 8 steps, 4 Instant expect 0
 OneHolderDeep: check oneHolder for 2 but 9 steps, 4 Instant expect 0
 
+LateGrants: check {
+  allRulesOn and noRestores implies always not twoHolders
+} for 2 but 9 steps, 3 Instant expect 0
+
+// A grant of a former coordinator is executed after a release.
+NoFormerLateGrant: run {
+  onlyOff[FormerLateGrantOff] and noRestores
+  eventually twoHolders
+} for 2 but 8 steps, 3 Instant expect 1
+
+// After a grant of the new term a release ends the hold at once.
+FencedMoveAfterTakeover: run {
+  allRulesOn and noRestores and always not tick
+  grantWithoutAnswer ; takeover ; grant ; write ; learnOfWrite ; release ; grant
+  some disj a, b: Server | eventually (holdsRange[a] and eventually holdsRange[b])
+} for 2 but 9 steps, 3 Instant expect 1
+
 Move: run {
-  allRulesOn and always not (backup or restore)
+  noLateGrants[none] and noRestores
   some disj a, b: Server | eventually (holdsRange[a] and eventually holdsRange[b])
 } for 2 but 8 steps, 4 Instant expect 1
 
 MoveAfterTakeover: run {
-  allRulesOn and always not (backup or restore)
+  noLateGrants[none] and noRestores
   some disj a, b: Server |
     eventually (holdsRange[a]
       and eventually (takeover and eventually (expire and eventually holdsRange[b])))
@@ -327,55 +413,55 @@
 
 // The owner still has a hold from a longer grant of the previous coordinator.
 NoInheritedHold: run {
-  onlyOff[InheritedHoldOff] and always not (backup or restore)
+  some InheritedHoldOff and noLateGrants[InheritedHoldOff] and noRestores
   eventually twoHolders
 } for 2 but 9 steps, 3 Instant expect 1
 
 // The writer has not learned of its own write and renews the grant of the former owner.
 NoConfirmation: run {
-  onlyOff[ConfirmationOff] and always not (backup or restore)
+  some ConfirmationOff and noLateGrants[ConfirmationOff] and noRestores
   eventually twoHolders
 } for 2 but 8 steps, 4 Instant expect 1
 
 NoWait: run {
-  onlyOff[WaitOff] and always not (backup or restore)
+  some WaitOff and noLateGrants[WaitOff] and noRestores
   eventually twoHolders
 } for 2 but 7 steps, 4 Instant expect 1
 
 NoFormerHolder: run {
-  onlyOff[FormerHolderOff] and always not (backup or restore)
+  some FormerHolderOff and noLateGrants[FormerHolderOff] and noRestores
   eventually twoHolders
 } for 2 but 7 steps, 4 Instant expect 1
 
 MoveAfterRestore: run {
-  allRulesOn
+  noLateGrants[none]
   grant ; restore ; takeover ; tick ; tick ; adopt ; write ; learnOfWrite ; release ; grant
   some disj a, b: Server | eventually (holdsRange[a] and eventually holdsRange[b])
 } for 2 but 12 steps, 4 Instant expect 1
 
 ContinueAfterRestore: run {
-  allRulesOn
+  noLateGrants[none]
   write ; learnOfWrite ; release ; grant ; restore ; claim ; grant
   eventually (claim and some s: Server | holdsRange[s] and s not in Backup.owner)
 } for 2 but 9 steps, 3 Instant expect 1
 
 // The restored table does not name the holder, and the next coordinator grants from it at once.
 NoRestoreWait: run {
-  onlyOff[RestoreWaitOff]
+  some RestoreWaitOff and noLateGrants[RestoreWaitOff]
   write ; learnOfWrite ; release ; grant
   eventually twoHolders
 } for 2 but 9 steps, 3 Instant expect 1
 
 // The next coordinator waits for the holds of the servers that the restored table names only.
 NoUnnamedHolder: run {
-  onlyOff[UnnamedHolderOff]
+  some UnnamedHolderOff and noLateGrants[UnnamedHolderOff]
   write ; learnOfWrite ; release ; grant
   eventually twoHolders
 } for 2 but 9 steps, 3 Instant expect 1
 
 // A coordinator that went on takes the answer of a lost write for one of the restored store.
 NoEpochOfAnswer: run {
-  onlyOff[EpochOfAnswerOff]
+  some EpochOfAnswerOff and noLateGrants[EpochOfAnswerOff]
   write ; restore ; claim
   eventually twoHolders
 } for 2 but 9 steps, 3 Instant expect 1
@@ -384,11 +470,11 @@
 pred lateWriteAfterMove { restore ; claim ; write ; learnOfWrite ; release ; grant ; lateWrite }
 
 LateWriteAfterMove: check {
-  allRulesOn and lateWriteAfterMove implies always not twoHolders
+  noLateGrants[none] and lateWriteAfterMove implies always not twoHolders
 } for 3 but 11 steps, 3 Instant expect 0
 
 // A late write of the lost history counts as a table of the restored store.
 NoEpochOfWrite: run {
-  onlyOff[EpochOfWriteOff]
+  some EpochOfWriteOff and noLateGrants[EpochOfWriteOff]
   lateWriteAfterMove and eventually twoHolders
 } for 3 but 11 steps, 2 Instant expect 1
