Count the hold of an unanswered grant from its latest arrival

For links without loss it is a tightening.

Cause: a hold counts from the arrival of the grant, which RangeCoordinator.latestHoldEnd put at 0.3 s after its sending at the latest. Packets that are lost are sent again after 0.2 s, 0.6 s and so on until the call is given up, then after 0.8 s. Two servers may so hold a key for 0.5 s.

Change: a grant without an answer arrives 0.3 s after it was given up at the latest, an answered one before its answer. The time limit is one constant, RangeCoordinator.GRANT_TIME_LIMIT_NANOS, also for the client. It is 0.5 s instead of 0.8 s. A grant after one without an answer has a hold that is shorter by the limit, and the longest hold leaves the limit, so that the bound of 10.6 s stays. Keys of a silent server wait for up to 5 s instead of 4.5 s, or less if its last grant was answered; with the coordinator lost too 12.7 s instead of 12.1 s.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -20,8 +20,15 @@
     private boolean mGrantSent;
     private boolean mGrantInFlight;
     private long mNextGrantAt;
+
+    /** Time by which the holds of all grants with a known result have ended. */
     private long mHoldEnd;
 
+    /** Time by which the hold of the grant in flight has ended if no answer to it arrives. */
+    private long mInFlightHoldEnd;
+
+    private long mInFlightHoldNanos;
+
     /** Time until which a grant with the fence of this lease may take effect without an answer. */
     private long mLateGrantUntil;
 
@@ -45,7 +52,7 @@
         Lease lease = new Lease(part, nowNanos);
         lease.mGranted = mGranted;
         lease.mGrantSent = mGrantSent;
-        lease.mHoldEnd = mHoldEnd;
+        lease.mHoldEnd = holdEnd();
         lease.mLateGrantUntil = ownLateGrantUntil();
         lease.mLowerFenceUntil = mLowerFenceUntil;
         lease.mNextGrantAt = mNextGrantAt;
@@ -60,7 +67,7 @@
     Lease withNewFence(Assignment part, long nowNanos) {
         Lease lease = new Lease(part, nowNanos);
         lease.mGrantSent = mGrantSent;
-        lease.mHoldEnd = mHoldEnd;
+        lease.mHoldEnd = holdEnd();
         lease.mLowerFenceUntil = lateGrantUntil();
         lease.mHandover = handover();
         mHolders.forEach(
@@ -88,7 +95,11 @@
 
     /** Reports whether this or a former coordinator may have sent a grant to the owner. */
     boolean mayBeHeld() {
-        return mHoldEnd != 0;
+        return holdEnd() != 0;
+    }
+
+    private long holdEnd() {
+        return mGrantInFlight ? Math.max(mHoldEnd, mInFlightHoldEnd) : mHoldEnd;
     }
 
     /** Records a hold of the owner by grants of keys of the range with lower fences. */
@@ -110,7 +121,7 @@
     }
 
     private long ownLateGrantUntil() {
-        return mGrantInFlight ? Math.max(mLateGrantUntil, mHoldEnd) : mLateGrantUntil;
+        return mGrantInFlight ? Math.max(mLateGrantUntil, mInFlightHoldEnd) : mLateGrantUntil;
     }
 
     /**
@@ -133,28 +144,51 @@
         return mGranted ? Optional.empty() : mHandover;
     }
 
-    void onGrantSent(long holdEnd) {
+    /** Reports whether the last grant with a known result got no answer. */
+    boolean hasGrantFailed() {
+        return mGrantFailed;
+    }
+
+    /**
+     * Records a grant.
+     *
+     * @param holdNanos upper bound of its hold from the arrival of the call
+     * @param holdEnd time by which the hold has ended if no answer arrives
+     */
+    void onGrantSent(long holdNanos, long holdEnd) {
         mGrantInFlight = true;
         mGrantSent = true;
-        mHoldEnd = Math.max(mHoldEnd, holdEnd);
+        mInFlightHoldNanos = holdNanos;
+        mInFlightHoldEnd = holdEnd;
     }
 
-    void onGrantAccepted(long nextGrantAt) {
+    /** Records an answer at {@code nowNanos}, before which the grant arrived. */
+    void onGrantAccepted(long nowNanos, long nextGrantAt) {
+        if (mGrantInFlight) {
+            mHoldEnd = Math.max(mHoldEnd, nowNanos + mInFlightHoldNanos);
+        }
         mGrantInFlight = false;
         mGranted = true;
+        mGrantFailed = false;
         mLowerFenceUntil = 0;
         mNextGrantAt = nextGrantAt;
     }
 
     void onFenced() {
+        mHoldEnd = holdEnd();
         mGrantInFlight = false;
         mFenced = true;
     }
 
-    void onGrantUnknown(long nextGrantAt) {
+    /** Records a grant that was given up and arrives by {@code arrivesBy} if at all. */
+    void onGrantUnknown(long arrivesBy, long nextGrantAt) {
+        if (mGrantInFlight) {
+            long holdEnd = arrivesBy + mInFlightHoldNanos;
+            mHoldEnd = Math.max(mHoldEnd, holdEnd);
+            mLateGrantUntil = Math.max(mLateGrantUntil, holdEnd);
+        }
         mGrantInFlight = false;
         mGrantFailed = true;
-        mLateGrantUntil = mHoldEnd;
         mNextGrantAt = nextGrantAt;
     }
 
@@ -168,7 +202,7 @@
      */
     Optional<Hold> holdOf(String incarnationId) {
         if (mAssignment.owner().equals(incarnationId)) {
-            return Optional.of(new Hold(mHoldEnd, lateGrantUntil()));
+            return Optional.of(new Hold(holdEnd(), lateGrantUntil()));
         }
         return Optional.ofNullable(mHolders.get(incarnationId)).map(h -> h.mHold);
     }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -47,8 +47,14 @@
 
     private static final long RETRY_DELAY_NANOS = 300_000_000L;
 
-    /** Longest time in which a call reaches a server over a healthy link. */
-    private static final long MAX_DELIVERY_DELAY_NANOS = 300_000_000L;
+    /**
+     * Time after which a grant without an answer is given up. Until then packets that were lost are
+     * sent again, so that it may still reach the server.
+     */
+    public static final long GRANT_TIME_LIMIT_NANOS = 500_000_000L;
+
+    /** Longest time that a packet is on its way over a healthy link. */
+    private static final long MAX_TRANSIT_NANOS = 300_000_000L;
 
     /** Allows for clocks that run slow: 2% for the server, 1% for this daemon. */
     private static final double CLOCK_DRIFT_FACTOR = 1.03;
@@ -143,7 +149,15 @@
                 mStoreUnavailable
                         ? mConfirmedAt + MAX_HOLD_AFTER_CONFIRMATION_NANOS - nowNanos
                         : HOLD_NANOS;
-        return Math.min(hold, mMaxHoldNanos);
+        return Math.min(hold, longestHoldNanos());
+    }
+
+    /**
+     * Returns the longest hold that any coordinator grants. It leaves the time limit of the grant,
+     * so that no hold ends later than if the longest one were granted without a delay.
+     */
+    private long longestHoldNanos() {
+        return mMaxHoldNanos - GRANT_TIME_LIMIT_NANOS;
     }
 
     /** Sets the epoch of the store that this daemon saw first. */
@@ -408,17 +422,26 @@
      */
     private Lease.Hold formerHold(String incarnationId, KeyRange range, long nowNanos) {
         long lastGrant = mFormerHolders.noGrantsSince(incarnationId, range).orElse(nowNanos);
-        long end = Math.min(formerHoldEnd(nowNanos), latestHoldEnd(lastGrant, mMaxHoldNanos));
+        long end = Math.min(formerHoldEnd(nowNanos), latestHoldEnd(lastGrant, longestHoldNanos()));
         return Lease.Hold.withLateGrants(end);
     }
 
     /** Returns the time by which all grants of former coordinators have ended. */
     private long formerHoldEnd(long nowNanos) {
-        return Math.min(latestHoldEnd(nowNanos, mMaxHoldNanos), mFormerHoldEnd);
+        return Math.min(latestHoldEnd(nowNanos, longestHoldNanos()), mFormerHoldEnd);
     }
 
+    /** Returns the time by which the hold of a grant has ended that may have got no answer. */
     private static long latestHoldEnd(long sentNanos, long holdNanos) {
-        return sentNanos + (long) (holdNanos * CLOCK_DRIFT_FACTOR) + MAX_DELIVERY_DELAY_NANOS;
+        return sentNanos
+                + GRANT_TIME_LIMIT_NANOS
+                + MAX_TRANSIT_NANOS
+                + maxHoldFromArrival(holdNanos);
+    }
+
+    /** Returns the longest time for which a server holds a range after a grant arrived. */
+    private static long maxHoldFromArrival(long holdNanos) {
+        return (long) (holdNanos * CLOCK_DRIFT_FACTOR);
     }
 
     private void sendDueCalls(Lease lease, long nowNanos) {
@@ -431,7 +454,11 @@
                 && !mTerminated.contains(assignment.owner())
                 && (lease.hasSentGrant() || isUnchangedByPendingWrite(assignment))) {
             long hold = holdNanos(nowNanos);
-            lease.onGrantSent(latestHoldEnd(nowNanos, hold));
+            if (lease.hasGrantFailed()) {
+                // The grants sent to a silent server must not put off the end of its hold.
+                hold -= GRANT_TIME_LIMIT_NANOS;
+            }
+            lease.onGrantSent(maxHoldFromArrival(hold), latestHoldEnd(nowNanos, hold));
             mCalls.grant(assignment, hold, lease.handover());
         }
     }
@@ -463,7 +490,8 @@
 
     /** Records that the owner accepted a grant. */
     public void onGranted(Assignment assignment, long nowNanos) {
-        findLease(assignment).ifPresent(l -> l.onGrantAccepted(nowNanos + RENEWAL_INTERVAL_NANOS));
+        findLease(assignment)
+                .ifPresent(l -> l.onGrantAccepted(nowNanos, nowNanos + RENEWAL_INTERVAL_NANOS));
     }
 
     /** Records that the owner rejected a grant because it has seen a higher fence. */
@@ -473,7 +501,12 @@
 
     /** Records that a grant got no answer. */
     public void onGrantUnknown(Assignment assignment, long nowNanos) {
-        findLease(assignment).ifPresent(l -> l.onGrantUnknown(nowNanos + RETRY_DELAY_NANOS));
+        findLease(assignment)
+                .ifPresent(
+                        l ->
+                                l.onGrantUnknown(
+                                        nowNanos + MAX_TRANSIT_NANOS,
+                                        nowNanos + RETRY_DELAY_NANOS));
     }
 
     /** Records that an incarnation has released a range and has no work on it any more. */
