Keep the former life of a restarted server as a holder

Cause: a server may start again under its id and its address, and Target-Instance names only the id. Until a daemon sees the new entry, it renews the grants of the former life, and the next life accepts them. When the entry came, the former life was recorded as terminated, and its keys were given on at once although the next life held them. A grant that was on its way, and an answer of the next life, had the same effect.

Evidence: tick_serverStartsAgainUnderItsIdAndAddress_... of RangeCoordinatorDriverTest failed before with "missing (1): a@1".

Change: an incarnation whose id and address both appear again is replaced, not terminated. It gets no grants, and its keys move after a release, which the next life answers, or after its hold. An id at another address or an address with another id remain a proof, because calls with the former id cannot be accepted there.

Open, in design.md: the next life still takes keys with the fence of the former one by a renewal before its entry is seen.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -88,6 +88,7 @@
     private final KeyLoad mLoad;
     private final Map<String, RangeServer> mServers = new LinkedHashMap<>();
     private final Set<String> mTerminated = new HashSet<>();
+    private final Set<String> mReplaced = new HashSet<>();
     private final Map<LeaseKey, Lease> mLeases = new HashMap<>();
     private RangeTable mTable;
     private final FormerHolders mFormerHolders;
@@ -273,6 +274,15 @@
         mTerminated.add(incarnationId);
     }
 
+    /**
+     * Records that a later incarnation with the same ID answers at the address of this one. It may
+     * have accepted grants that were meant for this one, which gets no more grants but counts as a
+     * holder until it has released its ranges.
+     */
+    public void onReplaced(String incarnationId) {
+        mReplaced.add(incarnationId);
+    }
+
     /** Sends the writes, releases and grants that are due. */
     public void tick(long nowNanos) {
         if (!mStarted) {
@@ -451,7 +461,7 @@
             mCalls.release(incarnationId, assignment.range(), assignment.fence());
         }
         if (lease.isGrantDue(nowNanos)
-                && !mTerminated.contains(assignment.owner())
+                && mayRun(assignment.owner())
                 && (lease.hasSentGrant() || isUnchangedByPendingWrite(assignment))) {
             long hold = holdNanos(nowNanos);
             if (lease.hasGrantFailed()) {
@@ -534,9 +544,7 @@
             return RangePlanner.divideEvenly(mServers.values());
         }
         List<RangeServer> servers =
-                mServers.values().stream()
-                        .filter(s -> !mTerminated.contains(s.incarnationId()))
-                        .toList();
+                mServers.values().stream().filter(s -> mayRun(s.incarnationId())).toList();
         mLoad.advance(nowNanos);
         RangePlanner planner = RangePlanner.create(servers, mLoad);
         if (mTable.assignments().stream().anyMatch(a -> !canOwnRanges(a.owner()))) {
@@ -580,7 +588,7 @@
      * ends its hold.
      */
     private boolean mustSeeNewFence(Assignment assignment, Lease lease, long nowNanos) {
-        if (!mServers.containsKey(assignment.owner()) || mTerminated.contains(assignment.owner())) {
+        if (!mServers.containsKey(assignment.owner()) || !mayRun(assignment.owner())) {
             return false;
         }
         return lease == null
@@ -598,7 +606,11 @@
 
     private boolean canOwnRanges(String incarnationId) {
         RangeServer server = mServers.get(incarnationId);
-        return server != null && server.acceptsRanges() && !mTerminated.contains(incarnationId);
+        return server != null && server.acceptsRanges() && mayRun(incarnationId);
+    }
+
+    private boolean mayRun(String incarnationId) {
+        return !mTerminated.contains(incarnationId) && !mReplaced.contains(incarnationId);
     }
 
     /** Returns all incarnations that may hold keys of the range, including the owner. */
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -407,6 +407,23 @@
         assertThat(mCalls.grantedRanges("b")).hasSize(2);
     }
 
+    /** A grant to the former life would let the next one take keys with the same fence. */
+    @Test
+    void tick_ownerIsReplaced_getsNoGrantAndItsReleaseIsWaitedFor() {
+        startGranted();
+        mCoordinator.onReplaced("a");
+        mCoordinator.tick(1_100 * MILLI);
+        mCoordinator.onWritten(new StoreVersion(1, 91), 1_110 * MILLI);
+        mCoordinator.tick(1_200 * MILLI);
+        assertThat(mCalls.grantedRanges("a")).isEmpty();
+        assertThat(mCalls.grantedRanges("b")).hasSize(1);
+
+        releaseAll("a");
+        mCoordinator.tick(1_300 * MILLI);
+
+        assertThat(mCalls.grantedRanges("b")).hasSize(2);
+    }
+
     /** Grants to a silent server must not put off the time at which its keys get an owner. */
     @Test
     void tick_grantIsSentAgainAfterFailure_holdIsShorterByTheTimeLimit() {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -339,7 +339,7 @@
     }
 
     private void recordEntry(ServerEntry entry, long now) {
-        recordTerminatedPredecessors(entry);
+        recordPredecessors(entry);
         if (!entry.service().equals(mService)) {
             return;
         }
@@ -350,15 +350,21 @@
     }
 
     /**
-     * Records the termination of earlier incarnations with the ID or the address of {@code entry}.
-     * An ID or an address is reused, by a server of any service, only after the previous
-     * incarnation has terminated.
+     * Records that earlier incarnations with the ID or the address of {@code entry} have terminated
+     * or were replaced. An ID or an address is reused, by a server of any service, only after the
+     * previous incarnation has terminated. An incarnation with both accepts the calls to the
+     * previous one.
      */
-    private void recordTerminatedPredecessors(ServerEntry entry) {
+    private void recordPredecessors(ServerEntry entry) {
         for (ServerEntry other : mKnownServers.values()) {
-            boolean sharesIdOrAddress =
-                    other.id().equals(entry.id()) || other.address().equals(entry.address());
-            if (sharesIdOrAddress && other.startMillis() < entry.startMillis()) {
+            if (other.startMillis() >= entry.startMillis()) {
+                continue;
+            }
+            boolean sharesId = other.id().equals(entry.id());
+            boolean sharesAddress = other.address().equals(entry.address());
+            if (sharesId && sharesAddress) {
+                mCoordinator.onReplaced(other.incarnationId());
+            } else if (sharesId || sharesAddress) {
                 mCoordinator.onTerminated(other.incarnationId());
             }
         }
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -29,9 +29,14 @@
         return JsonNodeFactory.instance.objectNode().put("port", port).put("leaving", leaving);
     }
 
+    /** Returns the spec of a server of {@link #SERVICE} that started later. */
+    static ObjectNode laterServerSpec(int port) {
+        return serverSpec(port, false).put("born", 2);
+    }
+
     /** Returns the spec of a server of another service that started later. */
     static ObjectNode laterServerSpecOfOtherService(int port) {
-        return serverSpec(port, false).put("service", "other").put("born", 2);
+        return laterServerSpec(port).put("service", "other");
     }
 
     @Override
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -339,4 +339,41 @@
 
         assertThat(owners()).containsExactly("b@1");
     }
+
+    /**
+     * A server that starts again under its ID and address accepts renewals that were meant for its
+     * former life, so keys of that life must not move before the server has released them.
+     */
+    @Test
+    void tick_serverStartsAgainUnderItsIdAndAddress_formerLifeCountsAsHolder() {
+        RangeCoordinatorDriver driver = startDriver();
+        mFixture.control().stopAnswering("a");
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.laterServerSpec(A_PORT));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+
+        run(driver, 1_500);
+
+        assertThat(formerHolders()).containsExactly("a@1");
+    }
+
+    /** The release by the next life ends the wait. */
+    @Test
+    void tick_serverStartsAgainAndAnswers_keysMoveBeforeHoldExpires() {
+        RangeCoordinatorDriver driver = startDriver();
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.laterServerSpec(A_PORT));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+
+        run(driver, 500);
+
+        assertThat(owners()).doesNotContain("a@1");
+        assertThat(formerHolders()).isEmpty();
+    }
+
+    private Set<String> formerHolders() {
+        Set<String> holders = new HashSet<>();
+        mStore.spec(StoreKind.RANGES, FakeWireFormat.SERVICE)
+                .path("ranges")
+                .forEach(r -> r.path("previous").forEach(p -> holders.add(p.asText())));
+        return holders;
+    }
 }
