Refuse requests that wait for a server once a daemon stops

A request that had arrived before a stop refuses new ones and waited for a server was passed on up to half of its goal later. Late in the grace period the server could not end it in time, and the caller of a request that may not be repeated got 502 instead of a truthful 'not run'.

RequestsDuringStopTest sends requests through the grace period, on kept and on new connections.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -178,7 +178,10 @@
         mMaxEntryLagNanos = nanos;
     }
 
-    /** Rejects all requests that arrive from now on, since they might not end before the stop. */
+    /**
+     * Rejects all requests that arrive or wait from now on, since they might not end before the
+     * stop. Those that a server may have executed are still sent again.
+     */
     void beginStop() {
         mStopping = true;
     }
@@ -324,6 +327,10 @@
         if (exchange.isEnded()) {
             return;
         }
+        if (mStopping && !exchange.mayHaveRun()) {
+            fail(exchange, ResultCode.DRAINING, STOPPING_RETRY_AFTER_SECONDS);
+            return;
+        }
         long now = mClock.getAsLong();
         Optional<Upstream> target =
                 now < exchange.earliestSendNanos()
