Keep the idle connections to a server over a release

The reset of idle connections before a release made the renewals that follow need new connections. A server at its limit refuses those, and four refusals without an answer in between count as its end, after which its keys are given on while it works. Renewals over kept connections are such answers. What the reset guarded against needs a repeated response and a grant held up in transit at the same time (docs/incidents/two-owners.md).

The reset of a call that is given up stays.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -132,20 +132,9 @@
 
     /**
      * Sends a request as {@link #call} does, on a connection that has carried no other call, so
-     * that the response can't belong to one. The idle connections to the address are given up
-     * first, so that nothing sent on them arrives later.
+     * that the response can't belong to one.
      */
-    public CompletableFuture<HttpReply> callAfterIdleConnections(
-            Address address, HttpCall call, Duration timeout) {
-        Optional<ClientConnection> idle = pollIdle(address);
-        while (idle.isPresent()) {
-            idle.get().giveUp();
-            idle = pollIdle(address);
-        }
-        return callOnNewConnection(address, call, timeout);
-    }
-
-    private CompletableFuture<HttpReply> callOnNewConnection(
+    public CompletableFuture<HttpReply> callOnNewConnection(
             Address address, HttpCall call, Duration timeout) {
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
         HttpObjectAggregator aggregator = new HttpObjectAggregator(mMaxReplyBytes);
@@ -261,15 +250,6 @@
             mChannel.close();
         }
 
-        /** Closes the connection without waiting for what was sent on it. */
-        void giveUp() {
-            if (mChannel.eventLoop().inEventLoop()) {
-                mPeerKind.giveUp(mChannel);
-            } else {
-                mChannel.eventLoop().execute(() -> mPeerKind.giveUp(mChannel));
-            }
-        }
-
         void send(
                 Address address,
                 HttpCall call,
@@ -370,7 +350,7 @@
         }
 
         private void fail(Throwable cause) {
-            giveUp();
+            mPeerKind.giveUp(mChannel);
             CompletableFuture<HttpReply> future = mPendingReply;
             mPendingReply = null;
             if (future != null) {
--- a/entry/src/main/java/org/geraniumusher/http/PeerKind.java
+++ b/entry/src/main/java/org/geraniumusher/http/PeerKind.java
@@ -22,7 +22,7 @@
      * May send a reply a second time, in place of the one to the next call of the connection, and
      * replies bear no ID that would tell. A connection is reused only after status 200, so that a
      * refusal is never that of an earlier call. A call for which status 200 proves something is
-     * sent with {@link HttpClient#callAfterIdleConnections}.
+     * sent with {@link HttpClient#callOnNewConnection}.
      *
      * <p>A call that was given up must not be carried out later. Its connection is reset, since the
      * kernel goes on delivering what was sent on one that is closed in order.
