Forget since when a former holder gets no grants once its fence has changed

A daemon that misses tables kept the time since which a former holder is known to get no grants, although the holder had owned the range again in a table in between.

Each change of the owner has a fence of its own, so an entry now holds for one fence. A takeover after a table with new fences waits from that table on, which is longer by the time between both.

Failed before: FormerHoldersTest .noGrantsSince_tableInWhichHolderOwnedAgainWasMissed_isReset and RangeCoordinatorTest.tick_tablesInWhichHolderOwnedAgainWereMissed_...; both pass, with the range histories, coordinator and election tests.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/FormerHolders.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/FormerHolders.java
@@ -18,17 +18,19 @@
  * <p>Invariant: a time is recorded only when the writer of the table is known to act on it. Until a
  * coordinator learns that its write was accepted, it renews the grants of the previous table. It
  * has learned so once it sends the table to the daemons or builds a later table of the same epoch
- * on it. Times are in nanoseconds. Not thread-safe.
+ * on it. A range with another fence starts anew: in a table that this daemon missed, the former
+ * holder may have owned it again. Times are in nanoseconds. Not thread-safe.
  */
 public final class FormerHolders {
     private final Map<String, List<Entry>> mEntries = new HashMap<>();
     private StoreVersion mVersion = StoreVersion.NONE;
 
     /**
-     * The range of a former holder, the version of the first table with it, and the time from which
-     * on it receives no grants if that is known.
+     * The range of a former holder, the fence of its present owner, the version of the first table
+     * with both, and the time from which on the holder receives no grants if that is known.
      */
-    private record Entry(KeyRange range, StoreVersion version, OptionalLong noGrantsSince) {}
+    private record Entry(
+            KeyRange range, long fence, StoreVersion version, OptionalLong noGrantsSince) {}
 
     private FormerHolders() {}
 
@@ -59,7 +61,7 @@
                     // A former holder that owns the range again receives grants again.
                     continue;
                 }
-                Entry entry = updateEntry(incarnationId, assignment.range(), fromWriter, nowNanos);
+                Entry entry = updateEntry(incarnationId, assignment, fromWriter, nowNanos);
                 updated.computeIfAbsent(incarnationId, id -> new ArrayList<>()).add(entry);
             }
         }
@@ -68,19 +70,20 @@
     }
 
     private Entry updateEntry(
-            String incarnationId, KeyRange range, boolean fromWriter, long nowNanos) {
+            String incarnationId, Assignment assignment, boolean fromWriter, long nowNanos) {
+        KeyRange range = assignment.range();
         Entry previous = find(incarnationId, range);
-        if (previous == null) {
+        if (previous == null || previous.fence() != assignment.fence()) {
             OptionalLong noGrantsSince =
                     fromWriter ? OptionalLong.of(nowNanos) : OptionalLong.empty();
-            return new Entry(range, mVersion, noGrantsSince);
+            return new Entry(range, assignment.fence(), mVersion, noGrantsSince);
         }
         boolean confirmed = fromWriter || mVersion.isAfter(previous.version());
         OptionalLong noGrantsSince =
                 previous.noGrantsSince().isPresent() || !confirmed
                         ? previous.noGrantsSince()
                         : OptionalLong.of(nowNanos);
-        return new Entry(range, previous.version(), noGrantsSince);
+        return new Entry(range, previous.fence(), previous.version(), noGrantsSince);
     }
 
     /**
--- a/decisions/src/test/java/org/geraniumusher/keyrange/FormerHoldersTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/FormerHoldersTest.java
@@ -115,4 +115,19 @@
 
         assertThat(mHolders.noGrantsSince("a", KeyRange.ALL)).isEqualTo(OptionalLong.of(10));
     }
+
+    /**
+     * This daemon missed the table in between, in which a owned the range again and was granted it.
+     * Each change of the owner has a fence of its own, which shows that a table was missed.
+     */
+    @Test
+    void noGrantsSince_tableInWhichHolderOwnedAgainWasMissed_isReset() {
+        Assignment first = new Assignment(KeyRange.ALL, "b", 5, ImmutableList.of("a"));
+        Assignment third = new Assignment(KeyRange.ALL, "c", 7, ImmutableList.of("a", "b"));
+        mHolders.onTable(table(5, first), true, 10);
+        // Missed: revision 6, the range is owned by a, with fence 6 and the former holder b.
+        mHolders.onTable(table(7, third), true, 30);
+
+        assertThat(mHolders.noGrantsSince("a", KeyRange.ALL)).isNotEqualTo(OptionalLong.of(10));
+    }
 }
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -597,4 +597,29 @@
         mCoordinator.tick(1_500 * MILLI);
         assertThat(mCalls.grantedOwners()).containsExactly("b", "b", "b", "b");
     }
+
+    /**
+     * This daemon saw a lose the keys, was paused for a minute in which a got them back, and saw a
+     * lose them again. The coordinator then resigns, so that this daemon takes over at once. The
+     * former coordinator has granted a the keys up to the last table.
+     */
+    @Test
+    void tick_tablesInWhichHolderOwnedAgainWereMissed_itsHoldIsWaitedFor() {
+        mFormerHolders.onTable(MOVING, true, 0);
+        long now = 60_000 * MILLI;
+        RangeTable last =
+                RangeTable.of(
+                        new StoreVersion(0, 9),
+                        ImmutableList.of(
+                                new Assignment(KeyRange.ALL, "c", 9, ImmutableList.of("a"))));
+        mFormerHolders.onTable(last, true, now);
+        setServers("a", "b", "c");
+
+        mCoordinator.start(Optional.of(last), now, now);
+        mCoordinator.tick(now);
+        mCoordinator.onWritten(new StoreVersion(0, 10), now);
+        mCoordinator.tick(now + 2_000 * MILLI);
+
+        assertThat(mCalls.grantedOwners()).doesNotContain("c");
+    }
 }
