Count the connect and the wait for the event loop in the time limit of a call

The bound of the hold of a grant without an answer counts from the decision and allows for the time limit of the call.

The limit of a call now counts from the call itself, and a request whose time has passed is not sent.

Failed before: PlatformServerControlTest .grant_sentLaterThanItsTimeLimit_isNotDelivered (the grant was delivered and answered). It passes now, with the rest of the class, HttpClientTest, EntryPathTest and RelayTest.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.netty.util.concurrent.Ticker;
 
 import org.geraniumusher.model.Address;
 
@@ -97,9 +98,9 @@
      * Sends a request and returns its response.
      *
      * <p>The future fails with an {@link IOException} on a connection error, and with a {@link
-     * TimeoutException} if no response arrives within {@code timeout} of sending the request. The
-     * time to connect, at most one second, comes on top. A GET whose pooled connection fails is
-     * sent once more on a new connection, with {@code timeout} starting over.
+     * TimeoutException} if no response arrives within {@code timeout} of this call, in which the
+     * time to connect counts. A request is not sent after that time. A GET whose pooled connection
+     * fails is sent once more on a new connection, with {@code timeout} starting over.
      */
     public CompletableFuture<HttpReply> call(Address address, HttpCall call, Duration timeout) {
         Optional<ClientConnection> idle = pollIdle(address);
@@ -107,7 +108,7 @@
             return callOnNewConnection(address, call, timeout);
         }
         CompletableFuture<HttpReply> future = new CompletableFuture<>();
-        idle.get().send(address, call, timeout, future);
+        idle.get().send(address, call, limit(timeout), future);
         return call.method().equals("GET")
                 ? future.handle(
                                 (reply, error) ->
@@ -141,6 +142,7 @@
         aggregator.setMaxCumulationBufferComponents(MAX_BODY_PARTS);
         ClientConnection connection =
                 new ClientConnection(mMaxReplyBytes, mPeerKind, this::offerIdle);
+        TimeLimit limit = limit(timeout);
         ChannelFuture connecting =
                 connect(
                         address,
@@ -154,7 +156,7 @@
         connecting.addListener(
                 (ChannelFuture opened) -> {
                     if (opened.isSuccess()) {
-                        connection.send(address, call, timeout, future);
+                        connection.send(address, call, limit, future);
                     } else {
                         future.completeExceptionally(opened.cause());
                     }
@@ -162,6 +164,27 @@
         return future;
     }
 
+    private TimeLimit limit(Duration timeout) {
+        Ticker ticker = mGroup.next().ticker();
+        return new TimeLimit(timeout, ticker, ticker.nanoTime() + timeout.toNanos());
+    }
+
+    /**
+     * Time within which a call must have its response.
+     *
+     * @param endNanos end of the time by the ticker
+     */
+    private record TimeLimit(Duration timeout, Ticker ticker, long endNanos) {
+        long remainingNanos() {
+            return endNanos - ticker.nanoTime();
+        }
+
+        TimeoutException exceeded(Address address) {
+            return new TimeoutException(
+                    "no response from " + address + " in " + timeout.toMillis() + " ms");
+        }
+    }
+
     private Optional<ClientConnection> pollIdle(Address address) {
         Queue<ClientConnection> idle = mIdleConnections.get(address);
         ClientConnection connection = idle == null ? null : idle.poll();
@@ -253,15 +276,15 @@
         void send(
                 Address address,
                 HttpCall call,
-                Duration timeout,
+                TimeLimit limit,
                 CompletableFuture<HttpReply> future) {
-            mChannel.eventLoop().execute(() -> sendNow(address, call, timeout, future));
+            mChannel.eventLoop().execute(() -> sendNow(address, call, limit, future));
         }
 
         private void sendNow(
                 Address address,
                 HttpCall call,
-                Duration timeout,
+                TimeLimit limit,
                 CompletableFuture<HttpReply> future) {
             if (!mChannel.isActive()) {
                 future.completeExceptionally(new IOException("pooled connection is closed"));
@@ -269,19 +292,17 @@
             }
             mAddress = address;
             mPendingReply = future;
+            long remainingNanos = limit.remainingNanos();
             mTimeout =
                     mChannel.eventLoop()
                             .schedule(
-                                    () ->
-                                            fail(
-                                                    new TimeoutException(
-                                                            "no response from "
-                                                                    + address
-                                                                    + " in "
-                                                                    + timeout.toMillis()
-                                                                    + " ms")),
-                                    timeout.toMillis(),
-                                    TimeUnit.MILLISECONDS);
+                                    () -> fail(limit.exceeded(address)),
+                                    remainingNanos,
+                                    TimeUnit.NANOSECONDS);
+            if (remainingNanos <= 0) {
+                fail(limit.exceeded(address));
+                return;
+            }
             mLimiter.onRequest();
             mChannel.writeAndFlush(toRequest(address, call));
         }
