Add quarantined requests to the kinds of objects in the store

A request that crashes the servers that run it must be known to all daemons, also to one that has just started or was cut off. A kind of object that each daemon mirrors, like drains, gives that without a service of our own.

--- a/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
+++ b/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
@@ -27,6 +27,9 @@
     DEADLINE_UNREACHABLE(202, 503, Outcome.NOT_RUN, "The deadline cannot be met."),
     /** The daemon is stopping. */
     DRAINING(203, 503, Outcome.NOT_RUN, "The daemon is stopping."),
+    /** The request is quarantined because it crashed the servers that ran it. */
+    QUARANTINED(
+            204, 503, Outcome.NOT_RUN, "Servers crashed under this request; it is quarantined."),
     /** No connection could be opened. */
     CONNECT_FAILED(301, 502, Outcome.NOT_RUN, "No connection to the backend server."),
     /** The backend server rejected the request without executing it. */
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -8,6 +8,8 @@
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.StoreVersion;
+import org.geraniumusher.quarantine.Quarantine;
+import org.geraniumusher.quarantine.RequestFingerprint;
 import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
@@ -66,6 +68,7 @@
     private ImmutableMap<String, ServerEntry> mServers = ImmutableMap.of();
     private ImmutableSet<String> mEvacuatedDataCentres = ImmutableSet.of();
     private ImmutableList<Drain> mDrains = ImmutableList.of();
+    private ImmutableMap<RequestFingerprint, Quarantine> mQuarantines = ImmutableMap.of();
     private OptionalLong mRestoredAtNanos = OptionalLong.empty();
 
     /**
@@ -106,6 +109,7 @@
         addMirror(StoreKind.CONFIGURATION, store, thread, this::decodeConfiguration);
         addMirror(StoreKind.EVACUATIONS, store, thread, this::decodeEvacuations);
         addMirror(StoreKind.DRAINS, store, thread, this::decodeDrains);
+        addMirror(StoreKind.QUARANTINES, store, thread, this::decodeQuarantines);
         addMirror(StoreKind.SERVERS, store, thread, this::decodeServers);
         mTables = new RangeTableCache(store, thread, clock, log, mListeners::run);
         mEpoch.addListener(this::onNewEpoch);
@@ -343,6 +347,30 @@
         mOutOfService.clear();
     }
 
+    private void decodeQuarantines() {
+        ImmutableMap.Builder<RequestFingerprint, Quarantine> next = ImmutableMap.builder();
+        for (StoreObject object : mMirrors.get(StoreKind.QUARANTINES).objects().values()) {
+            try {
+                Quarantine quarantine = QuarantineCodec.decode(object);
+                next.put(quarantine.fingerprint(), quarantine);
+            } catch (IllegalArgumentException e) {
+                mLog.write(
+                        Part.STORE,
+                        "Quarantine cannot be used",
+                        "request",
+                        object.name(),
+                        "reason",
+                        e.getMessage());
+            }
+        }
+        mQuarantines = next.buildOrThrow();
+    }
+
+    /** Returns the quarantined requests as last read from the store. */
+    ImmutableMap<RequestFingerprint, Quarantine> quarantines() {
+        return mQuarantines;
+    }
+
     /** Returns what a restore of the store took back of the drains. */
     DrainHistory drainHistory() {
         return mDrainHistory;
--- a/entry/src/main/java/org/geraniumusher/entry/StoreKind.java
+++ b/entry/src/main/java/org/geraniumusher/entry/StoreKind.java
@@ -11,6 +11,11 @@
      * operators.
      */
     DRAINS,
+    /**
+     * Requests that crash the servers that run them, written by the coordinator and removed by it
+     * or by daemons on behalf of operators.
+     */
+    QUARANTINES,
     /** Entries of backend servers, which the servers write themselves. */
     SERVERS,
     /** Tables of key ranges, one for each keyed service, written by the coordinator. */
