Quarantine requests that crash the servers that run them

Nothing related the end of a server to the requests that it ran, and each of the 11 daemons saw a part of the ends only.

CrashDetector takes the requests that broke at an incarnation for suspects once its address refused three connections or a later incarnation is listed. CrashReporter sends them to the coordinator, whose CrashLedger counts the incarnations that crashed under each request: at two it is put on probation, so that every daemon reports its success, at three it is rejected for 60 s. The decisions are objects in the store, which each daemon mirrors. Dispatcher rejects a quarantined request with QUARANTINED before each send.

--- a/decisions/src/main/java/org/geraniumusher/quarantine/RequestFingerprint.java
+++ b/decisions/src/main/java/org/geraniumusher/quarantine/RequestFingerprint.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+
 /**
  * Identifies a request that a caller repeats, at any daemon, under a new request ID each time.
  * Immutable.
@@ -20,6 +23,19 @@
                 hex);
     }
 
+    /**
+     * Returns the fingerprint of a request: the first 128 bits of SHA-256 over its parts, each with
+     * its length before it. A hash that callers cannot steer keeps them from giving their request
+     * the fingerprint of another one.
+     */
+    public static RequestFingerprint ofParts(Iterable<byte[]> parts) {
+        Hasher hasher = Hashing.sha256().newHasher();
+        for (byte[] part : parts) {
+            hasher.putInt(part.length).putBytes(part);
+        }
+        return new RequestFingerprint(hasher.hash().toString().substring(0, HEX_DIGITS));
+    }
+
     @Override
     public String toString() {
         return hex;
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumusher/quarantine/CrashLedgerTest.java
@@ -0,0 +1,245 @@
+package org.geraniumusher.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+
+import org.geraniumusher.quarantine.CrashLedger.Change;
+import org.geraniumusher.quarantine.CrashLedger.Reason;
+import org.geraniumusher.quarantine.Quarantine.State;
+import org.junit.jupiter.api.Test;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Guards against crashing requests that are not rejected, and innocent ones that are for long. */
+final class CrashLedgerTest {
+    private final CrashLedger mLedger = CrashLedger.create();
+    private final Map<RequestFingerprint, Quarantine> mStored = new LinkedHashMap<>();
+    private long mNowMillis = 1_000_000;
+
+    private static RequestFingerprint fingerprint(int number) {
+        return new RequestFingerprint(String.format("%032x", number));
+    }
+
+    private void crash(String incarnation, int... requests) {
+        crash(mLedger, incarnation, requests);
+    }
+
+    private void crash(CrashLedger ledger, String incarnation, int... requests) {
+        ledger.onCrash(incarnation, suspects(requests), mNowMillis);
+        applyChanges(ledger);
+    }
+
+    private static ImmutableList<CrashSuspect> suspects(int... requests) {
+        return Arrays.stream(requests)
+                .mapToObj(r -> new CrashSuspect(fingerprint(r), "service", "GET h/" + r))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private ImmutableList<Change> applyChanges(CrashLedger ledger) {
+        ImmutableList<Change> changes = ledger.decide(ImmutableMap.copyOf(mStored), mNowMillis);
+        for (Change change : changes) {
+            if (change.next().isPresent()) {
+                mStored.put(change.fingerprint(), change.next().get());
+            } else {
+                mStored.remove(change.fingerprint());
+            }
+        }
+        return changes;
+    }
+
+    private ImmutableList<Change> advance(long millis) {
+        mNowMillis += millis;
+        return applyChanges(mLedger);
+    }
+
+    private Optional<State> state(int request) {
+        return Optional.ofNullable(mStored.get(fingerprint(request))).map(Quarantine::state);
+    }
+
+    private void reject(int request) {
+        for (int i = 0; i < 3; i++) {
+            crash("s" + i, request);
+        }
+        assertThat(state(request)).hasValue(State.REJECTED);
+    }
+
+    @Test
+    void decide_twoCrashes_putsOnProbationAndRejectsAtTheThird() {
+        crash("s0", 1);
+        assertThat(state(1)).isEmpty();
+        crash("s1", 1);
+        assertThat(state(1)).hasValue(State.PROBATION);
+        crash("s2", 1);
+        assertThat(state(1)).hasValue(State.REJECTED);
+        assertThat(mStored.get(fingerprint(1)).incarnations()).containsExactly("s0", "s1", "s2");
+        assertThat(mStored.get(fingerprint(1)).durationMillis()).isEqualTo(60_000);
+    }
+
+    /** Several daemons report the same crash. */
+    @Test
+    void decide_sameCrashReportedByManyDaemons_countsOnce() {
+        for (int i = 0; i < 10; i++) {
+            crash("s0", 1);
+        }
+
+        assertThat(state(1)).isEmpty();
+    }
+
+    /** A request that stood beside the crashing one twice must not be rejected with it. */
+    @Test
+    void decide_bystander_isNotRejected() {
+        crash("s0", 1);
+        crash("s1", 1, 2);
+        crash("s2", 1, 2);
+        crash("s3", 1, 2);
+
+        assertThat(state(1)).hasValue(State.REJECTED);
+        assertThat(state(2)).isEmpty();
+    }
+
+    /** A bystander that is already on probation must not be rejected for the crash of another. */
+    @Test
+    void decide_bystanderOnProbation_isNotRejected() {
+        crash("s0", 1, 2);
+        crash("s1", 1, 2);
+        assertThat(state(2)).hasValue(State.PROBATION);
+        mLedger.onCrash("s2", suspects(1), mNowMillis);
+        crash("s3", 1, 2);
+
+        assertThat(state(1)).hasValue(State.REJECTED);
+        assertThat(state(2)).hasValue(State.PROBATION);
+    }
+
+    @Test
+    void decide_successBetweenCrashes_startsAnew() {
+        crash("s0", 1);
+        crash("s1", 1);
+        mLedger.onCompleted(fingerprint(1));
+        assertThat(applyChanges(mLedger).get(0).reason()).isEqualTo(Reason.COMPLETED);
+        applyChanges(mLedger);
+
+        crash("s2", 1);
+        assertThat(state(1)).isEmpty();
+    }
+
+    /** A crash that is reported before the removal is written must not be lost with it. */
+    @Test
+    void decide_crashWhileTheRemovalIsWritten_counts() {
+        crash("s0", 1);
+        crash("s1", 1);
+        mLedger.onCompleted(fingerprint(1));
+        mLedger.onCrash("s2", suspects(1), mNowMillis);
+        applyChanges(mLedger);
+        crash("s3", 1);
+
+        assertThat(state(1)).hasValue(State.PROBATION);
+    }
+
+    @Test
+    void decide_rejectionOver_probationThenEnd() {
+        reject(1);
+
+        assertThat(advance(59_000)).isEmpty();
+        assertThat(advance(1_000).get(0).reason()).isEqualTo(Reason.REJECTION_OVER);
+        assertThat(state(1)).hasValue(State.PROBATION);
+        assertThat(advance(600_000).get(0).reason()).isEqualTo(Reason.PROBATION_OVER);
+        assertThat(state(1)).isEmpty();
+        assertThat(advance(1)).isEmpty();
+    }
+
+    @Test
+    void decide_crashInProbation_rejectsForTwiceAsLong() {
+        reject(1);
+        advance(60_000);
+
+        crash("s9", 1);
+
+        assertThat(state(1)).hasValue(State.REJECTED);
+        assertThat(mStored.get(fingerprint(1)).durationMillis()).isEqualTo(120_000);
+        for (int i = 10; i < 30; i++) {
+            advance(3_600_000);
+            crash("s" + i, 1);
+        }
+        assertThat(mStored.get(fingerprint(1)).durationMillis()).isEqualTo(3_600_000);
+    }
+
+    /** A request that comes back every 40 s must be rejected too. */
+    @Test
+    void decide_crashesFarApart_rejects() {
+        for (int i = 0; i < 3; i++) {
+            crash("s" + i, 1);
+            advance(120_000);
+        }
+
+        assertThat(mStored.get(fingerprint(1)).incarnations()).hasSize(3);
+    }
+
+    /** An operator who lifts a quarantine must not see it return without new crashes. */
+    @Test
+    void decide_removedByOperator_forgetsTheCrashes() {
+        reject(1);
+        advance(100);
+
+        mStored.clear();
+
+        assertThat(advance(100)).isEmpty();
+        crash("s7", 1);
+        assertThat(state(1)).isEmpty();
+    }
+
+    /** A restore of the store that loses the quarantine must not let the request through. */
+    @Test
+    void decide_lostInRestore_isWrittenAgain() {
+        reject(1);
+        advance(100);
+
+        mLedger.onStoreRestored();
+        mStored.clear();
+        advance(100);
+
+        assertThat(state(1)).hasValue(State.REJECTED);
+    }
+
+    /** A new coordinator knows only the stored quarantines and what daemons still report. */
+    @Test
+    void decide_newCoordinator_continuesFromTheStore() {
+        crash("s0", 1);
+        crash("s1", 1);
+        CrashLedger next = CrashLedger.create();
+
+        crash(next, "s1", 1);
+        assertThat(state(1)).hasValue(State.PROBATION);
+        crash(next, "s2", 1);
+        assertThat(state(1)).hasValue(State.REJECTED);
+    }
+
+    /** A write that was lost must be decided again. */
+    @Test
+    void decide_writeLost_decidesAgain() {
+        crash("s0", 1);
+        crash("s1", 1);
+        mStored.clear();
+        CrashLedger ledger = CrashLedger.create();
+        for (int i = 0; i < 3; i++) {
+            ledger.onCrash("s" + i, suspects(1), mNowMillis);
+        }
+
+        assertThat(ledger.decide(ImmutableMap.of(), mNowMillis)).hasSize(1);
+        assertThat(ledger.decide(ImmutableMap.of(), mNowMillis)).hasSize(1);
+    }
+
+    /** Callers must not be able to fill the memory with requests that each crash a server. */
+    @Test
+    void onCrash_tooManyRequests_dropsTheOldest() {
+        for (int i = 0; i < CrashLedger.MAX_REQUESTS + 10; i++) {
+            mLedger.onCrash("s" + i, suspects(i), mNowMillis);
+        }
+
+        assertThat(mLedger.droppedRequests()).isEqualTo(10);
+    }
+}
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -53,6 +53,7 @@
     /** The drivers of the current term, by service; empty while the record names another daemon. */
     private final Map<String, RangeCoordinatorDriver> mDrivers = new HashMap<>();
 
+    private Runnable mActingListener = () -> {};
     private RangeCoordinatorDriver.Publisher mPublisher = RangeCoordinatorDriver.Publisher.NONE;
     private boolean mStoreCallInFlight;
 
@@ -91,6 +92,11 @@
         mPublisher = publisher;
     }
 
+    /** Sets a listener that runs on each tick while this daemon is the coordinator. */
+    void setActingListener(Runnable listener) {
+        mActingListener = listener;
+    }
+
     void start() {
         mNextPollAt = mClock.getAsLong();
         tick();
@@ -200,6 +206,7 @@
                                         .filter(ServiceRule::keyed)
                                         .forEach(s -> driver(s.name())));
         restoreDrains(now);
+        mActingListener.run();
         List.copyOf(mDrivers.values()).forEach(d -> d.tick(mElection));
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -0,0 +1,240 @@
+package org.geraniumusher.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.quarantine.CrashDetector;
+import org.geraniumusher.quarantine.CrashSuspect;
+import org.geraniumusher.quarantine.Quarantine;
+import org.geraniumusher.quarantine.RequestFingerprint;
+import org.geraniumusher.traffic.ServerEntry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Watches the requests that this daemon sends for servers that crash under them, and tells which
+ * requests must not be sent because they are quarantined. Confined to the event loop.
+ *
+ * <p>Load pattern: a request crashes each server that runs it, and its caller sends it again and
+ * again at all daemons.
+ */
+final class CrashMonitor {
+    /** Crashes under a request, seen by this daemon, from which the daemon does not retry it. */
+    private static final int MAX_CRASHES_RETRIED = 2;
+
+    private static final double MIN_RETRY_AFTER_SECONDS = 1;
+    private static final int MAX_LOGGED_SUSPECTS = 16;
+
+    private final Directory mDirectory;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final LongSupplier mWallMillis;
+    private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
+    private final String mKeyHeader;
+    private final String mSignatureHeader;
+    private final ConnectProbe mProbe;
+    private final CrashReporter mReporter;
+    private final CrashDetector<Exchange> mDetector = CrashDetector.create();
+
+    /** Entries of the incarnations that may have crashed. */
+    private final Map<String, ServerEntry> mSuspectedServers = new HashMap<>();
+
+    private ImmutableMap<RequestFingerprint, Quarantine> mQuarantines = ImmutableMap.of();
+
+    /** Targets of {@link #mQuarantines}, which a request is compared with before it is hashed. */
+    private ImmutableSet<String> mQuarantinedTargets = ImmutableSet.of();
+
+    /**
+     * Creates a monitor.
+     *
+     * @param wallMillis wall clock in milliseconds since 1970
+     */
+    CrashMonitor(
+            DaemonContext context,
+            HeaderNames headers,
+            LongSupplier wallMillis,
+            ConnectProbe probe,
+            CrashReporter reporter) {
+        mDirectory = context.directory();
+        mThread = context.thread();
+        mClock = context.clock();
+        mLog = context.log();
+        mMetrics = context.metrics();
+        mWallMillis = wallMillis;
+        mKeyHeader = headers.key();
+        mSignatureHeader = headers.signature();
+        mProbe = probe;
+        mReporter = reporter;
+    }
+
+    /** Returns the time in seconds for which the request is still rejected, if it is. */
+    OptionalDouble rejectedForSeconds(Exchange exchange) {
+        if (!hasQuarantinedTarget(exchange)) {
+            return OptionalDouble.empty();
+        }
+        Quarantine quarantine = mQuarantines.get(exchange.identity(mKeyHeader).fingerprint());
+        if (quarantine == null || quarantine.state() != Quarantine.State.REJECTED) {
+            return OptionalDouble.empty();
+        }
+        long remainingMillis =
+                quarantine.sinceMillis() + quarantine.durationMillis() - mWallMillis.getAsLong();
+        return OptionalDouble.of(Math.max(MIN_RETRY_AFTER_SECONDS, remainingMillis / 1e3));
+    }
+
+    private boolean hasQuarantinedTarget(Exchange exchange) {
+        return !mQuarantinedTargets.isEmpty()
+                && mQuarantinedTargets.contains(
+                        RequestIdentity.targetKey(
+                                exchange.service(), exchange.identity(mKeyHeader).target()));
+    }
+
+    private boolean isSuspectTarget(Exchange exchange) {
+        return mReporter.hasTarget(exchange.service(), exchange.identity(mKeyHeader).target());
+    }
+
+    /** Reports whether this daemon may retry a request whose connection broke. */
+    boolean mayRetry(Exchange exchange) {
+        return !isSuspectTarget(exchange)
+                || mReporter.crashesUnder(exchange.identity(mKeyHeader).fingerprint())
+                        < MAX_CRASHES_RETRIED;
+    }
+
+    /** Records a response of a server to a request, which shows that the server is running. */
+    void onResponse(Exchange exchange, Upstream upstream, UpstreamResponse response) {
+        mDetector.onAnswered(upstream.entry().incarnationId(), mClock.getAsLong());
+        boolean completed = response.status() < 500 && response.header(mSignatureHeader) != null;
+        if (!completed) {
+            return;
+        }
+        boolean suspect = isSuspectTarget(exchange);
+        if (suspect || hasQuarantinedTarget(exchange)) {
+            RequestFingerprint fingerprint = exchange.identity(mKeyHeader).fingerprint();
+            if (mReporter.crashesUnder(fingerprint) > 0 || mQuarantines.containsKey(fingerprint)) {
+                mReporter.onCompleted(fingerprint);
+            }
+        }
+    }
+
+    /** Records that a request that was sent has no usable response. */
+    void onBroken(Exchange exchange, Upstream upstream, ResponseFailure failure) {
+        if (failure.limit().isPresent() || upstream.isLeaving()) {
+            return;
+        }
+        ServerEntry server = upstream.entry();
+        if (mDetector.onBroken(server.incarnationId(), exchange, mClock.getAsLong())) {
+            mSuspectedServers.put(server.incarnationId(), server);
+            probe(server, CrashDetector.MIN_REFUSALS);
+        }
+    }
+
+    private void probe(ServerEntry server, int attempts) {
+        mProbe.open(
+                server.address(),
+                result -> mThread.execute(() -> onProbed(server, attempts, result)));
+    }
+
+    private void onProbed(ServerEntry server, int attempts, ConnectProbe.Result result) {
+        String incarnationId = server.incarnationId();
+        if (result == ConnectProbe.Result.ACCEPTED) {
+            mDetector.onAccepted(incarnationId);
+        } else if (result == ConnectProbe.Result.REFUSED && isListedAsRunning(incarnationId)) {
+            mDetector.onRefused(incarnationId, mClock.getAsLong()).ifPresent(this::onCrash);
+            if (attempts > 1) {
+                mThread.schedule(
+                        () -> probe(server, attempts - 1),
+                        CrashDetector.PROBE_INTERVAL_NANOS,
+                        TimeUnit.NANOSECONDS);
+            }
+        }
+    }
+
+    /**
+     * Reports whether the store lists the incarnation as neither leaving nor gone. A server that
+     * leaves as planned may refuse connections before its last requests have ended.
+     */
+    private boolean isListedAsRunning(String incarnationId) {
+        ServerEntry listed = mDirectory.servers().get(incarnationId);
+        return listed != null
+                && !listed.leaving()
+                && mDirectory.mirror(StoreKind.SERVERS).isReachable()
+                && !mDirectory.isSoonAfterRestore();
+    }
+
+    /** Brings the quarantines up to date and looks for servers that have started again. */
+    void onDirectoryChange() {
+        ImmutableMap<RequestFingerprint, Quarantine> quarantines = mDirectory.quarantines();
+        if (quarantines != mQuarantines) {
+            mQuarantines.keySet().stream()
+                    .filter(f -> !quarantines.containsKey(f))
+                    .forEach(mReporter::forget);
+            mQuarantines = quarantines;
+            mQuarantinedTargets =
+                    quarantines.values().stream()
+                            .map(q -> RequestIdentity.targetKey(q.service(), q.target()))
+                            .collect(ImmutableSet.toImmutableSet());
+        }
+        if (!mSuspectedServers.isEmpty()) {
+            findEndedServers();
+        }
+    }
+
+    private void findEndedServers() {
+        ImmutableList<String> suspicions = mDetector.suspicions(mClock.getAsLong());
+        mSuspectedServers.keySet().retainAll(suspicions);
+        for (ServerEntry server : List.copyOf(mSuspectedServers.values())) {
+            ServerEntry listed = mDirectory.servers().get(server.incarnationId());
+            if (listed != null && listed.leaving()) {
+                mDetector.onLeft(server.incarnationId());
+            } else if (hasSuccessor(server)) {
+                mDetector.onSuperseded(server.incarnationId()).ifPresent(this::onCrash);
+            }
+        }
+    }
+
+    private boolean hasSuccessor(ServerEntry server) {
+        return mDirectory.servers().values().stream()
+                .anyMatch(
+                        e ->
+                                e.startMillis() > server.startMillis()
+                                        && (e.id().equals(server.id())
+                                                || e.address().equals(server.address())));
+    }
+
+    private void onCrash(CrashDetector.Crash<Exchange> crash) {
+        mSuspectedServers.remove(crash.incarnationId());
+        ImmutableList<CrashSuspect> suspects =
+                crash.suspects().stream()
+                        .map(this::toSuspect)
+                        .distinct()
+                        .collect(ImmutableList.toImmutableList());
+        mMetrics.onCrash();
+        mLog.write(
+                Part.SERVER,
+                "Server crashed while it ran requests",
+                "server",
+                crash.incarnationId(),
+                "suspects",
+                suspects.size() + crash.omittedSuspects(),
+                "requests",
+                suspects.stream()
+                        .limit(MAX_LOGGED_SUSPECTS)
+                        .map(CrashSuspect::fingerprint)
+                        .toList(),
+                "ids",
+                crash.suspects().stream().limit(MAX_LOGGED_SUSPECTS).map(Exchange::id).toList());
+        mReporter.onCrash(crash.incarnationId(), suspects);
+    }
+
+    private CrashSuspect toSuspect(Exchange exchange) {
+        RequestIdentity identity = exchange.identity(mKeyHeader);
+        return new CrashSuspect(identity.fingerprint(), exchange.service(), identity.target());
+    }
+}
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -122,6 +123,7 @@
     private final LongSupplier mClock;
     private final EntryMetrics mMetrics;
     private final KeyedRequestStats mKeyedRequestStats;
+    private final CrashMonitor mCrashMonitor;
     private final Random mRandom;
     private final UpstreamSet mUpstreams;
     private final RequestLog mRequestLog;
@@ -147,7 +149,8 @@
             LongSupplier clock,
             DecisionLog log,
             EntryMetrics metrics,
-            KeyedRequestStats keyedRequestStats) {
+            KeyedRequestStats keyedRequestStats,
+            CrashMonitor crashMonitor) {
         mSettings = settings;
         mDirectory = directory;
         mWire = wire;
@@ -155,6 +158,7 @@
         mClock = clock;
         mMetrics = metrics;
         mKeyedRequestStats = keyedRequestStats;
+        mCrashMonitor = crashMonitor;
         mRandom = new Random(settings.name().hashCode());
         mUpstreams =
                 new UpstreamSet(
@@ -214,6 +218,7 @@
     /** Updates the servers after a change of the directory and tries to send waiting requests. */
     void onDirectoryChange() {
         mUpstreams.update();
+        mCrashMonitor.onDirectoryChange();
         dispatchWaiting();
     }
 
@@ -318,12 +323,17 @@
 
     /**
      * Sends a request to a server if one can take it now. Otherwise queues the request, or fails it
-     * if it has waited too long or the queue is full.
+     * if it is quarantined, has waited too long or the queue is full.
      */
     private void sendOrQueue(Exchange exchange) {
         if (exchange.isEnded()) {
             return;
         }
+        OptionalDouble rejectedForSeconds = mCrashMonitor.rejectedForSeconds(exchange);
+        if (rejectedForSeconds.isPresent()) {
+            fail(exchange, ResultCode.QUARANTINED, rejectedForSeconds.getAsDouble());
+            return;
+        }
         long now = mClock.getAsLong();
         Optional<Upstream> target =
                 now < exchange.earliestSendNanos()
@@ -478,6 +488,7 @@
             Exchange exchange, Upstream upstream, long sentAtNanos, UpstreamResponse response) {
         long now = mClock.getAsLong();
         exchange.endAttempt();
+        mCrashMonitor.onResponse(exchange, upstream, response);
         String load = response.header(mWire.headers().load());
         if (load != null) {
             mWire.decodeLoad(load).ifPresent(report -> upstream.load().onReport(report, now));
@@ -555,6 +566,7 @@
         upstream.load().onNoAnswer(now);
         failure.limit().ifPresent(mMetrics::onResponseOverLimit);
         mRequestLog.logBroken(exchange, upstream, failure, now - sentAtNanos);
+        mCrashMonitor.onBroken(exchange, upstream, failure);
         if (!exchange.isEnded() && !retryIfAllowed(exchange, now)) {
             fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
         }
@@ -570,6 +582,7 @@
                         && exchange.triedIncarnations().size() < exchange.route().attempts()
                         && exchange.sendCount() < MAX_SENDS
                         && !hasWaitedTooLong(exchange, now)
+                        && mCrashMonitor.mayRetry(exchange)
                         && retryBudget(exchange.service()).tryWithdraw();
         if (allowed) {
             sendOrQueue(exchange);
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -97,17 +97,6 @@
         RelayedStore relayedStore =
                 new RelayedStore(store, settings, adapter.wire(), client, thread, clock, log);
         mDirectory = new Directory(relayedStore, adapter.wire(), thread, clock, log);
-        mDispatcher =
-                new Dispatcher(
-                        settings,
-                        mDirectory,
-                        adapter.wire(),
-                        mGroup,
-                        thread,
-                        clock,
-                        log,
-                        mMetrics,
-                        keyedRequestStats);
         DaemonContext context =
                 new DaemonContext(
                         settings,
@@ -120,6 +109,27 @@
                         log,
                         mMetrics);
         mCoordinator = new CoordinatorService(context);
+        QuarantineService quarantines =
+                new QuarantineService(context, clocks.wallMillis(), mCoordinator);
+        mCoordinator.setActingListener(quarantines::tick);
+        CrashReporter crashReporter = new CrashReporter(context, mCoordinator, quarantines, client);
+        mDispatcher =
+                new Dispatcher(
+                        settings,
+                        mDirectory,
+                        adapter.wire(),
+                        mGroup,
+                        thread,
+                        clock,
+                        log,
+                        mMetrics,
+                        keyedRequestStats,
+                        new CrashMonitor(
+                                context,
+                                adapter.wire().headers(),
+                                clocks.wallMillis(),
+                                ConnectProbe.create(mGroup),
+                                crashReporter));
         mDispatcher.setUnreachableListener(mCoordinator::renewGrants);
         FleetStatus fleet = new FleetStatus(context, mCoordinator, client);
         mPeerService =
@@ -131,6 +141,7 @@
                         keyedRequestStats,
                         fleet,
                         relayedStore,
+                        crashReporter,
                         client,
                         mGroup);
         mOperatorEndpoint = new OperatorEndpoint(context, mCoordinator, mPeerService, fleet);
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -106,6 +106,11 @@
         mRegistry.counter("connections.unsolicited").inc();
     }
 
+    /** Counts a server that crashed while it ran requests of this daemon. */
+    void onCrash() {
+        mRegistry.counter("servers.crashed").inc();
+    }
+
     /** Counts a response of a backend server that exceeded a limit. */
     void onResponseOverLimit(ResponseLimit limit) {
         mRegistry.counter(limit.counterName()).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -28,6 +28,7 @@
     private final long mArrivedAtNanos;
     private final CallerResponder mResponder;
     private final Set<String> mTriedIncarnations = new HashSet<>();
+    private RequestIdentity mIdentity;
     private RouteRule mRoute;
     private String mService = "";
     private int mKey = NO_KEY;
@@ -77,6 +78,23 @@
         return mId;
     }
 
+    /**
+     * Returns what identifies the request when its caller repeats it.
+     *
+     * @param keyHeader name of the header that carries the key
+     */
+    RequestIdentity identity(String keyHeader) {
+        if (mIdentity == null) {
+            mIdentity = new RequestIdentity(mRequest, keyHeader);
+        }
+        return mIdentity;
+    }
+
+    /** Returns the fingerprint of the request if it was needed, otherwise an empty string. */
+    String knownFingerprint() {
+        return mIdentity == null ? "" : mIdentity.knownFingerprint();
+    }
+
     long arrivedAtNanos() {
         return mArrivedAtNanos;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -71,6 +71,7 @@
     private final RelayedStore mRelayedStore;
     private final RelayEndpoint mRelayEndpoint;
     private final TableExchange mTableExchange;
+    private final CrashReporter mCrashReporter;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -95,6 +96,7 @@
             KeyedRequestStats keyedRequestStats,
             FleetStatus fleet,
             RelayedStore relayedStore,
+            CrashReporter crashReporter,
             HttpClient client,
             EventLoopGroup group) {
         mSettings = context.settings();
@@ -111,6 +113,7 @@
         mFleet = fleet;
         mRelayedStore = relayedStore;
         mRelayEndpoint = new RelayEndpoint(context, relayedStore);
+        mCrashReporter = crashReporter;
         mClient = client;
         mRandom = new Random(mIncarnation);
         mKnownAddresses.addAll(mSettings.seedAddresses());
@@ -137,6 +140,7 @@
             mNextReportAt = now + REPORT_INTERVAL_NANOS;
             sendReports();
         }
+        mCrashReporter.tick();
         if (!mRegistered && !mRegistering) {
             register();
         }
@@ -332,6 +336,9 @@
                     && call.path().equals(TableExchange.TABLE_PATH)) {
                 mTableExchange.onTableChanges(DeflatedJson.decode(call));
                 responder.reply(HttpReply.of(200, "{}"));
+            } else if (call.method().equals("POST") && call.path().equals(CrashReporter.PATH)) {
+                boolean accepted = mCrashReporter.onReport(DeflatedJson.decode(call));
+                responder.reply(HttpReply.of(accepted ? 200 : 503, "{}"));
             } else if (call.path().equals(RelayEndpoint.PATH)) {
                 mRelayEndpoint.answer(call, responder);
             } else if (call.path().equals(FleetStatus.PATH)) {
--- /dev/null
+++ b/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
@@ -0,0 +1,162 @@
+package org.geraniumusher.entry;
+
+import com.google.common.collect.ImmutableMap;
+
+import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.quarantine.CrashLedger;
+import org.geraniumusher.quarantine.CrashSuspect;
+import org.geraniumusher.quarantine.Quarantine;
+import org.geraniumusher.quarantine.RequestFingerprint;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+
+/**
+ * The coordinator's side of quarantines: collects the evidence of all daemons in a {@link
+ * CrashLedger} and writes its decisions to the store, from which all daemons read them. Confined to
+ * the event loop.
+ *
+ * <p>Invariant: writes are conditional on the revision that the decision was made from. A write
+ * that is refused, lost or too late changes nothing, and the decision is made again.
+ */
+final class QuarantineService {
+    /** Interval of decisions while there are no reports. */
+    private static final long DECISION_INTERVAL_NANOS = 500_000_000L;
+
+    /** Time after a write within which the same quarantine is not written again. */
+    private static final long WRITE_INTERVAL_NANOS = 500_000_000L;
+
+    /** Limit of writes in one interval, because all daemons share the store's rate. */
+    private static final int MAX_WRITES_PER_DECISION = 16;
+
+    private final Directory mDirectory;
+    private final Store mStore;
+    private final EventThread mThread;
+    private final LongSupplier mClock;
+    private final LongSupplier mWallMillis;
+    private final DecisionLog mLog;
+    private final CoordinatorService mCoordinator;
+    private final CrashLedger mLedger = CrashLedger.create();
+
+    /** Times of writes whose results the directory may not show yet, by quarantine. */
+    private final Map<RequestFingerprint, Long> mWrittenAt = new HashMap<>();
+
+    private ImmutableMap<RequestFingerprint, Quarantine> mLastStored = ImmutableMap.of();
+    private long mNextDecisionAt;
+    private long mLoggedDrops;
+
+    /**
+     * Creates the service.
+     *
+     * @param wallMillis wall clock in milliseconds since 1970
+     */
+    QuarantineService(
+            DaemonContext context, LongSupplier wallMillis, CoordinatorService coordinator) {
+        mDirectory = context.directory();
+        mStore = context.store();
+        mThread = context.thread();
+        mClock = context.clock();
+        mLog = context.log();
+        mWallMillis = wallMillis;
+        mCoordinator = coordinator;
+        mStore.epoch().addListener(mLedger::onStoreRestored);
+    }
+
+    /** Records a crash that a daemon reports. */
+    void onCrash(String incarnationId, List<CrashSuspect> suspects) {
+        mLedger.onCrash(incarnationId, suspects, mWallMillis.getAsLong());
+        if (mLedger.droppedRequests() > mLoggedDrops) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Evidence of crashes is dropped, there is too much",
+                    "requests",
+                    mLedger.droppedRequests() - mLoggedDrops);
+            mLoggedDrops = mLedger.droppedRequests();
+        }
+        decide();
+    }
+
+    /** Records that a daemon saw a request executed to its end. */
+    void onCompleted(RequestFingerprint fingerprint) {
+        mLedger.onCompleted(fingerprint);
+        decide();
+    }
+
+    /** Decides again if it is time to or the stored quarantines have changed. */
+    void tick() {
+        boolean changed = mDirectory.quarantines() != mLastStored;
+        if (changed || mClock.getAsLong() >= mNextDecisionAt) {
+            decide();
+        }
+    }
+
+    private void decide() {
+        if (!mCoordinator.isActing() || !mDirectory.isComplete()) {
+            return;
+        }
+        long now = mClock.getAsLong();
+        mNextDecisionAt = now + DECISION_INTERVAL_NANOS;
+        mLastStored = mDirectory.quarantines();
+        mWrittenAt.values().removeIf(at -> now - at >= WRITE_INTERVAL_NANOS);
+        for (CrashLedger.Change change : mLedger.decide(mLastStored, mWallMillis.getAsLong())) {
+            if (mWrittenAt.size() >= MAX_WRITES_PER_DECISION) {
+                return;
+            }
+            if (mWrittenAt.putIfAbsent(change.fingerprint(), now) == null) {
+                write(change);
+            }
+        }
+    }
+
+    private void write(CrashLedger.Change change) {
+        String name = change.fingerprint().hex();
+        Optional<StoreObject> stored =
+                Optional.ofNullable(mDirectory.mirror(StoreKind.QUARANTINES).objects().get(name));
+        CompletableFuture<StoreResult> call;
+        if (change.next().isEmpty()) {
+            call = mStore.remove(StoreKind.QUARANTINES, name, stored.orElseThrow().revision());
+        } else {
+            call =
+                    stored.isEmpty()
+                            ? mStore.create(
+                                    StoreKind.QUARANTINES,
+                                    name,
+                                    QuarantineCodec.encode(change.next().get()))
+                            : mStore.replace(
+                                    StoreKind.QUARANTINES,
+                                    name,
+                                    QuarantineCodec.encode(change.next().get()),
+                                    stored.get().revision());
+        }
+        call.thenAccept(result -> mThread.execute(() -> log(change, result)));
+    }
+
+    private void log(CrashLedger.Change change, StoreResult result) {
+        Optional<Quarantine> next = change.next();
+        mLog.write(
+                Part.OWNERSHIP,
+                next.isPresent() ? "Request is quarantined" : "Quarantine of a request ended",
+                "request",
+                change.fingerprint(),
+                "state",
+                next.map(q -> q.state().name()).orElse(""),
+                "reason",
+                change.reason(),
+                "service",
+                next.map(Quarantine::service).orElse(""),
+                "target",
+                next.map(Quarantine::target).orElse(""),
+                "crashed_servers",
+                next.map(q -> q.incarnations().toString()).orElse(""),
+                "duration_ms",
+                next.map(Quarantine::durationMillis).orElse(0L),
+                "result",
+                result instanceof StoreResult.Refused || result instanceof StoreResult.NoAnswer
+                        ? result
+                        : result.getClass().getSimpleName());
+    }
+}
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -134,6 +134,8 @@
                 exchange.id(),
                 "result",
                 result,
+                "request",
+                exchange.knownFingerprint(),
                 "route",
                 exchange.isRouted() ? exchange.route().name() : "",
                 "service",
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -60,7 +60,8 @@
                         context.clock(),
                         context.log(),
                         context.metrics(),
-                        new KeyedRequestStats());
+                        new KeyedRequestStats(),
+                        mFixture.createCrashMonitor(context));
         return new CallerConnection(
                 dispatcher,
                 wire.headers(),
--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -46,6 +46,18 @@
                 new EntryMetrics("entry-1", 1, mThread::now, () -> 0));
     }
 
+    /** Returns a crash monitor whose probes get no answer. */
+    CrashMonitor createCrashMonitor(DaemonContext context) {
+        CoordinatorService coordinator = new CoordinatorService(context);
+        QuarantineService quarantines = new QuarantineService(context, () -> 0, coordinator);
+        return new CrashMonitor(
+                context,
+                new FakeWireFormat().headers(),
+                () -> 0,
+                (address, onResult) -> {},
+                new CrashReporter(context, coordinator, quarantines, null));
+    }
+
     @Override
     public void close() {
         mLog.close();
