Keep bystanders of a crashing request from being rejected

A daemon reported a crash for it 43 ms before another one reported the same crash for the request that caused it. 11 servers crashed in 1.3 s, as the rejection waited 0.45 s for the interval between two writes.

A request whose crashes are all but one those of a request with more of them now waits 0.5 s for further reports. A probation is begun 0.5 s after the second crash, so that three crashes at once lead to one write, and a quarantine is written again as soon as the last write is seen. Probes of a server whose responses are lost again and again are 0.3 s apart. The port of the Host header is not part of the fingerprint, as it is not part of a route's host.

Evidence: QuarantinePathTest sends the request at three daemons over sockets. It failed while the daemons' ports made three requests of it ("expected to be at most: 3", crashes later than 3 s after the third) and passes now (5 tests). CrashLedgerTest and CrashMonitorTest have a case for each change.

--- a/decisions/src/main/java/org/geraniumusher/quarantine/CrashLedger.java
+++ b/decisions/src/main/java/org/geraniumusher/quarantine/CrashLedger.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -51,6 +52,9 @@
     /** Time after the last crash under a request for which its crashes are remembered. */
     static final long CRASH_MEMORY_MILLIS = 600_000;
 
+    /** Time between the reports of several daemons of the same crash. */
+    static final long REPORT_SPREAD_MILLIS = 500;
+
     static final int MAX_REQUESTS = 4_096;
 
     /** Limit of stored quarantines; beyond it no request is put on its first probation. */
@@ -159,14 +163,16 @@
         for (Quarantine quarantine : stored.values()) {
             decideStored(quarantine, stored, nowMillis).ifPresent(changes::add);
         }
-        if (stored.size() < MAX_STORED) {
-            for (Evidence evidence : mEvidence.values()) {
-                boolean candidate =
-                        evidence.mCrashes.size() >= WATCHED_CRASHES
-                                && !stored.containsKey(evidence.mSuspect.fingerprint());
-                if (candidate && !isBystander(evidence, stored)) {
-                    changes.add(begin(evidence, nowMillis));
-                }
+        int minCrashes = stored.size() < MAX_STORED ? WATCHED_CRASHES : REJECTED_CRASHES;
+        for (Evidence evidence : mEvidence.values()) {
+            int crashes = evidence.mCrashes.size();
+            // More crashes that come at once would be stored, and seen, only after the probation.
+            boolean candidate =
+                    crashes >= minCrashes
+                            && (crashes >= REJECTED_CRASHES || !isRecent(evidence, nowMillis))
+                            && !stored.containsKey(evidence.mSuspect.fingerprint());
+            if (candidate && !isBystander(evidence, stored, nowMillis)) {
+                changes.add(begin(evidence, nowMillis));
             }
         }
         return changes.build();
@@ -220,7 +226,7 @@
         }
         if (evidence.isPresent()
                 && hasNewCrash(quarantine, evidence.get())
-                && !isBystander(evidence.get(), stored)) {
+                && !isBystander(evidence.get(), stored, nowMillis)) {
             return change(
                     quarantine,
                     evidence,
@@ -295,15 +301,27 @@
                 Reason.CRASHES);
     }
 
-    /** Reports whether another request has all crashes of this one, and more. */
+    /**
+     * Reports whether another request has all crashes of this one, and more. One crash may be
+     * missing while the daemon at which the other request was in progress may still report it.
+     */
     private boolean isBystander(
-            Evidence evidence, ImmutableMap<RequestFingerprint, Quarantine> stored) {
+            Evidence evidence,
+            ImmutableMap<RequestFingerprint, Quarantine> stored,
+            long nowMillis) {
+        int maxMissing = isRecent(evidence, nowMillis) ? 1 : 0;
         RequestFingerprint fingerprint = evidence.mSuspect.fingerprint();
         Set<String> crashes = allCrashes(fingerprint, stored);
         return Stream.concat(mEvidence.keySet().stream(), stored.keySet().stream())
                 .filter(other -> !other.equals(fingerprint))
                 .map(other -> allCrashes(other, stored))
-                .anyMatch(all -> all.size() > crashes.size() && all.containsAll(crashes));
+                .filter(all -> all.size() > crashes.size())
+                .anyMatch(all -> Sets.difference(crashes, all).size() <= maxMissing);
+    }
+
+    /** Reports whether further daemons may still report the last crash under the request. */
+    private static boolean isRecent(Evidence evidence, long nowMillis) {
+        return nowMillis - evidence.mLastCrashAt < REPORT_SPREAD_MILLIS;
     }
 
     /** Returns the crashes under a request that the ledger or the store knows. */
--- a/decisions/src/main/java/org/geraniumusher/traffic/RouterConfig.java
+++ b/decisions/src/main/java/org/geraniumusher/traffic/RouterConfig.java
@@ -39,7 +39,7 @@
             TrafficLimits limits) {
         Map<String, List<RouteRule>> byHost = new HashMap<>();
         for (RouteRule route : routes) {
-            byHost.computeIfAbsent(normalize(route.host()), host -> new ArrayList<>()).add(route);
+            byHost.computeIfAbsent(hostName(route.host()), host -> new ArrayList<>()).add(route);
         }
         ImmutableMap.Builder<String, ImmutableList<RouteRule>> sorted = ImmutableMap.builder();
         Comparator<RouteRule> longestFirst =
@@ -78,7 +78,7 @@
      * @param host host name in any case; a port is ignored
      */
     public Optional<RouteRule> match(String host, String path) {
-        for (RouteRule route : mRoutesByHost.getOrDefault(normalize(host), ImmutableList.of())) {
+        for (RouteRule route : mRoutesByHost.getOrDefault(hostName(host), ImmutableList.of())) {
             if (path.startsWith(route.prefix())) {
                 return Optional.of(route);
             }
@@ -86,7 +86,8 @@
         return Optional.empty();
     }
 
-    private static String normalize(String host) {
+    /** Returns the name in a {@code Host} header, in lower case and without a port. */
+    public static String hostName(String host) {
         int colon = host.lastIndexOf(':');
         String name = colon >= 0 ? host.substring(0, colon) : host;
         return name.toLowerCase(Locale.ROOT);
--- a/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -29,6 +29,12 @@
     /** Crashes under a request, seen by this daemon, from which the daemon does not retry it. */
     private static final int MAX_CRASHES_RETRIED = 2;
 
+    /**
+     * Interval between the first probes of a server whose responses are lost again and again, which
+     * may be because it has too many connections.
+     */
+    private static final long FIRST_PROBE_INTERVAL_NANOS = 300_000_000L;
+
     private static final double MIN_RETRY_AFTER_SECONDS = 1;
     private static final int MAX_LOGGED_SUSPECTS = 16;
 
@@ -40,6 +46,7 @@
     private final EntryMetrics mMetrics;
     private final String mKeyHeader;
     private final String mSignatureHeader;
+    private final String mNotExecutedHeader;
     private final ConnectProbe mProbe;
     private final CrashReporter mReporter;
     private final CrashDetector<Exchange> mDetector = CrashDetector.create();
@@ -47,6 +54,9 @@
     /** Entries of the incarnations that may have crashed. */
     private final Map<String, ServerEntry> mSuspectedServers = new HashMap<>();
 
+    /** Times of the first probes of these incarnations. */
+    private final Map<String, Long> mProbedAt = new HashMap<>();
+
     private ImmutableMap<RequestFingerprint, Quarantine> mQuarantines = ImmutableMap.of();
 
     /** Targets of {@link #mQuarantines}, which a request is compared with before it is hashed. */
@@ -71,6 +81,7 @@
         mWallMillis = wallMillis;
         mKeyHeader = headers.key();
         mSignatureHeader = headers.signature();
+        mNotExecutedHeader = headers.notExecuted();
         mProbe = probe;
         mReporter = reporter;
     }
@@ -86,7 +97,9 @@
         }
         long remainingMillis =
                 quarantine.sinceMillis() + quarantine.durationMillis() - mWallMillis.getAsLong();
-        return OptionalDouble.of(Math.max(MIN_RETRY_AFTER_SECONDS, remainingMillis / 1e3));
+        // The clock of the coordinator, which set the time, may differ from this one.
+        double seconds = Math.min(quarantine.durationMillis(), remainingMillis) / 1e3;
+        return OptionalDouble.of(Math.max(MIN_RETRY_AFTER_SECONDS, seconds));
     }
 
     private boolean hasQuarantinedTarget(Exchange exchange) {
@@ -110,7 +123,10 @@
     /** Records a response of a server to a request, which shows that the server is running. */
     void onResponse(Exchange exchange, Upstream upstream, UpstreamResponse response) {
         mDetector.onAnswered(upstream.entry().incarnationId(), mClock.getAsLong());
-        boolean completed = response.status() < 500 && response.header(mSignatureHeader) != null;
+        boolean completed =
+                response.status() < 500
+                        && response.header(mSignatureHeader) != null
+                        && response.header(mNotExecutedHeader) == null;
         if (!completed) {
             return;
         }
@@ -129,9 +145,16 @@
             return;
         }
         ServerEntry server = upstream.entry();
-        if (mDetector.onBroken(server.incarnationId(), exchange, mClock.getAsLong())) {
+        long now = mClock.getAsLong();
+        if (mDetector.onBroken(server.incarnationId(), exchange, now)) {
             mSuspectedServers.put(server.incarnationId(), server);
-            probe(server, CrashDetector.MIN_REFUSALS);
+            Long last = mProbedAt.get(server.incarnationId());
+            long probeAt = last == null ? now : Math.max(now, last + FIRST_PROBE_INTERVAL_NANOS);
+            mProbedAt.put(server.incarnationId(), probeAt);
+            mThread.schedule(
+                    () -> probe(server, CrashDetector.MIN_REFUSALS),
+                    probeAt - now,
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -189,6 +212,7 @@
     private void findEndedServers() {
         ImmutableList<String> suspicions = mDetector.suspicions(mClock.getAsLong());
         mSuspectedServers.keySet().retainAll(suspicions);
+        mProbedAt.keySet().retainAll(suspicions);
         for (ServerEntry server : List.copyOf(mSuspectedServers.values())) {
             ServerEntry listed = mDirectory.servers().get(server.incarnationId());
             if (listed != null && listed.leaving()) {
--- a/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
@@ -25,13 +25,16 @@
  */
 final class QuarantineService {
     /** Interval of decisions while there are no reports. */
-    private static final long DECISION_INTERVAL_NANOS = 500_000_000L;
+    private static final long DECISION_INTERVAL_NANOS = 250_000_000L;
 
-    /** Time after a write within which the same quarantine is not written again. */
+    /**
+     * Time after a write within which the same quarantine is not written again, unless the
+     * directory has seen its result.
+     */
     private static final long WRITE_INTERVAL_NANOS = 500_000_000L;
 
-    /** Limit of writes in one interval, because all daemons share the store's rate. */
-    private static final int MAX_WRITES_PER_DECISION = 16;
+    /** Limit of writes whose results are not seen, because all daemons share the store's rate. */
+    private static final int MAX_WRITES_IN_PROGRESS = 16;
 
     private final Directory mDirectory;
     private final Store mStore;
@@ -42,13 +45,20 @@
     private final CoordinatorService mCoordinator;
     private final CrashLedger mLedger = CrashLedger.create();
 
-    /** Times of writes whose results the directory may not show yet, by quarantine. */
-    private final Map<RequestFingerprint, Long> mWrittenAt = new HashMap<>();
+    /** Writes whose results the directory may not show yet, by quarantine. */
+    private final Map<RequestFingerprint, Write> mWrites = new HashMap<>();
 
     private ImmutableMap<RequestFingerprint, Quarantine> mLastStored = ImmutableMap.of();
     private long mNextDecisionAt;
     private long mLoggedDrops;
 
+    /**
+     * A write of a quarantine.
+     *
+     * @param revision revision of the object that the write replaces, or -1 if there was none
+     */
+    private record Write(long at, long revision) {}
+
     /**
      * Creates the service.
      *
@@ -101,21 +111,35 @@
         long now = mClock.getAsLong();
         mNextDecisionAt = now + DECISION_INTERVAL_NANOS;
         mLastStored = mDirectory.quarantines();
-        mWrittenAt.values().removeIf(at -> now - at >= WRITE_INTERVAL_NANOS);
+        mWrites.entrySet()
+                .removeIf(
+                        e ->
+                                now - e.getValue().at() >= WRITE_INTERVAL_NANOS
+                                        || revision(e.getKey()) != e.getValue().revision());
         for (CrashLedger.Change change : mLedger.decide(mLastStored, mWallMillis.getAsLong())) {
-            if (mWrittenAt.size() >= MAX_WRITES_PER_DECISION) {
+            if (mWrites.size() >= MAX_WRITES_IN_PROGRESS) {
                 return;
             }
-            if (mWrittenAt.putIfAbsent(change.fingerprint(), now) == null) {
+            Write write = new Write(now, revision(change.fingerprint()));
+            if (mWrites.putIfAbsent(change.fingerprint(), write) == null) {
                 write(change);
             }
         }
     }
 
+    /** Returns the revision of a stored quarantine, or -1 if there is none. */
+    private long revision(RequestFingerprint fingerprint) {
+        return stored(fingerprint).map(StoreObject::revision).orElse(-1L);
+    }
+
+    private Optional<StoreObject> stored(RequestFingerprint fingerprint) {
+        return Optional.ofNullable(
+                mDirectory.mirror(StoreKind.QUARANTINES).objects().get(fingerprint.hex()));
+    }
+
     private void write(CrashLedger.Change change) {
         String name = change.fingerprint().hex();
-        Optional<StoreObject> stored =
-                Optional.ofNullable(mDirectory.mirror(StoreKind.QUARANTINES).objects().get(name));
+        Optional<StoreObject> stored = stored(change.fingerprint());
         CompletableFuture<StoreResult> call;
         if (change.next().isEmpty()) {
             call = mStore.remove(StoreKind.QUARANTINES, name, stored.orElseThrow().revision());
--- a/entry/src/main/java/org/geraniumusher/entry/RequestIdentity.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestIdentity.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 
 import org.geraniumusher.quarantine.RequestFingerprint;
+import org.geraniumusher.traffic.RouterConfig;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -38,8 +39,11 @@
         mTarget = target.substring(0, Math.min(target.length(), MAX_TARGET_CHARS));
     }
 
+    /**
+     * Returns the host as routes match it; its port differs where daemons are addressed directly.
+     */
     private String host() {
-        return mRequest.headers().get(HttpHeaderNames.HOST, "");
+        return RouterConfig.hostName(mRequest.headers().get(HttpHeaderNames.HOST, ""));
     }
 
     /** Returns method, host and path, shortened. */
