--- a/decisions/src/main/java/org/geraniumusher/quarantine/CrashLedger.java
+++ b/decisions/src/main/java/org/geraniumusher/quarantine/CrashLedger.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.Sets;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -112,7 +113,7 @@
     }
 
     /** Records a crash; reports of the same crash by several daemons add up. */
-    public void onCrash(String incarnationId, List<CrashSuspect> suspects, long nowMillis) {
+    public void onCrash(String incarnationId, Collection<CrashSuspect> suspects, long nowMillis) {
         checkNotNull(incarnationId);
         for (CrashSuspect suspect : suspects) {
             Evidence evidence =
--- a/entry/src/main/java/org/geraniumusher/entry/CrashReporter.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashReporter.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Maps;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.http.HttpCall;
@@ -16,6 +16,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -210,13 +211,7 @@
         if (mCoordinator.isActing()) {
             Batch batch = nextBatch("self");
             while (!batch.isEmpty()) {
-                batch.crashes()
-                        .forEach(
-                                (id, crash) ->
-                                        mQuarantines.onCrash(
-                                                id,
-                                                ImmutableList.copyOf(crash.mSuspects.values())));
-                batch.completions().keySet().forEach(mQuarantines::onCompleted);
+                mQuarantines.onReport(batch.suspects(), batch.completions().keySet());
                 batch.acknowledge("self");
                 batch = nextBatch("self");
             }
@@ -297,6 +292,10 @@
             return crashes.isEmpty() && completions.isEmpty();
         }
 
+        Map<String, Collection<CrashSuspect>> suspects() {
+            return Maps.transformValues(crashes, crash -> crash.mSuspects.values());
+        }
+
         void acknowledge(String identity) {
             crashes.values().forEach(crash -> crash.mAcknowledgedBy = identity);
             completions.values().forEach(completion -> completion.mAcknowledged = true);
@@ -347,8 +346,7 @@
             }
             crashes.put(crash.path(INCARNATION).asText(), suspects);
         }
-        completed.forEach(mQuarantines::onCompleted);
-        crashes.forEach(mQuarantines::onCrash);
+        mQuarantines.onReport(crashes, completed);
         return true;
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
@@ -8,8 +8,8 @@
 import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.quarantine.RequestFingerprint;
 
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -76,9 +76,18 @@
         mStore.epoch().addListener(mLedger::onStoreRestored);
     }
 
-    /** Records a crash that a daemon reports. */
-    void onCrash(String incarnationId, List<CrashSuspect> suspects) {
-        mLedger.onCrash(incarnationId, suspects, mWallMillis.getAsLong());
+    /**
+     * Records what a daemon reports.
+     *
+     * @param crashes suspects of each crash, by incarnation
+     * @param completed requests that were executed to their end
+     */
+    void onReport(
+            Map<String, ? extends Collection<CrashSuspect>> crashes,
+            Collection<RequestFingerprint> completed) {
+        long nowMillis = mWallMillis.getAsLong();
+        completed.forEach(mLedger::onCompleted);
+        crashes.forEach((id, suspects) -> mLedger.onCrash(id, suspects, nowMillis));
         if (mLedger.droppedRequests() > mLoggedDrops) {
             mLog.write(
                     Part.OWNERSHIP,
@@ -90,12 +99,6 @@
         decide();
     }
 
-    /** Records that a daemon saw a request executed to its end. */
-    void onCompleted(RequestFingerprint fingerprint) {
-        mLedger.onCompleted(fingerprint);
-        decide();
-    }
-
     /** Decides again if it is time to or the stored quarantines have changed. */
     void tick() {
         boolean changed = mDirectory.quarantines() != mLastStored;
