--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -52,6 +52,7 @@
     /** The drivers of the current term, by service; empty while the record names another daemon. */
     private final Map<String, RangeCoordinatorDriver> mDrivers = new HashMap<>();
 
+    private Runnable mActingListener = () -> {};
     private RangeCoordinatorDriver.Publisher mPublisher = RangeCoordinatorDriver.Publisher.NONE;
     private boolean mStoreCallInFlight;
 
@@ -90,6 +91,11 @@
         mPublisher = publisher;
     }
 
+    /** Sets a listener that runs on each tick while this daemon is the coordinator. */
+    void setActingListener(Runnable listener) {
+        mActingListener = listener;
+    }
+
     void start() {
         mNextPollAt = now();
         tick();
@@ -208,6 +214,7 @@
                                         .filter(ServiceRule::keyed)
                                         .forEach(s -> driver(s.name())));
         restoreDrains(now);
+        mActingListener.run();
         List.copyOf(mDrivers.values()).forEach(d -> d.tick(mElection));
     }
 
