Let operators list and release quarantined requests at a daemon

A quarantined request is refused by all daemons, and an operator could neither see that nor end it before its time.

GET /admin/quarantines lists the quarantines in force at the daemon, DELETE removes one at the revision that was read. The removal, with its log line and the result codes for a conflict, a missing object and a store without an answer, moves from DrainService to RemovableObject, which both use. MemberStatus carries the fingerprints with their revisions, so that the tool can tell a removed quarantine from a later one of the same request. The field is left out of the JSON while it is empty, because earlier releases reject it.

The fake store of the tests in entry/ now removes an object only at the given revision, as the interface demands; it ignored the revision before.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -363,7 +364,27 @@
                         e.getMessage());
             }
         }
-        mQuarantines = next.buildOrThrow();
+        setQuarantines(next.buildOrThrow());
+    }
+
+    private void setQuarantines(ImmutableMap<RequestFingerprint, Quarantine> next) {
+        if (!next.equals(mQuarantines)) {
+            mQuarantines = next;
+            mLog.write(
+                    Part.STORE,
+                    "Quarantines are in force",
+                    "rejected",
+                    fingerprints(Quarantine.State.REJECTED),
+                    "probation",
+                    fingerprints(Quarantine.State.PROBATION));
+        }
+    }
+
+    private List<RequestFingerprint> fingerprints(Quarantine.State state) {
+        return mQuarantines.values().stream()
+                .filter(q -> q.state() == state)
+                .map(Quarantine::fingerprint)
+                .toList();
     }
 
     /** Returns the quarantined requests as last read from the store. */
@@ -371,6 +392,11 @@
         return mQuarantines;
     }
 
+    /** Returns the revision of the object of a quarantined request. */
+    long quarantineRevision(RequestFingerprint request) {
+        return mMirrors.get(StoreKind.QUARANTINES).objects().get(request.hex()).revision();
+    }
+
     /** Returns what a restore of the store took back of the drains. */
     DrainHistory drainHistory() {
         return mDrainHistory;
--- a/entry/src/main/java/org/geraniumusher/entry/DrainService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/DrainService.java
@@ -101,53 +101,14 @@
                                     + " exists with selector "
                                     + existing.selector());
         }
-        return unavailableReply(result);
+        return RemovableObject.unavailableReply(result);
     }
 
     /** Returns the servers of a drain to service. */
     CompletableFuture<HttpReply> end(HttpCall call) {
         String name = QueryParameters.required(call, "name");
-        return mStore.read(StoreKind.DRAINS, name)
-                .thenCompose(
-                        result ->
-                                result instanceof StoreResult.Written found
-                                        ? remove(name, found.object().revision())
-                                        : CompletableFuture.completedFuture(
-                                                failureReply(name, result)));
-    }
-
-    private CompletableFuture<HttpReply> remove(String name, long revision) {
-        return mStore.remove(StoreKind.DRAINS, name, revision)
-                .thenApply(
-                        result -> {
-                            mLog.write(
-                                    Part.STORE,
-                                    "Operator ended a drain",
-                                    "drain",
-                                    name,
-                                    "revision",
-                                    revision,
-                                    "result",
-                                    result);
-                            return result instanceof StoreResult.Removed
-                                    ? changedReply(name, revision)
-                                    : failureReply(name, result);
-                        });
-    }
-
-    private static HttpReply failureReply(String name, StoreResult result) {
-        if (result instanceof StoreResult.NotFound) {
-            return JsonReply.error(ResultCode.NOT_FOUND, "no drain " + name);
-        }
-        if (result instanceof StoreResult.Conflict) {
-            return JsonReply.error(
-                    ResultCode.CONFLICT, "drain " + name + " was changed concurrently");
-        }
-        return unavailableReply(result);
-    }
-
-    private static HttpReply unavailableReply(StoreResult result) {
-        return JsonReply.error(ResultCode.PLATFORM_UNAVAILABLE, "the store returned " + result);
+        return RemovableObject.DRAIN.remove(
+                mStore, mLog, name, revision -> new Replies.DrainChanged(name, revision));
     }
 
     private static HttpReply changedReply(String name, long revision) {
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -133,7 +133,9 @@
                         relayedStore,
                         client,
                         mGroup);
-        mOperatorEndpoint = new OperatorEndpoint(context, mCoordinator, mPeerService, fleet);
+        mOperatorEndpoint =
+                new OperatorEndpoint(
+                        context, mCoordinator, mPeerService, fleet, clocks.wallMillis());
         mCallerEndpoint =
                 new CallerEndpoint(
                         mDispatcher,
--- a/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
+++ b/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
@@ -16,6 +16,7 @@
 import org.geraniumusher.operator.JsonReply;
 import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.operator.MemberStatus.State;
+import org.geraniumusher.quarantine.RequestFingerprint;
 import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.RouterConfig;
 
@@ -101,11 +102,20 @@
                         mContext.settings().dataCentre(),
                         version,
                         mContext.directory().drains().stream().map(Drain::name).toList(),
+                        quarantineRevisions(),
                         tables,
                         mCoordinator.isActing() ? ImmutableList.of(COORDINATOR) : List.of());
         return new Status(member, mContext.metrics().burnSummary().toBytes());
     }
 
+    private ImmutableMap<String, Long> quarantineRevisions() {
+        Directory directory = mContext.directory();
+        return directory.quarantines().keySet().stream()
+                .collect(
+                        ImmutableMap.toImmutableMap(
+                                RequestFingerprint::hex, directory::quarantineRevision));
+    }
+
     private CompletableFuture<List<Status>> collectStatuses(List<Address> peers) {
         List<CompletableFuture<Status>> statuses = new ArrayList<>();
         statuses.add(CompletableFuture.completedFuture(ownStatus()));
@@ -137,6 +147,7 @@
                         0,
                         ImmutableList.of(),
                         ImmutableMap.of(),
+                        ImmutableMap.of(),
                         ImmutableList.of());
         return new Status(unknown, new byte[0]);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 /** Answers the command-line tool and the metrics collector. Confined to the event loop. */
 final class OperatorEndpoint {
@@ -27,17 +28,26 @@
     private final PeerService mPeerService;
     private final FleetStatus mFleet;
     private final DrainService mDrainService;
+    private final QuarantineEndpoint mQuarantineEndpoint;
 
+    /**
+     * Creates the endpoint.
+     *
+     * @param wallClock milliseconds since 1970
+     */
     OperatorEndpoint(
             DaemonContext context,
             CoordinatorService coordinator,
             PeerService peers,
-            FleetStatus fleet) {
+            FleetStatus fleet,
+            LongSupplier wallClock) {
         mContext = checkNotNull(context);
         mCoordinator = checkNotNull(coordinator);
         mPeerService = checkNotNull(peers);
         mFleet = checkNotNull(fleet);
         mDrainService = new DrainService(context);
+        mQuarantineEndpoint = new QuarantineEndpoint(context, wallClock);
+        mQuarantineEndpoint.registerGauges(context.metrics());
     }
 
     /** Replies to a call on the operator port; a call that fails gets status 500. */
@@ -71,6 +81,7 @@
                                 .thenApply(all -> new Replies.Daemons(daemonName(), all))
                                 .thenApply(JsonReply::ok);
                 case "/admin/drains" -> drainReply(call);
+                case "/admin/quarantines" -> quarantineReply(call);
                 case "/admin/burn" ->
                         mFleet.burnReport(mPeerService.peerAddresses()).thenApply(JsonReply::ok);
                 default -> completed(error(ResultCode.NOT_FOUND, "no such path: " + call.path()));
@@ -85,10 +96,22 @@
             case "GET" -> completed(mDrainService.list());
             case "POST" -> mDrainService.start(call);
             case "DELETE" -> mDrainService.end(call);
-            default -> completed(error(ResultCode.BAD_REQUEST, "bad method: " + call.method()));
+            default -> completed(badMethod(call));
+        };
+    }
+
+    private CompletableFuture<HttpReply> quarantineReply(HttpCall call) {
+        return switch (call.method()) {
+            case "GET" -> completed(mQuarantineEndpoint.list());
+            case "DELETE" -> mQuarantineEndpoint.release(call);
+            default -> completed(badMethod(call));
         };
     }
 
+    private static HttpReply badMethod(HttpCall call) {
+        return error(ResultCode.BAD_REQUEST, "bad method: " + call.method());
+    }
+
     private String daemonName() {
         return mContext.settings().name();
     }
--- a/entry/src/main/java/org/geraniumusher/operator/MemberStatus.java
+++ b/entry/src/main/java/org/geraniumusher/operator/MemberStatus.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedMap;
 
@@ -18,6 +19,8 @@
  * @param dataCentre data centre of the daemon
  * @param configurationVersion version of the configuration that the daemon routes by
  * @param drains names of the drains in force at the daemon
+ * @param quarantines store revision of each quarantine in force at the daemon, by fingerprint of
+ *     the request; left out of the JSON while empty, because releases that do not know it reject it
  * @param tableVersions version of the daemon's key-range table, by name of the keyed service
  * @param roles what the daemon does besides routing, such as {@code coordinator}
  */
@@ -28,6 +31,7 @@
         String dataCentre,
         long configurationVersion,
         List<String> drains,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> quarantines,
         Map<String, Long> tableVersions,
         List<String> roles) {
     /** Makes immutable copies of the collections. */
@@ -36,6 +40,10 @@
         checkNotNull(state, "state");
         checkNotNull(dataCentre, "dataCentre");
         tableVersions = ImmutableSortedMap.copyOf(tableVersions);
+        quarantines =
+                quarantines == null
+                        ? ImmutableSortedMap.of()
+                        : ImmutableSortedMap.copyOf(quarantines);
         drains = ImmutableList.copyOf(drains);
         roles = ImmutableList.copyOf(roles);
     }
--- a/entry/src/main/java/org/geraniumusher/operator/Replies.java
+++ b/entry/src/main/java/org/geraniumusher/operator/Replies.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 
+import org.geraniumusher.quarantine.Quarantine;
+
 import java.util.List;
 
 /** The JSON bodies of replies on the operator port. All are immutable and thread-safe. */
@@ -36,6 +38,51 @@
      */
     public record DrainChanged(String name, long version) {}
 
+    /**
+     * One quarantined request.
+     *
+     * @param request fingerprint of the request
+     * @param state whether daemons reject the request
+     * @param service service of the request
+     * @param target method, host and path of the request
+     * @param crashes number of server incarnations that terminated under the request
+     * @param incarnations IDs of these incarnations
+     * @param since start of the state, as ISO 8601 in UTC
+     * @param secondsLeft seconds until the state ends, 0 if its end is due
+     * @param version store revision at which the quarantine was written
+     */
+    public record QuarantineRow(
+            String request,
+            Quarantine.State state,
+            String service,
+            String target,
+            int crashes,
+            List<String> incarnations,
+            String since,
+            long secondsLeft,
+            long version) {
+        /** Makes an immutable copy of the list. */
+        public QuarantineRow {
+            incarnations = ImmutableList.copyOf(incarnations);
+        }
+    }
+
+    /** The quarantines that are in force at a daemon. */
+    public record Quarantines(List<QuarantineRow> quarantines) {
+        /** Makes an immutable copy of the list. */
+        public Quarantines {
+            quarantines = ImmutableList.copyOf(quarantines);
+        }
+    }
+
+    /**
+     * Confirms that the quarantine of a request was removed.
+     *
+     * @param request fingerprint of the request
+     * @param version store revision at which the removed quarantine was written
+     */
+    public record QuarantineEnded(String request, long version) {}
+
     /**
      * One key range of a service and its owner. Servers are given by the id of their incarnation.
      *
--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -2,14 +2,18 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 
 /** Creates daemon contexts with a fake store, fake servers and a manual clock. Not thread-safe. */
 final class DaemonContextFixture implements AutoCloseable {
     private final FakeEventThread mThread = new FakeEventThread();
     private final FakeServerControl mControl = new FakeServerControl(mThread);
+    private final ByteArrayOutputStream mLogBytes = new ByteArrayOutputStream();
     private final DecisionLog mLog =
             DecisionLog.start(
-                    mThread::now, () -> 0, new PrintStream(new ByteArrayOutputStream(), true));
+                    mThread::now,
+                    () -> 0,
+                    new PrintStream(mLogBytes, true, StandardCharsets.UTF_8));
     private final FakeStore mStore = new FakeStore(mLog);
 
     FakeEventThread thread() {
@@ -24,6 +28,12 @@
         return mControl;
     }
 
+    /** Ends the log and returns its lines. */
+    String closeAndReadLog() {
+        close();
+        return mLogBytes.toString(StandardCharsets.UTF_8);
+    }
+
     /** Returns the context of a daemon that has not read the store yet. */
     DaemonContext createContext(String name) {
         EntrySettings settings =
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -5,10 +5,13 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.traffic.ServerEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import java.util.List;
+
 /**
  * Guards against servers that are treated as gone because their entries expired during an outage of
  * the store, against watches that outlast the history of the store, and against state that a
@@ -185,6 +188,79 @@
         assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isFalse();
     }
 
+    /**
+     * One object that cannot be decoded must not end the quarantines of other requests, and an
+     * operator must see why a daemon does not reject the request.
+     */
+    @Test
+    void quarantines_someObjectsUnusable_othersAreInForceAndReasonsAreLogged() {
+        Quarantine usable = Quarantines.create("a", Quarantine.State.REJECTED, 0);
+        Quarantines.put(mStore, usable);
+        mStore.put(StoreKind.QUARANTINES, "night", QuarantineCodec.encode(usable));
+        mStore.put(StoreKind.QUARANTINES, "b".repeat(32), configuration(1));
+        mStore.put(
+                StoreKind.QUARANTINES,
+                "c".repeat(32),
+                QuarantineCodec.encode(usable).put("state", "PAUSED"));
+
+        mDirectory.start();
+
+        assertThat(mDirectory.quarantines()).containsExactly(usable.fingerprint(), usable);
+        List<String> skipped =
+                mFixture.closeAndReadLog()
+                        .lines()
+                        .filter(line -> line.contains("Quarantine cannot be used"))
+                        .toList();
+        assertThat(skipped).hasSize(3);
+        assertThat(skipped.toString()).contains("fingerprint is not 32 hexadecimal digits: night");
+        assertThat(skipped.toString()).contains("no text field");
+        assertThat(skipped.toString()).contains("PAUSED");
+    }
+
+    /** The log must tell from when on a daemon rejected a request, and not repeat it each list. */
+    @Test
+    void quarantines_changeAndAreListedAgain_onlyChangesAreLogged() {
+        Quarantine rejected = Quarantines.create("a", Quarantine.State.REJECTED, 0);
+        Quarantine probation = Quarantines.create("a", Quarantine.State.PROBATION, 9);
+        String name = rejected.fingerprint().hex();
+        mDirectory.start();
+        Quarantines.put(mStore, rejected);
+        mStore.dropHistory();
+        mStore.dropHistory();
+        Quarantines.put(mStore, probation);
+        mStore.dropHistory();
+        mStore.remove(StoreKind.QUARANTINES, name);
+        mStore.dropHistory();
+
+        assertThat(mDirectory.quarantines()).isEmpty();
+        List<String> changes =
+                mFixture.closeAndReadLog()
+                        .lines()
+                        .filter(line -> line.contains("Quarantines are in force"))
+                        .toList();
+        assertThat(changes).hasSize(3);
+        assertThat(changes.get(0)).containsMatch("\"rejected\":\\W*" + name);
+        assertThat(changes.get(1)).containsMatch("\"probation\":\\W*" + name);
+        assertThat(changes.get(2)).doesNotContain(name);
+    }
+
+    /** A daemon that keeps what the store lost would refuse a request that nobody can release. */
+    @Test
+    void quarantines_storeIsRestored_areThoseOfTheBackup() {
+        Quarantine old = Quarantines.create("a", Quarantine.State.REJECTED, 0);
+        Quarantine lost = Quarantines.create("b", Quarantine.State.REJECTED, 9);
+        Quarantines.put(mStore, old);
+        FakeStore.Backup backup = mStore.backup();
+        mStore.remove(StoreKind.QUARANTINES, old.fingerprint().hex());
+        Quarantines.put(mStore, lost);
+        mDirectory.start();
+        assertThat(mDirectory.quarantines()).containsExactly(lost.fingerprint(), lost);
+
+        restore(backup);
+
+        assertThat(mDirectory.quarantines()).containsExactly(old.fingerprint(), old);
+    }
+
     @Test
     void mayMissingServersReregister_noOutage_isFalse() {
         mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -183,6 +183,13 @@
 
     @Override
     public CompletableFuture<StoreResult> remove(StoreKind kind, String name, long revision) {
+        StoreObject current = objects(kind).get(name);
+        if (current == null) {
+            return answer(new StoreResult.NotFound());
+        }
+        if (current.revision() != revision) {
+            return answer(new StoreResult.Conflict(current));
+        }
         remove(kind, name);
         return answer(new StoreResult.Removed());
     }
--- /dev/null
+++ b/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
@@ -0,0 +1,42 @@
+package org.geraniumusher.operator;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+import java.util.Map;
+
+/** Guards against daemons of different releases that cannot read each other's states. */
+final class MemberStatusTest {
+    private static MemberStatus withQuarantines(Map<String, Long> quarantines) {
+        return new MemberStatus(
+                "d",
+                1,
+                MemberStatus.State.ALIVE,
+                "z",
+                3,
+                List.of(),
+                quarantines,
+                Map.of("keyed", 7L),
+                List.of());
+    }
+
+    /** A release without the field rejects it and would show the daemon as suspect. */
+    @Test
+    void json_noQuarantines_fieldIsLeftOutAndReadAsNone() {
+        MemberStatus member = withQuarantines(Map.of());
+
+        String json = Json.write(member);
+
+        assertThat(json).doesNotContain("quarantines");
+        assertThat(Json.read(json, MemberStatus.class)).isEqualTo(member);
+    }
+
+    @Test
+    void json_quarantines_areReadBack() {
+        MemberStatus member = withQuarantines(Map.of("a".repeat(32), 8L));
+
+        assertThat(Json.read(Json.write(member), MemberStatus.class)).isEqualTo(member);
+    }
+}
--- a/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
+++ b/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -17,10 +18,13 @@
 import org.geraniumusher.operator.JsonReply;
 import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.operator.Replies;
+import org.geraniumusher.quarantine.Quarantine;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentSkipListMap;
 
 /** A fake daemon that serves the operator port for one keyed service, catalogue. Thread-safe. */
@@ -32,6 +36,12 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpServer mServer = HttpServer.bind(mGroup, "127.0.0.1", 0, this::answer);
     private final Map<String, String> mDrains = new ConcurrentSkipListMap<>();
+    private final Map<String, Replies.QuarantineRow> mQuarantines = new ConcurrentSkipListMap<>();
+
+    /** Quarantines that are no longer in the store, which a lagging daemon still has in force. */
+    private final Map<String, Replies.QuarantineRow> mReleased = new ConcurrentSkipListMap<>();
+
+    private volatile Optional<ResultCode> mReleaseFailure = Optional.empty();
     private volatile int mRanges;
     private volatile boolean mLagging;
     private volatile BurnReport mBurn = new BurnReport(0, 1, 0, ImmutableList.of());
@@ -45,7 +55,7 @@
         mRanges = ranges;
     }
 
-    /** Sets whether the daemon reports that no drain is in force yet. */
+    /** Sets whether the daemon reports that no change is in force yet. */
     void setLagging(boolean lagging) {
         mLagging = lagging;
     }
@@ -58,6 +68,32 @@
         return mDrains;
     }
 
+    /** Quarantines a request. */
+    void quarantine(String request, long version) {
+        mQuarantines.put(
+                request,
+                new Replies.QuarantineRow(
+                        request,
+                        Quarantine.State.REJECTED,
+                        "catalogue",
+                        "GET shop/item/7",
+                        2,
+                        List.of("bs-1@5", "bs-2@6"),
+                        "2026-12-05T03:00:00Z",
+                        41,
+                        version));
+    }
+
+    /** Sets the result of each release, or lets releases succeed again. */
+    void setReleaseFailure(Optional<ResultCode> code) {
+        mReleaseFailure = code;
+    }
+
+    /** Returns the fingerprints of the requests that are quarantined in the store. */
+    Set<String> quarantined() {
+        return mQuarantines.keySet();
+    }
+
     @Override
     public void close() {
         mServer.close();
@@ -80,6 +116,7 @@
                                     "catalogue", 7, 3, "entry-1", List.of(ALL_KEYS)));
             case "/admin/daemons" -> JsonReply.ok(daemons());
             case "/admin/drains" -> drains(call);
+            case "/admin/quarantines" -> quarantines(call);
             case "/admin/burn" -> JsonReply.ok(mBurn);
             default -> JsonReply.error(ResultCode.NOT_FOUND, "no such path: " + call.path());
         };
@@ -96,10 +133,35 @@
                                 "nadi-b",
                                 9,
                                 mLagging ? List.of() : List.copyOf(mDrains.keySet()),
+                                quarantinesInForce(),
                                 ImmutableMap.of("catalogue", 7L),
                                 List.of("coordinator"))));
     }
 
+    private Map<String, Long> quarantinesInForce() {
+        Map<String, Replies.QuarantineRow> inForce = new HashMap<>(mQuarantines);
+        if (mLagging) {
+            inForce.putAll(mReleased);
+        }
+        return Maps.transformValues(inForce, Replies.QuarantineRow::version);
+    }
+
+    private HttpReply quarantines(HttpCall call) {
+        if (call.method().equals("GET")) {
+            return JsonReply.ok(new Replies.Quarantines(List.copyOf(mQuarantines.values())));
+        }
+        if (mReleaseFailure.isPresent()) {
+            return JsonReply.error(mReleaseFailure.get(), "release failed");
+        }
+        String request = call.query("request").orElseThrow();
+        Replies.QuarantineRow row = mQuarantines.remove(request);
+        if (row == null) {
+            return JsonReply.error(ResultCode.NOT_FOUND, "no quarantine " + request);
+        }
+        mReleased.put(request, row);
+        return JsonReply.ok(new Replies.QuarantineEnded(request, row.version()));
+    }
+
     private HttpReply drains(HttpCall call) {
         Optional<String> name = call.query("name");
         if (call.method().equals("GET")) {
