Add commands that list and release quarantined requests

Operators had no command for the quarantines that a daemon has in force.

"quarantines" prints them, "release-request" ends one and waits until no daemon that answers has the removed revision or an earlier one in force. A prefix of 6 digits or more stands for a fingerprint if it is unique; an ambiguous one ends with BAD_REQUEST and the matches, an unknown one with NOT_FOUND, and neither changes anything. Failures carry their suggestion, so that those of a release do not speak of drains. The wait for all daemons and the printing of lists are shared with the drains.

--- a/tool/src/main/java/org/geraniumusher/tool/CommandContext.java
+++ b/tool/src/main/java/org/geraniumusher/tool/CommandContext.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.tool;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -11,4 +12,15 @@
  * @param pollTimers creates the timer of a wait from the time limit of the wait
  */
 record CommandContext(
-        OperatorClient client, Output output, Function<Duration, PollTimer> pollTimers) {}
+        OperatorClient client, Output output, Function<Duration, PollTimer> pollTimers) {
+    /** Fetches a reply and prints it, as a table unless the operator chose JSON. */
+    <T> Optional<Failure> printReply(String uri, Class<T> type, Function<T, Table> toTable) {
+        return client.get(uri, type)
+                .map(
+                        reply -> {
+                            output.printResult(reply, () -> toTable.apply(reply));
+                            return reply;
+                        })
+                .findFailure();
+    }
+}
--- a/tool/src/main/java/org/geraniumusher/tool/CommandLine.java
+++ b/tool/src/main/java/org/geraniumusher/tool/CommandLine.java
@@ -33,6 +33,7 @@
         mParser.version("geraniumusher 0.1.0");
         Subparsers commands = mParser.addSubparsers().dest("command").metavar("COMMAND");
         addDrainCommands(commands);
+        addQuarantineCommands(commands);
         addStateCommands(commands);
     }
 
@@ -112,6 +113,19 @@
         addCommand(commands, "drains", "show the drains and their progress");
     }
 
+    private static void addQuarantineCommands(Subparsers commands) {
+        addCommand(commands, "quarantines", "show the requests that crashed servers");
+        Subparser release =
+                addCommand(
+                        commands,
+                        "release-request",
+                        "let a quarantined request reach servers again");
+        release.addArgument("request")
+                .metavar("FINGERPRINT")
+                .help("fingerprint of the request, or its first digits if no other starts so");
+        addTimeout(release, 30);
+    }
+
     private static void addStateCommands(Subparsers commands) {
         Subparser owner = addCommand(commands, "owner", "show the owner of a key");
         owner.addArgument("service");
--- a/tool/src/main/java/org/geraniumusher/tool/DrainCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/DrainCommands.java
@@ -2,12 +2,10 @@
 
 import org.geraniumusher.http.HttpCall;
 import org.geraniumusher.model.Selector;
-import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.operator.Replies;
 import org.geraniumusher.tool.ProgressPoller.Progress;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 /**
@@ -57,13 +55,7 @@
 
     /** Prints the drains with their progress. */
     Optional<Failure> listDrains() {
-        return fetchDrains()
-                .map(
-                        reply -> {
-                            mContext.output().printResult(reply, () -> toTable(reply));
-                            return reply;
-                        })
-                .findFailure();
+        return mContext.printReply(DRAINS_PATH, Replies.Drains.class, DrainCommands::toTable);
     }
 
     private static String drainUri(String name) {
@@ -88,34 +80,22 @@
     }
 
     private Result<Progress> pollProgress(String name, boolean serving) {
-        Result<Replies.Daemons> daemons =
-                mContext.client().get("/admin/daemons", Replies.Daemons.class);
-        return daemons.flatMap(
-                d -> fetchDrains().map(drains -> toProgress(name, serving, d, drains)));
+        return mPoller.fetchDaemons()
+                .flatMap(d -> fetchDrains().map(drains -> toProgress(name, serving, d, drains)));
     }
 
     private static Progress toProgress(
             String name, boolean serving, Replies.Daemons daemons, Replies.Drains drains) {
         // A drain must be in force at a daemon, and a return must have removed it there.
-        List<String> lagging =
-                daemons.daemons().stream()
-                        .filter(d -> d.state() == MemberStatus.State.ALIVE)
-                        .filter(d -> d.drains().contains(name) == serving)
-                        .map(MemberStatus::name)
-                        .toList();
+        Progress atDaemons = Progress.at(daemons, d -> d.drains().contains(name) != serving);
         int ranges =
                 drains.drains().stream()
                         .filter(d -> d.name().equals(name))
                         .mapToInt(Replies.DrainRow::ranges)
                         .sum();
-        String line =
-                (lagging.isEmpty()
-                                ? "in force at all daemons that answer"
-                                : "not yet in force at " + String.join(", ", lagging))
-                        + ", "
-                        + ranges
-                        + " key ranges left";
-        return new Progress(lagging.isEmpty() && ranges == 0, line);
+        return new Progress(
+                atDaemons.done() && ranges == 0,
+                atDaemons.line() + ", " + ranges + " key ranges left");
     }
 
     private CompletedChange print(CompletedChange change) {
--- a/tool/src/main/java/org/geraniumusher/tool/Main.java
+++ b/tool/src/main/java/org/geraniumusher/tool/Main.java
@@ -95,12 +95,16 @@
     private static Optional<Failure> dispatch(Namespace options, CommandContext context) {
         StateCommands state = new StateCommands(context);
         DrainCommands drains = new DrainCommands(context);
+        QuarantineCommands quarantines = new QuarantineCommands(context);
         String name = options.getString("name");
         String service = options.getString("service");
         return switch (options.getString("command")) {
             case "drain" -> drains.drain(name, selector(options), timeout(options));
             case "return" -> drains.endDrain(name, timeout(options));
             case "drains" -> drains.listDrains();
+            case "quarantines" -> quarantines.list();
+            case "release-request" ->
+                    quarantines.release(options.getString("request"), timeout(options));
             case "owner" -> state.owner(service, options.getString("key"));
             case "daemons" -> state.daemons();
             case "assignments" -> state.assignments(service);
--- a/tool/src/main/java/org/geraniumusher/tool/OperatorClient.java
+++ b/tool/src/main/java/org/geraniumusher/tool/OperatorClient.java
@@ -97,6 +97,6 @@
     }
 
     private static Failure toFailure(ErrorReply error) {
-        return new Failure(error.toResultCode().orElse(ResultCode.BAD_REQUEST), error.message());
+        return Failure.of(error.toResultCode().orElse(ResultCode.BAD_REQUEST), error.message());
     }
 }
--- a/tool/src/main/java/org/geraniumusher/tool/ProgressPoller.java
+++ b/tool/src/main/java/org/geraniumusher/tool/ProgressPoller.java
@@ -1,9 +1,13 @@
 package org.geraniumusher.tool;
 
 import org.geraniumusher.model.ResultCode;
+import org.geraniumusher.operator.MemberStatus;
+import org.geraniumusher.operator.Replies;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -25,7 +29,27 @@
      * @param done whether the condition holds
      * @param line readable description of the progress, in one line
      */
-    record Progress(boolean done, String line) {}
+    record Progress(boolean done, String line) {
+        /** Returns the progress of a change that must be in force at every daemon that answers. */
+        static Progress at(Replies.Daemons daemons, Predicate<MemberStatus> isInForce) {
+            List<String> lagging =
+                    daemons.daemons().stream()
+                            .filter(d -> d.state() == MemberStatus.State.ALIVE)
+                            .filter(isInForce.negate())
+                            .map(MemberStatus::name)
+                            .toList();
+            return new Progress(
+                    lagging.isEmpty(),
+                    lagging.isEmpty()
+                            ? "in force at all daemons that answer"
+                            : "not yet in force at " + String.join(", ", lagging));
+        }
+    }
+
+    /** Fetches the states of the daemons. */
+    Result<Replies.Daemons> fetchDaemons() {
+        return mContext.client().get("/admin/daemons", Replies.Daemons.class);
+    }
 
     /**
      * Polls until {@code poll} reports that it is done. Returns empty in that case, and the failure
--- a/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
@@ -28,18 +28,18 @@
                         + OperatorClient.escapeQueryValue(service)
                         + "&key="
                         + OperatorClient.escapeQueryValue(key);
-        return printReply(uri, Replies.Owner.class, StateCommands::toTable);
+        return mContext.printReply(uri, Replies.Owner.class, StateCommands::toTable);
     }
 
     /** Prints the daemons and their states. */
     Optional<Failure> daemons() {
-        return printReply("/admin/daemons", Replies.Daemons.class, StateCommands::toTable);
+        return mContext.printReply("/admin/daemons", Replies.Daemons.class, StateCommands::toTable);
     }
 
     /** Prints the key ranges of a service and their owners. */
     Optional<Failure> assignments(String service) {
         String uri = "/admin/assignments?service=" + OperatorClient.escapeQueryValue(service);
-        return printReply(uri, Replies.Assignments.class, StateCommands::toTable);
+        return mContext.printReply(uri, Replies.Assignments.class, StateCommands::toTable);
     }
 
     /** Prints the burn report and, if {@code htmlFile} is given, also writes it as a page. */
@@ -54,18 +54,6 @@
                 .findFailure();
     }
 
-    private <T> Optional<Failure> printReply(
-            String uri, Class<T> type, java.util.function.Function<T, Table> toTable) {
-        return mContext.client()
-                .get(uri, type)
-                .map(
-                        reply -> {
-                            mContext.output().printResult(reply, () -> toTable.apply(reply));
-                            return reply;
-                        })
-                .findFailure();
-    }
-
     private static Result<BurnReport> writeHtml(BurnReport report, Optional<Path> htmlFile) {
         if (htmlFile.isEmpty()) {
             return Result.ok(report);
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -20,12 +20,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Guards against a tool that reports a drain as complete too early, does not try the next daemon
  * when one does not answer, or exits with the wrong code.
  */
 class MainTest {
+    /** Fingerprint of a request. */
+    private static final String REQUEST = "0a1b2c3d4".concat("e".repeat(23));
+
     private final TestDaemon mDaemon = new TestDaemon();
     private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
     private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
@@ -82,6 +86,99 @@
         assertThat(run("return", "night")).isEqualTo(ExitCode.of(ResultCode.NOT_FOUND));
     }
 
+    /** An operator who sees a request in the list must be able to tell what it did. */
+    @Test
+    void quarantines_tableAndJson_showRequestAndCrashedServers() {
+        mDaemon.quarantine(REQUEST, 8);
+
+        assertThat(run("quarantines")).isEqualTo(0);
+        assertThat(out())
+                .containsMatch(
+                        REQUEST
+                                + " +REJECTED +catalogue +GET shop/item/7 +2"
+                                + " +2026-12-05T03:00:00Z +41 +bs-1@5,bs-2@6");
+        assertThat(run("quarantines", "--output", "json")).isEqualTo(0);
+        assertThat(Json.readTree(out()).at("/quarantines/0/incarnations/1").asText())
+                .isEqualTo("bs-2@6");
+    }
+
+    /** Guards against a release that is reported while a daemon still rejects the request. */
+    @Test
+    void releaseRequest_daemonLags_waitsUntilItHasRemovedTheQuarantine() {
+        mDaemon.quarantine(REQUEST, 8);
+        mDaemon.setLagging(true);
+        mChangesBeforePolls.add(() -> mDaemon.setLagging(false));
+
+        assertThat(run("release-request", REQUEST)).isEqualTo(0);
+
+        assertThat(mChangesBeforePolls).isEmpty();
+        assertThat(mDaemon.quarantined()).isEmpty();
+        assertThat(err()).contains("not yet in force at entry-1");
+        assertThat(out()).contains(REQUEST + ": released, version 8");
+    }
+
+    /** A request that crashes servers again at once must not let the release look incomplete. */
+    @Test
+    void releaseRequest_requestIsQuarantinedAgain_isComplete() {
+        mDaemon.quarantine(REQUEST, 8);
+        mDaemon.setLagging(true);
+        mChangesBeforePolls.add(
+                () -> {
+                    mDaemon.setLagging(false);
+                    mDaemon.quarantine(REQUEST, 9);
+                });
+
+        assertThat(run("release-request", REQUEST)).isEqualTo(0);
+        assertThat(mDaemon.quarantined()).containsExactly(REQUEST);
+    }
+
+    @Test
+    void releaseRequest_timeout_namesTheDaemonThatLags() {
+        mDaemon.quarantine(REQUEST, 8);
+        mDaemon.setLagging(true);
+
+        assertThat(run("release-request", REQUEST)).isEqualTo(45);
+        assertThat(err()).contains("NOT_IN_FORCE (405): not yet in force at entry-1; the store");
+    }
+
+    /** Guards against the release of another request than the operator means. */
+    @Test
+    void releaseRequest_prefix_releasesOnlyWhatItNamesUniquely() {
+        String similar = REQUEST.substring(0, 8) + "f".repeat(24);
+        mDaemon.quarantine(REQUEST, 8);
+        mDaemon.quarantine(similar, 9);
+
+        assertThat(run("release-request", REQUEST.substring(0, 8))).isEqualTo(20);
+        assertThat(err()).contains("BAD_REQUEST (110): 2 quarantined requests start with 0a1b2c3d");
+        assertThat(err()).contains(similar);
+        assertThat(run("release-request", "abcdef")).isEqualTo(43);
+        assertThat(err()).contains("NOT_FOUND (403): no quarantined request starts with abcdef");
+        for (String malformed : List.of("0a1b2", "0a1b2x", REQUEST + "0")) {
+            assertThat(run("release-request", malformed)).isEqualTo(ExitCode.USAGE);
+            assertThat(err()).contains("hexadecimal digits): " + malformed);
+        }
+        assertThat(mDaemon.quarantined()).containsExactly(REQUEST, similar);
+
+        assertThat(run("release-request", "0A1B2C3D4")).isEqualTo(0);
+        assertThat(mDaemon.quarantined()).containsExactly(similar);
+        assertThat(run("release-request", REQUEST)).isEqualTo(43);
+        assertThat(err()).contains("'quarantines' lists those in force");
+    }
+
+    /** A release whose result is not known must not be shown as done, nor with advice on drains. */
+    @Test
+    void releaseRequest_storeDoesNotRemoveIt_failsWithSuggestionForQuarantines() {
+        mDaemon.quarantine(REQUEST, 8);
+
+        mDaemon.setReleaseFailure(Optional.of(ResultCode.CONFLICT));
+        assertThat(run("release-request", REQUEST)).isEqualTo(41);
+        assertThat(err()).contains("CONFLICT (401): release failed; its state has just changed");
+        mDaemon.setReleaseFailure(Optional.of(ResultCode.PLATFORM_UNAVAILABLE));
+        assertThat(run("release-request", REQUEST)).isEqualTo(44);
+        assertThat(err()).contains("may have taken effect: look at 'quarantines'");
+        assertThat(out()).isEmpty();
+    }
+
     @Test
     void daemons_firstDaemonUnreachable_asksTheNext() {
         String unreachable = "127.0.0.1:1";
