--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -147,7 +147,9 @@
                         crashReporter,
                         client,
                         mGroup);
-        mOperatorEndpoint = new OperatorEndpoint(context, mCoordinator, mPeerService, fleet);
+        mOperatorEndpoint =
+                new OperatorEndpoint(
+                        context, mCoordinator, mPeerService, fleet, clocks.wallMillis());
         mCallerEndpoint =
                 new CallerEndpoint(
                         mDispatcher,
