--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -85,7 +85,6 @@
         mSettings = settings;
         mClock = clock;
         mMetrics = new EntryMetrics(settings.name(), incarnation, clock, clocks.wallMillis());
-        mMetrics.registerGauge("clock.suspensions", clock::suspensions);
         mLog = log;
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         mLoop = mGroup.next();
@@ -93,9 +92,7 @@
         EventThread thread = new EventLoopThread(mLoop, log);
         KeyedRequestStats keyedRequestStats = new KeyedRequestStats();
         Store store = new MeteredStore(adapter.store(), mMetrics);
-        mMetrics.registerGauge("store.epoch", () -> (int) store.epoch().current());
-        mMetrics.registerGauge(
-                "store.answers_from_earlier_epoch", () -> (int) store.epoch().droppedAnswers());
+        registerGauges(clock, store.epoch());
         HttpClient client = HttpClient.create(mGroup);
         RelayedStore relayedStore =
                 new RelayedStore(store, settings, adapter.wire(), client, thread, clock, log);
@@ -162,6 +159,13 @@
                         settings.callerAddress());
     }
 
+    private void registerGauges(SuspensionClock clock, StoreEpoch epoch) {
+        mMetrics.registerGauge("clock.suspensions", clock::suspensions);
+        mMetrics.registerGauge("store.epoch", () -> (int) epoch.current());
+        mMetrics.registerGauge(
+                "store.answers_from_earlier_epoch", () -> (int) epoch.droppedAnswers());
+    }
+
     /**
      * Starts a daemon.
      *
