Compare a request only with those that have more crashes

The crashes of all requests are now sorted by their number once a decision, and the search for a bystander ends at the first request without more of them. CrashLedgerTest and CrashSimulationTest pass.

--- a/decisions/src/main/java/org/geraniumusher/quarantine/CrashLedger.java
+++ b/decisions/src/main/java/org/geraniumusher/quarantine/CrashLedger.java
@@ -9,6 +9,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -16,7 +17,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 
 /**
  * Relates the crashes of servers to the requests that were in progress, for the whole fleet, and
@@ -160,9 +160,10 @@
     public ImmutableList<Change> decide(
             ImmutableMap<RequestFingerprint, Quarantine> stored, long nowMillis) {
         forgetRemovedAndOld(stored, nowMillis);
+        ImmutableList<Set<String>> known = knownCrashes(stored);
         ImmutableList.Builder<Change> changes = ImmutableList.builder();
         for (Quarantine quarantine : stored.values()) {
-            decideStored(quarantine, stored, nowMillis).ifPresent(changes::add);
+            decideStored(quarantine, stored, known, nowMillis).ifPresent(changes::add);
         }
         int minCrashes = stored.size() < MAX_STORED ? WATCHED_CRASHES : REJECTED_CRASHES;
         for (Evidence evidence : mEvidence.values()) {
@@ -172,7 +173,7 @@
                     crashes >= minCrashes
                             && (crashes >= REJECTED_CRASHES || !isRecent(evidence, nowMillis))
                             && !stored.containsKey(evidence.mSuspect.fingerprint());
-            if (candidate && !isBystander(evidence, stored, nowMillis)) {
+            if (candidate && !isBystander(evidence, stored, known, nowMillis)) {
                 changes.add(begin(evidence, nowMillis));
             }
         }
@@ -207,6 +208,7 @@
     private Optional<Change> decideStored(
             Quarantine quarantine,
             ImmutableMap<RequestFingerprint, Quarantine> stored,
+            ImmutableList<Set<String>> known,
             long nowMillis) {
         RequestFingerprint fingerprint = quarantine.fingerprint();
         Optional<Evidence> evidence = Optional.ofNullable(mEvidence.get(fingerprint));
@@ -227,7 +229,7 @@
         }
         if (evidence.isPresent()
                 && hasNewCrash(quarantine, evidence.get())
-                && !isBystander(evidence.get(), stored, nowMillis)) {
+                && !isBystander(evidence.get(), stored, known, nowMillis)) {
             return change(
                     quarantine,
                     evidence,
@@ -309,15 +311,22 @@
     private boolean isBystander(
             Evidence evidence,
             ImmutableMap<RequestFingerprint, Quarantine> stored,
+            ImmutableList<Set<String>> known,
             long nowMillis) {
         int maxMissing = isRecent(evidence, nowMillis) ? 1 : 0;
-        RequestFingerprint fingerprint = evidence.mSuspect.fingerprint();
-        Set<String> crashes = allCrashes(fingerprint, stored);
-        return Stream.concat(mEvidence.keySet().stream(), stored.keySet().stream())
-                .filter(other -> !other.equals(fingerprint))
-                .map(other -> allCrashes(other, stored))
-                .filter(all -> all.size() > crashes.size())
-                .anyMatch(all -> Sets.difference(crashes, all).size() <= maxMissing);
+        Set<String> crashes = allCrashes(evidence.mSuspect.fingerprint(), stored);
+        return known.stream()
+                .takeWhile(other -> other.size() > crashes.size())
+                .anyMatch(other -> Sets.difference(crashes, other).size() <= maxMissing);
+    }
+
+    /** Returns the crashes under each request that the ledger or the store knows, most first. */
+    private ImmutableList<Set<String>> knownCrashes(
+            ImmutableMap<RequestFingerprint, Quarantine> stored) {
+        return Sets.union(mEvidence.keySet(), stored.keySet()).stream()
+                .map(fingerprint -> allCrashes(fingerprint, stored))
+                .sorted(Comparator.comparing((Set<String> crashes) -> crashes.size()).reversed())
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Reports whether further daemons may still report the last crash under the request. */
