End a rejection at the daemon if the coordinator does not

Only the coordinator ended a rejection, by a write to the store. While the store or the coordinator is away, a rejected request was refused for as long as that lasted (found by the review, by reading).

A daemon now stops refusing 5 s after the end that the quarantine names. Requests that broke are also forgotten when the proof of a crash can no longer come, and not only with the next event; they keep their bodies until then.

CrashMonitorTest.rejectedForSeconds_storeIsAwayAtTheEndOfTheRejection_... is new and passes with the rest of the class.

--- a/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -36,6 +36,13 @@
     private static final long FIRST_PROBE_INTERVAL_NANOS = 300_000_000L;
 
     private static final double MIN_RETRY_AFTER_SECONDS = 1;
+
+    /**
+     * Time after the end of a rejection in which the coordinator changes it. If it does not, the
+     * store or the coordinator is away, and the rejection ends here. Covers clocks that differ.
+     */
+    private static final long END_OVERDUE_MILLIS = 5_000;
+
     private static final int MAX_LOGGED_SUSPECTS = 16;
 
     private final Directory mDirectory;
@@ -97,6 +104,9 @@
         }
         long remainingMillis =
                 quarantine.sinceMillis() + quarantine.durationMillis() - mWallMillis.getAsLong();
+        if (remainingMillis < -END_OVERDUE_MILLIS) {
+            return OptionalDouble.empty();
+        }
         // The clock of the coordinator, which set the time, may differ from this one.
         double seconds = Math.min(quarantine.durationMillis(), remainingMillis) / 1e3;
         return OptionalDouble.of(Math.max(MIN_RETRY_AFTER_SECONDS, seconds));
@@ -148,6 +158,8 @@
         long now = mClock.getAsLong();
         if (mDetector.onBroken(server.incarnationId(), exchange, now)) {
             mSuspectedServers.put(server.incarnationId(), server);
+            mThread.schedule(
+                    this::findEndedServers, CrashDetector.MAX_PROOF_NANOS, TimeUnit.NANOSECONDS);
             Long last = mProbedAt.get(server.incarnationId());
             long probeAt = last == null ? now : Math.max(now, last + FIRST_PROBE_INTERVAL_NANOS);
             mProbedAt.put(server.incarnationId(), probeAt);
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -104,7 +104,7 @@
 
     private Upstream upstream(int server) {
         ServerEntry entry = mContext.directory().servers().get("s" + server + "@1");
-        return new Upstream(entry, null, mThread::now, new ResponseBuffers(), "id", () -> {}, 1, 0);
+        return new Upstream(entry, null, mThread::now, new ResponseBuffers(), "id", null, 1, 0);
     }
 
     private void breakAt(int server, String caller) {
@@ -242,6 +242,21 @@
         assertThat(state("c")).isEmpty();
     }
 
+    /** A rejection must not last for as long as no coordinator can write its end. */
+    @Test
+    void rejectedForSeconds_storeIsAwayAtTheEndOfTheRejection_endsSoonAfterIt() {
+        for (int i = 0; i < 3; i++) {
+            breakAt(i, "c");
+        }
+        mStore.setDown(true);
+        advance(60_000);
+        assertThat(mMonitor.rejectedForSeconds(exchange("c")).isPresent()).isTrue();
+        advance(10_000);
+
+        assertThat(state("c")).hasValue(Quarantine.State.REJECTED);
+        assertThat(mMonitor.rejectedForSeconds(exchange("c")).isPresent()).isFalse();
+    }
+
     /** A write that the store refuses must be repeated. */
     @Test
     void onBroken_storeIsAwayAtTheThirdCrash_requestIsRejectedAfterwards() {
