Count the wait for grants of a lost coordinator from its end

The next coordinator waits for the longest hold that a former one may have granted, and counted it from its own election, although a record that names its earlier incarnation proves that nobody has granted anything since it started: the earlier incarnation has terminated, and any other daemon that was elected would have changed the record.

Ruled out: a refused connection as proof (a server that leaves may refuse and still work), a limit in the record on the holds that its writer grants (long ones are granted just when the record cannot be written), the wall clock (may be off by seconds).

Change: the election passes on by when former coordinators had sent their last grants; in other cases that is the time of the election.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -45,6 +45,7 @@
 
     private final String mDaemon;
     private final long mIncarnation;
+    private final long mStartedAt;
     private CoordinatorRecord mRecord;
     private long mRecordChangedAt;
     private boolean mRecordRead;
@@ -54,16 +55,23 @@
     private long mAuthorityUntil;
     private boolean mHasAuthority;
     private long mResumedAt = Long.MIN_VALUE;
-    private long mFormerCoordinatorConfirmedBy;
+    private FormerCoordinators mFormerCoordinators = new FormerCoordinators(0, 0);
 
-    private CoordinatorElection(String daemon, long incarnation) {
+    private CoordinatorElection(String daemon, long incarnation, long startedAtNanos) {
         mDaemon = daemon;
+        mStartedAt = startedAtNanos;
         mIncarnation = incarnation;
     }
 
-    /** Returns an election that has not read the record yet. */
-    public static CoordinatorElection create(String daemon, long incarnation) {
-        return new CoordinatorElection(checkNotNull(daemon), incarnation);
+    /**
+     * Returns an election that has not read the record yet.
+     *
+     * @param daemon name under which the earlier incarnations of this daemon, which have all
+     *     terminated, were elected
+     * @param startedAtNanos a time at which they had terminated
+     */
+    public static CoordinatorElection create(String daemon, long incarnation, long startedAtNanos) {
+        return new CoordinatorElection(checkNotNull(daemon), incarnation, startedAtNanos);
     }
 
     /** Sets the epoch of the store that this daemon sees first. */
@@ -83,6 +91,16 @@
         mRecordRead = false;
     }
 
+    /**
+     * Bounds the grants of the coordinators before a term. Times are in nanoseconds and not after
+     * its start.
+     *
+     * @param confirmedBy time by which the last of them had sent its last write that the store
+     *     accepted
+     * @param grantsSentBy time by which they had sent their last grants
+     */
+    public record FormerCoordinators(long confirmedBy, long grantsSentBy) {}
+
     /** Returns whether the record was read in the current epoch. */
     public boolean isRecordRead() {
         return mRecordRead;
@@ -135,7 +153,11 @@
     /** Processes the store's acceptance of a write that this daemon sent at {@code sentNanos}. */
     public void onWritten(CoordinatorRecord record, long sentNanos, long nowNanos) {
         if (!hasAuthority(nowNanos)) {
-            mFormerCoordinatorConfirmedBy = mRecord == null ? nowNanos : mRecordChangedAt;
+            // A coordinator is elected after the authority of the one before has ended.
+            mFormerCoordinators =
+                    new FormerCoordinators(
+                            mRecord == null ? nowNanos : mRecordChangedAt,
+                            namesEarlierIncarnation() ? mStartedAt : nowNanos);
         }
         onRead(Optional.of(record), nowNanos);
         if (isOwn() && mRecord.version().equals(record.version())) {
@@ -161,12 +183,9 @@
         return mAuthorityUntil - AUTHORITY_NANOS;
     }
 
-    /**
-     * Returns a time in nanoseconds by which the previous coordinator had sent its last write that
-     * the store accepted. It is not after the start of this term.
-     */
-    public long formerCoordinatorConfirmedBy() {
-        return mFormerCoordinatorConfirmedBy;
+    /** Returns what bounds the grants of the coordinators before this term. */
+    public FormerCoordinators formerCoordinators() {
+        return mFormerCoordinators;
     }
 
     /** Reports whether this daemon may grant and move ranges. */
@@ -199,6 +218,11 @@
                 : isFromCurrentEpoch() && (mRecord.isVacant() || mRecord.daemon().equals(mDaemon));
     }
 
+    /** Reports whether the record names an incarnation of this daemon that has terminated. */
+    private boolean namesEarlierIncarnation() {
+        return isFromCurrentEpoch() && mRecord.daemon().equals(mDaemon) && !isOwn();
+    }
+
     /** Returns the record as last seen, or empty if there is none. */
     public Optional<CoordinatorRecord> record() {
         return Optional.ofNullable(mRecord);
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -218,13 +218,16 @@
      * coordinators have ended. The table is not written before either, because it would then look
      * complete to a coordinator that takes over meanwhile.
      *
-     * @param formerCoordinatorConfirmedBy time by which the store last confirmed the previous
-     *     coordinator
+     * @param former bounds the grants of former coordinators
      */
     public void start(
-            Optional<RangeTable> table, long formerCoordinatorConfirmedBy, long nowNanos) {
+            Optional<RangeTable> table,
+            CoordinatorElection.FormerCoordinators former,
+            long nowNanos) {
         mFormerHoldEnd =
-                latestHoldEnd(formerCoordinatorConfirmedBy, MAX_HOLD_AFTER_CONFIRMATION_NANOS);
+                Math.min(
+                        latestHoldEnd(former.confirmedBy(), MAX_HOLD_AFTER_CONFIRMATION_NANOS),
+                        latestHoldEnd(former.grantsSentBy(), longestHoldNanos()));
         beginTerm(table, nowNanos);
     }
 
--- a/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.geraniumusher.keyrange.CoordinatorElection.FormerCoordinators;
 import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
@@ -11,7 +12,7 @@
 final class CoordinatorElectionTest {
     private static final long SECOND = 1_000_000_000L;
 
-    private final CoordinatorElection mElection = CoordinatorElection.create("a", 7);
+    private final CoordinatorElection mElection = CoordinatorElection.create("a", 7, 0);
 
     private static CoordinatorRecord record(String daemon, long incarnation, long revision) {
         return new CoordinatorRecord(
@@ -63,6 +64,54 @@
         assertThat(mElection.shouldWrite(0)).isTrue();
     }
 
+    /**
+     * All daemons were lost while servers left. The next coordinator knew only of the election, 3 s
+     * after its start, and its keys had no owner for that much longer.
+     */
+    @Test
+    void formerCoordinators_ownEarlierIncarnation_sentGrantsBeforeTheStart() {
+        CoordinatorElection election = CoordinatorElection.create("a", 7, 2 * SECOND);
+        election.onRead(Optional.of(record("a", 6, 5)), 4 * SECOND);
+        election.onWritten(record("a", 7, 6), 5 * SECOND, 5 * SECOND);
+
+        assertThat(election.formerCoordinators())
+                .isEqualTo(new FormerCoordinators(4 * SECOND, 2 * SECOND));
+    }
+
+    @Test
+    void formerCoordinators_otherDaemon_mayHaveSentGrantsUntilNow() {
+        CoordinatorElection election = CoordinatorElection.create("a", 7, 2 * SECOND);
+        election.onRead(Optional.of(record("b", 6, 5)), 4 * SECOND);
+        election.onWritten(record("a", 7, 6), 9 * SECOND, 9 * SECOND);
+
+        assertThat(election.formerCoordinators())
+                .isEqualTo(new FormerCoordinators(4 * SECOND, 9 * SECOND));
+    }
+
+    /** This incarnation has sent grants itself. */
+    @Test
+    void formerCoordinators_ownAuthorityHadEnded_grantsWereSentUntilNow() {
+        CoordinatorElection election = CoordinatorElection.create("a", 7, 2 * SECOND);
+        election.onRead(Optional.empty(), 2 * SECOND);
+        election.onWritten(record("a", 7, 5), 2 * SECOND, 2 * SECOND);
+        election.onWritten(record("a", 7, 6), 20 * SECOND, 21 * SECOND);
+
+        assertThat(election.formerCoordinators().grantsSentBy()).isEqualTo(21 * SECOND);
+    }
+
+    /** The record of a lost history says nothing of who was elected after it. */
+    @Test
+    void formerCoordinators_recordOfEarlierEpoch_mayHaveSentGrantsUntilNow() {
+        CoordinatorElection election = CoordinatorElection.create("a", 7, 2 * SECOND);
+        election.onNewEpoch(1, 2 * SECOND);
+        election.onRead(Optional.of(record("a", 6, 5)), 4 * SECOND);
+        CoordinatorRecord next =
+                new CoordinatorRecord("a", 7, "127.0.0.1:1", new StoreVersion(1, 6));
+        election.onWritten(next, 9 * SECOND, 9 * SECOND);
+
+        assertThat(election.formerCoordinators().grantsSentBy()).isEqualTo(9 * SECOND);
+    }
+
     @Test
     void shouldWrite_vacant_isTrueImmediately() {
         mElection.onRead(Optional.of(record("", 1, 5)), 0);
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 
+import org.geraniumusher.keyrange.CoordinatorElection.FormerCoordinators;
 import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
@@ -91,7 +92,7 @@
      */
     private void startMove() {
         setServers("a");
-        mCoordinator.start(Optional.empty(), 0, 0);
+        mCoordinator.start(Optional.empty(), new FormerCoordinators(0, 0), 0);
         mCoordinator.tick(0);
         mCoordinator.onWritten(new StoreVersion(0, 9), 0);
         mCoordinator.tick(0);
@@ -120,7 +121,10 @@
      */
     private void startMove(long formerCoordinatorConfirmedBy, long now) {
         setServers("b", "c");
-        mCoordinator.start(Optional.of(MOVING), formerCoordinatorConfirmedBy, now);
+        mCoordinator.start(
+                Optional.of(MOVING),
+                new FormerCoordinators(formerCoordinatorConfirmedBy, now),
+                now);
         mCoordinator.tick(now);
         mCoordinator.onWritten(new StoreVersion(0, 10), now);
     }
@@ -141,7 +145,7 @@
             all.add(new RangeServer(String.format("s%03d", i), 6, true));
         }
         coordinator.onServers(all);
-        coordinator.start(Optional.empty(), 0, 0);
+        coordinator.start(Optional.empty(), new FormerCoordinators(0, 0), 0);
         coordinator.tick(0);
         coordinator.onWritten(new StoreVersion(0, 10), 0);
         coordinator.tick(MILLI);
@@ -218,7 +222,10 @@
     void tick_ownerWithHoldOfFormerCoordinatorIsLost_waitsForTheLongerHold() {
         setServers("a", "b");
         Assignment owned = new Assignment(KeyRange.ALL, "a", FENCE, ImmutableList.of());
-        mCoordinator.start(Optional.of(RangeTable.of(VERSION, ImmutableList.of(owned))), 0, 0);
+        mCoordinator.start(
+                Optional.of(RangeTable.of(VERSION, ImmutableList.of(owned))),
+                new FormerCoordinators(0, 0),
+                0);
         mCoordinator.tick(0);
         mCoordinator.onWritten(new StoreVersion(0, 10), 0);
         mCoordinator.tick(MILLI);
@@ -258,7 +265,10 @@
         mCoordinator.onServers(
                 ImmutableList.of(new RangeServer("a", 6, false), new RangeServer("b", 6, true)));
         Assignment owned = new Assignment(KeyRange.ALL, "a", FENCE, ImmutableList.of());
-        mCoordinator.start(Optional.of(RangeTable.of(VERSION, ImmutableList.of(owned))), 0, 0);
+        mCoordinator.start(
+                Optional.of(RangeTable.of(VERSION, ImmutableList.of(owned))),
+                new FormerCoordinators(0, 0),
+                0);
         mCoordinator.tick(0);
         mCoordinator.onWritten(new StoreVersion(0, 10), 0);
     }
@@ -310,7 +320,7 @@
     @Test
     void tick_formerHolderOwnsAgainAndIsLost_nextOwnerWaitsForItsHold() {
         setServers("a");
-        mCoordinator.start(Optional.of(MOVING), 0, 0);
+        mCoordinator.start(Optional.of(MOVING), new FormerCoordinators(0, 0), 0);
         mCoordinator.tick(0);
         mCoordinator.onWritten(new StoreVersion(0, 10), 0);
         setServers("c");
@@ -441,7 +451,7 @@
     private void startGranted() {
         mCoordinator.setInitialEpoch(1);
         setServers("a", "b");
-        mCoordinator.start(Optional.empty(), 0, 0);
+        mCoordinator.start(Optional.empty(), new FormerCoordinators(0, 0), 0);
         mCoordinator.tick(0);
         mCoordinator.onWritten(new StoreVersion(1, 90), 0);
         mCoordinator.tick(MILLI);
@@ -529,7 +539,10 @@
     void start_tableOfEarlierEpoch_neitherWritesNorGrantsBeforeAllHoldsEnded() {
         mCoordinator.onNewEpoch(2);
         setServers("b", "c");
-        mCoordinator.start(Optional.of(MOVING), 5_000 * MILLI, 6_000 * MILLI);
+        mCoordinator.start(
+                Optional.of(MOVING),
+                new FormerCoordinators(5_000 * MILLI, 6_000 * MILLI),
+                6_000 * MILLI);
 
         mCoordinator.tick(16_500 * MILLI);
         assertThat(mCalls.mWrites).isEmpty();
@@ -546,7 +559,7 @@
     void start_tableIsMissingAfterRestore_neitherWritesNorGrantsBeforeAllHoldsEnded() {
         mCoordinator.onNewEpoch(2);
         setServers("b", "c");
-        mCoordinator.start(Optional.empty(), 0, 0);
+        mCoordinator.start(Optional.empty(), new FormerCoordinators(0, 0), 0);
 
         mCoordinator.tick(10_500 * MILLI);
         assertThat(mCalls.mWrites).isEmpty();
@@ -615,7 +628,7 @@
         mFormerHolders.onTable(last, true, now);
         setServers("a", "b", "c");
 
-        mCoordinator.start(Optional.of(last), now, now);
+        mCoordinator.start(Optional.of(last), new FormerCoordinators(now, now), now);
         mCoordinator.tick(now);
         mCoordinator.onWritten(new StoreVersion(0, 10), now);
         mCoordinator.tick(now + 2_000 * MILLI);
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
@@ -15,6 +15,9 @@
 final class RangeHistoryTest {
     private static final int ALL_KEYS = KeyRange.MAX_KEY + 1;
 
+    /** Bound of a hold after the loss of the coordinator that granted it (docs/design.md). */
+    private static final long LONGEST_FORMER_HOLD = 10_600 * MILLI;
+
     private static void addLoadToRandomWindow(RangeSimulation simulation, Random random) {
         int key = random.nextInt(ALL_KEYS);
         for (int i = 0; i < 40; i++) {
@@ -187,6 +190,26 @@
                 .isGreaterThan(20);
     }
 
+    /**
+     * All daemons are lost while servers leave. The wait for the grants of the lost coordinator
+     * must count from its end, not from the election of the next one.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void run_allDaemonsRestartWhileServersLeave_keysAreHeldAgainAfterOneHold(long seed) {
+        RangeSimulation simulation = new RangeSimulation(seed, 6, 3);
+        simulation.run(3_000 * MILLI);
+
+        for (int i = 0; i < 3; i++) {
+            simulation.restartDaemon(i, 3_000 * MILLI);
+        }
+        simulation.isolateServer(1, 60_000 * MILLI);
+        simulation.isolateServer(4, 60_000 * MILLI);
+        simulation.run(LONGEST_FORMER_HOLD + 300 * MILLI);
+
+        assertThat(simulation.keysHeld()).isEqualTo(ALL_KEYS);
+    }
+
     private static void restartDaemon(RangeSimulation simulation, Random random) {
         simulation.restartDaemon(random.nextInt(3), random.nextInt(6_000) * MILLI);
     }
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
@@ -310,7 +310,7 @@
         Daemon(String name, long incarnation) {
             mName = name;
             mIncarnation = incarnation;
-            mElection = CoordinatorElection.create(name, incarnation);
+            mElection = CoordinatorElection.create(name, incarnation, monotonicNanos());
             mCoordinator = RangeCoordinator.create(this, HOLD_NANOS, mLoad, mFormerHolders);
         }
 
@@ -435,10 +435,7 @@
                             () -> {
                                 mReading = false;
                                 if (term == mCoordinator && !term.isStarted()) {
-                                    term.start(
-                                            mTable,
-                                            mElection.formerCoordinatorConfirmedBy(),
-                                            now());
+                                    term.start(mTable, mElection.formerCoordinators(), now());
                                 } else if (term == mCoordinator) {
                                     term.onStoredTable(mTable, now());
                                 }
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -74,7 +74,7 @@
         mThread = context.thread();
         mClock = context.clock();
         mLog = context.log();
-        mElection = CoordinatorElection.create(identity(), mIncarnation);
+        mElection = CoordinatorElection.create(identity(), mIncarnation, mClock.getAsLong());
         mStore.epoch().addListener(this::onNewEpoch);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -121,7 +121,7 @@
 
     private boolean mEnded;
     private boolean mTableReadInFlight;
-    private long mFormerCoordinatorConfirmedBy;
+    private CoordinatorElection.FormerCoordinators mFormerCoordinators;
     private ImmutableList<Assignment> mLastGranted = ImmutableList.of();
     private long mGrantsPublishedAt;
     private Optional<RangeTable> mPublishedTable = Optional.empty();
@@ -201,7 +201,7 @@
     void tick(CoordinatorElection election) {
         long now = mClock.getAsLong();
         mCoordinator.setStoreStatus(election.confirmedAt(), election.isStoreUnavailable(now));
-        mFormerCoordinatorConfirmedBy = election.formerCoordinatorConfirmedBy();
+        mFormerCoordinators = election.formerCoordinators();
         updateServers(now);
         if (!mCoordinator.isStarted()) {
             readTableIfDue(now);
@@ -281,7 +281,7 @@
         if (mCoordinator.isStarted()) {
             mCoordinator.onStoredTable(table, now);
         } else {
-            mCoordinator.start(table, mFormerCoordinatorConfirmedBy, now);
+            mCoordinator.start(table, mFormerCoordinators, now);
             mLog.write(
                     Part.OWNERSHIP,
                     "Started to coordinate the service",
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -34,7 +34,7 @@
     private final FakeEventThread mThread = mFixture.thread();
     private final FakeStore mStore = mFixture.store();
     private Directory mDirectory;
-    private final CoordinatorElection mElection = CoordinatorElection.create("d", 1);
+    private final CoordinatorElection mElection = CoordinatorElection.create("d", 1, 0);
     private final List<Assignment> mPublishedGrants = new ArrayList<>();
     private long mRecordRevision;
     private boolean mHasAuthority = true;
