Let an entry that cannot be read cost only itself

Cause: a whole list or batch of events was parsed in one call with the library's default limits, so one entry that was nested over 1,000 deep or had a number of over 1,000 digits failed the call, again and again: the daemon never became ready, or stopped following the store. An object without a name did the same. The report comes from other operators; it could happen here.

Any exception while an answer is decoded counts as no answer, because without a result the watch would not be repeated. Gauge servers.unusable_entries.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -240,6 +240,11 @@
         return mServers;
     }
 
+    /** Returns the number of entries of servers that are listed and not usable. */
+    int unusableServers() {
+        return (int) mDecodedServers.values().stream().filter(d -> d.entry().isEmpty()).count();
+    }
+
     /** Returns whether operators took a server out of service, by a drain or an evacuation. */
     boolean isOutOfService(ServerEntry server) {
         return mOutOfService.computeIfAbsent(
@@ -266,14 +271,14 @@
             mDecodedConfiguration = decoded;
             try {
                 applyConfiguration(mWire.decodeConfiguration(object.spec()), decoded);
-            } catch (IllegalArgumentException e) {
+            } catch (RuntimeException e) {
                 mLog.write(
                         Part.STORE,
                         "Configuration cannot be used, the previous one stays in force",
                         "revision",
                         object.revision(),
                         "reason",
-                        e.getMessage());
+                        e);
             }
         }
     }
@@ -325,14 +330,8 @@
             try {
                 listed.put(object.name(), DrainCodec.decode(object));
                 revisions.put(object.name(), object.revision());
-            } catch (IllegalArgumentException e) {
-                mLog.write(
-                        Part.STORE,
-                        "Drain cannot be used",
-                        "drain",
-                        object.name(),
-                        "reason",
-                        e.getMessage());
+            } catch (RuntimeException e) {
+                mLog.write(Part.STORE, "Drain cannot be used", "drain", object.name(), "reason", e);
             }
         }
         mDrains = mDrainHistory.onListed(mirror.version().epoch(), listed, revisions);
@@ -354,14 +353,14 @@
             try {
                 Quarantine quarantine = QuarantineCodec.decode(object);
                 next.put(quarantine.fingerprint(), quarantine);
-            } catch (IllegalArgumentException e) {
+            } catch (RuntimeException e) {
                 mLog.write(
                         Part.STORE,
                         "Quarantine cannot be used",
                         "request",
                         object.name(),
                         "reason",
-                        e.getMessage());
+                        e);
             }
         }
         setQuarantines(next.buildOrThrow());
@@ -440,7 +439,7 @@
     Optional<ServerEntry> decodeServer(StoreObject object) {
         try {
             return Optional.of(mWire.decodeServerEntry(object));
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
             mLog.write(
                     Part.SERVER,
                     "Entry of a server is not usable",
@@ -449,7 +448,7 @@
                     "revision",
                     object.revision(),
                     "reason",
-                    e.getMessage(),
+                    e,
                     "entry",
                     Ascii.truncate(object.content().toString(), MAX_LOGGED_CHARS, "..."));
             return Optional.empty();
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -97,6 +97,7 @@
         RelayedStore relayedStore =
                 new RelayedStore(store, settings, adapter.wire(), client, thread, clock, log);
         mDirectory = new Directory(relayedStore, adapter.wire(), thread, clock, log);
+        mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
         DaemonContext context =
                 new DaemonContext(
                         settings,
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -289,7 +289,7 @@
             if (mStore.epoch().observe(version.epoch())) {
                 mirror.adoptPeerCopy(version, objects);
             }
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException | RuntimeException e) {
             mLog.write(
                     Part.PEER,
                     "Cannot decode objects copied from a peer",
@@ -353,7 +353,7 @@
             } else {
                 responder.reply(HttpReply.of(404, "{}"));
             }
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException | RuntimeException e) {
             mLog.write(
                     Part.PEER, "Cannot decode a call from a peer", "uri", call.uri(), "reason", e);
             responder.reply(HttpReply.of(400, "{}"));
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -156,8 +156,9 @@
                     return;
                 }
                 reason = "reply from an earlier epoch of the store";
-            } catch (IllegalArgumentException e) {
-                reason = e.getMessage();
+            } catch (RuntimeException e) {
+                // Without a result the caller would never call again.
+                reason = e.toString();
             }
         }
         mLog.write(
