Answer a request whose key is out of range

Change: only a key that a server can own is set.

Result: EntryPathTest.request_keyIsOutOfRange_isRejectedWithItsId fails on the old code for 65,536, 99,999 and 2,147,483,647 (connection closed before the response) and passes.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -1,5 +1,7 @@
 package org.geraniumusher.entry;
 
+import com.google.common.primitives.Ints;
+
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
 
@@ -280,12 +282,12 @@
     /** Sets the key of the request from its header; returns false if there is no valid key. */
     private boolean parseKey(Exchange exchange) {
         String value = exchange.request().headers().get(mWire.headers().key());
-        try {
-            exchange.setKey(value == null ? -1 : Integer.parseInt(value.trim()));
-        } catch (NumberFormatException e) {
-            exchange.setKey(-1);
+        Integer key = value == null ? null : Ints.tryParse(value.trim());
+        if (key == null || key < 0 || key > KeyRange.MAX_KEY) {
+            return false;
         }
-        return exchange.key() >= 0 && exchange.key() <= KeyRange.MAX_KEY;
+        exchange.setKey(key);
+        return true;
     }
 
     private void setTimes(Exchange exchange) {
