Assume the mean of its service for a server that was seldom asked

Load pattern: 95 daemons send 273 requests a second to 92 servers without a key, so a daemon asks each server every half minute. Servers differ in speed by three times and more.

Cause: each server was assumed to take 300 ms, whatever its service takes, and one request moved that by 15%. Of requests that a daemon cancelled, which are those at slow servers, nothing was learnt. So servers that had not been asked looked fastest, and slow ones got as many requests as fast ones.

Change: ServiceTimes is the mean of all servers of a service at this daemon. The estimate of a server is that mean as one request, and its own last seven. A cancelled request counts with the time that it took if that is longer than expected.

ServerPickerTest.pick_fewRequestsForEachServer fails with the old rule (10 of 60 requests to slow servers).

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.dispatch;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
 /**
  * Estimates the load of one backend server from the load reports on its responses and from the
@@ -24,9 +25,15 @@
     /** Weight of a new report in the moving average of other requests. */
     private static final double REPORT_SMOOTHING = 0.1;
 
-    /** Weight of a new request in the moving averages of service time and failures. */
+    /** Weight of a new request in the moving average of failures. */
     private static final double REQUEST_SMOOTHING = 0.15;
 
+    /**
+     * Number of requests that count in the moving average of the service time of this server. The
+     * mean of all servers counts as one more.
+     */
+    private static final double MAX_WEIGHT = 7;
+
     /**
      * Base of the time for which a server is suspect after a request without an answer. It is
      * doubled for each such request in a row, the first included.
@@ -42,7 +49,14 @@
     private double mReportedOtherRequests;
     private double mMeanOtherRequests;
     private long mReportedAtNanos = Long.MIN_VALUE / 2;
-    private double mServiceNanos;
+    private final ServiceTimes mServiceTimes;
+
+    /** Moving average of the service times of the completed requests to this server. */
+    private double mOwnServiceNanos;
+
+    /** Number of these requests, up to {@link #MAX_WEIGHT}. */
+    private double mOwnRequests;
+
     private double mFailureRate;
     private long mColdUntilNanos = Long.MIN_VALUE / 2;
     private long mSuspectUntilNanos = Long.MIN_VALUE / 2;
@@ -51,28 +65,31 @@
     private double mColdTokens;
     private long mColdTokensAtNanos;
 
-    private ServerLoad(int slots, long initialServiceNanos, double initialColdTokens) {
+    private ServerLoad(int slots, ServiceTimes serviceTimes, double initialColdTokens) {
         mSlots = slots;
         mInitialColdTokens = initialColdTokens;
-        mServiceNanos = initialServiceNanos;
+        mServiceTimes = serviceTimes;
     }
 
     /**
      * Creates the load of a server that is assumed to be idle.
      *
      * @param slots requests that the server can execute at the same time
-     * @param initialServiceNanos assumed service time of a request until one has completed
+     * @param serviceTimes those of all servers of the service, assumed until requests to this one
+     *     have completed
      * @param initialColdTokens number of tokens, from 0 to 1, in the bucket when the server turns
      *     cold; a random number in each daemon keeps the daemons from sending their first requests
      *     at the same time
      */
-    public static ServerLoad create(int slots, long initialServiceNanos, double initialColdTokens) {
+    public static ServerLoad create(
+            int slots, ServiceTimes serviceTimes, double initialColdTokens) {
         checkArgument(slots > 0, "slots is not positive: %s", slots);
+        checkNotNull(serviceTimes);
         checkArgument(
                 initialColdTokens >= 0 && initialColdTokens <= 1,
                 "initialColdTokens is not between 0 and 1: %s",
                 initialColdTokens);
-        return new ServerLoad(slots, initialServiceNanos, initialColdTokens);
+        return new ServerLoad(slots, serviceTimes, initialColdTokens);
     }
 
     /** Records that a request is sent to the server. */
@@ -98,11 +115,22 @@
         mUnansweredInRow = 0;
         if (!failed) {
             double queueingFactor = Math.max(1, expectedLoad(mReportedAtNanos) / mSlots);
-            mServiceNanos += REQUEST_SMOOTHING * (responseNanos / queueingFactor - mServiceNanos);
+            onServiceTime(responseNanos / queueingFactor);
         }
         mFailureRate += REQUEST_SMOOTHING * ((failed ? 1 : 0) - mFailureRate);
     }
 
+    private void onServiceTime(double nanos) {
+        mServiceTimes.add(nanos);
+        mOwnRequests = Math.min(MAX_WEIGHT, mOwnRequests + 1);
+        mOwnServiceNanos += (nanos - mOwnServiceNanos) / mOwnRequests;
+    }
+
+    /** Returns the estimated service time of a request at this server. */
+    private double serviceNanos() {
+        return (mServiceTimes.meanNanos() + mOwnRequests * mOwnServiceNanos) / (1 + mOwnRequests);
+    }
+
     /** Records that the server rejected a request without executing it. */
     public void onRejected() {
         mInFlight--;
@@ -119,9 +147,17 @@
         mSuspectUntilNanos = nowNanos + suspectNanos;
     }
 
-    /** Records that this daemon cancelled a request. */
-    public void onCancelled() {
+    /**
+     * Records that this daemon cancelled a request. It would have taken longer, so it counts if
+     * that is already longer than expected.
+     *
+     * @param elapsedNanos time since the request was sent
+     */
+    public void onCancelled(long elapsedNanos) {
         mInFlight--;
+        if (elapsedNanos > serviceNanos()) {
+            onServiceTime(elapsedNanos);
+        }
     }
 
     /**
@@ -185,8 +221,8 @@
     /** Returns the estimated response time of a request sent now, in ns, including its queueing. */
     public double expectedResponseNanos(long nowNanos) {
         double load = expectedLoad(nowNanos);
-        double queueNanos = load < mSlots ? 0 : (load - mSlots + 1) / mSlots * mServiceNanos;
-        return queueNanos + mServiceNanos;
+        double queueNanos = load < mSlots ? 0 : (load - mSlots + 1) / mSlots * serviceNanos();
+        return queueNanos + serviceNanos();
     }
 
     /** Returns the moving average of the fraction of requests that did not succeed, from 0 to 1. */
--- a/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
@@ -9,7 +9,8 @@
     private static final long MILLI_NANOS = 1_000_000L;
     private static final long SECOND_NANOS = 1_000 * MILLI_NANOS;
 
-    private final ServerLoad mLoad = ServerLoad.create(6, 200 * MILLI_NANOS, 0);
+    private final ServerLoad mLoad =
+            ServerLoad.create(6, ServiceTimes.create(200 * MILLI_NANOS), 0);
 
     @Test
     void expectedResponseNanos_idle_isTheServiceTime() {
@@ -86,4 +87,33 @@
         assertThat(mLoad.isSuspect(100 * MILLI_NANOS)).isTrue();
         assertThat(mLoad.isSuspect(3 * SECOND_NANOS)).isFalse();
     }
+
+    /** A server that was never asked must not look faster than all that were. */
+    @Test
+    void expectedResponseNanos_otherServersWereSlow_isTheirMean() {
+        ServiceTimes times = ServiceTimes.create(200 * MILLI_NANOS);
+        ServerLoad asked = ServerLoad.create(6, times, 0);
+        asked.onSent();
+        asked.onCompleted(900 * MILLI_NANOS, false);
+
+        ServerLoad unknown = ServerLoad.create(6, times, 0);
+        assertThat(unknown.expectedResponseNanos(0)).isWithin(1).of(900 * MILLI_NANOS);
+    }
+
+    /** Requests that end at their deadline are missing among the completed ones. */
+    @Test
+    void onCancelled_laterThanExpected_countsAsThatTime() {
+        mLoad.onSent();
+        mLoad.onCancelled(1_000 * MILLI_NANOS);
+
+        assertThat(mLoad.expectedResponseNanos(SECOND_NANOS)).isGreaterThan(200.0 * MILLI_NANOS);
+    }
+
+    @Test
+    void onCancelled_soonerThanExpected_showsNothing() {
+        mLoad.onSent();
+        mLoad.onCancelled(10 * MILLI_NANOS);
+
+        assertThat(mLoad.expectedResponseNanos(SECOND_NANOS)).isWithin(1).of(200 * MILLI_NANOS);
+    }
 }
--- a/decisions/src/test/java/org/geraniumusher/dispatch/ServerPickerTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dispatch/ServerPickerTest.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.dispatch;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import org.geraniumusher.dispatch.ServerPicker.Candidate;
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,12 @@
     private final Random mRandom = new Random(3);
 
     private static Candidate candidate(String id, boolean isLocal) {
-        return new Candidate(id, ServerLoad.create(6, 400 * MILLI_NANOS, 0), 6, isLocal, false);
+        return new Candidate(
+                id,
+                ServerLoad.create(6, ServiceTimes.create(400 * MILLI_NANOS), 0),
+                6,
+                isLocal,
+                false);
     }
 
     private Optional<Candidate> pick(List<Candidate> candidates) {
@@ -107,7 +113,12 @@
     @Test
     void pick_serverAlreadyTried_takesAnother() {
         Candidate tried =
-                new Candidate("tried", ServerLoad.create(6, 400 * MILLI_NANOS, 0), 6, true, true);
+                new Candidate(
+                        "tried",
+                        ServerLoad.create(6, ServiceTimes.create(400 * MILLI_NANOS), 0),
+                        6,
+                        true,
+                        true);
 
         assertThat(pick(List.of(tried, candidate("other", false))).orElseThrow().incarnationId())
                 .isEqualTo("other");
@@ -135,7 +146,7 @@
     /** A cold server that is considered but not chosen must keep its token for a later request. */
     @Test
     void pick_coldServerNotChosen_keepsItsToken() {
-        ServerLoad load = ServerLoad.create(6, 400 * MILLI_NANOS, 1);
+        ServerLoad load = ServerLoad.create(6, ServiceTimes.create(400 * MILLI_NANOS), 1);
         load.setColdUntil(NOW_NANOS + 3_000 * MILLI_NANOS, NOW_NANOS);
         Candidate cold = new Candidate("cold", load, 6, false, false);
 
@@ -144,4 +155,38 @@
 
         assertThat(pick(List.of(cold))).isPresent();
     }
+
+    /**
+     * A daemon of a large fleet sends 60 requests to 30 servers within 20 s, ten of which take
+     * three times as long as the others. It asked each server once before it asked any of them
+     * again.
+     */
+    @Test
+    void pick_fewRequestsForEachServer_slowOnesGetLessThanHalfOfTheirShare() {
+        int servers = 30;
+        int requests = 60;
+        ServiceTimes times = ServiceTimes.create(300 * MILLI_NANOS);
+        List<Candidate> candidates = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            ServerLoad load = ServerLoad.create(6, times, 0);
+            candidates.add(new Candidate((i < 10 ? "slow" : "fast") + i, load, 6, true, false));
+        }
+        Random random = new Random(1);
+        int toSlow = 0;
+        for (int i = 0; i < requests; i++) {
+            long now = i * 333 * MILLI_NANOS;
+            Candidate picked =
+                    ServerPicker.pick(candidates, 3_000 * MILLI_NANOS, 1e9, now, random)
+                            .orElseThrow();
+            boolean slow = picked.incarnationId().startsWith("slow");
+            toSlow += slow ? 1 : 0;
+            picked.load().onSent();
+            double nanos = (0.5 + random.nextDouble()) * (slow ? 2_100 : 700) * MILLI_NANOS;
+            picked.load().onCompleted((long) nanos, false);
+        }
+
+        assertWithMessage("requests to slow servers")
+                .that(toSlow)
+                .isLessThan(requests * 10 / servers / 2);
+    }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -490,7 +490,7 @@
                         listener,
                         exchange::mayUse);
         if (!exchange.isEnded()) {
-            exchange.beginAttempt(new Exchange.Attempt(upstream, connection));
+            exchange.beginAttempt(new Exchange.Attempt(upstream, connection, now));
         }
     }
 
@@ -633,7 +633,7 @@
         }
         Exchange.Attempt attempt = exchange.attempt().get();
         if (exchange.route().kind().mayRepeat()) {
-            attempt.upstream().load().onCancelled();
+            attempt.upstream().load().onCancelled(mClock.getAsLong() - attempt.sentAtNanos());
             attempt.connection().cancel();
             exchange.endAttempt();
         } else {
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -62,7 +62,7 @@
     record Request(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {}
 
     /** One attempt to get a response from a backend server. */
-    record Attempt(Upstream upstream, UpstreamConnection connection) {}
+    record Attempt(Upstream upstream, UpstreamConnection connection, long sentAtNanos) {}
 
     Exchange(Request request, String id, long arrivedAtNanos, CallerResponder responder) {
         mRequest = request;
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 
 import org.geraniumusher.dispatch.ServerLoad;
+import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.traffic.ServerEntry;
 
 import java.util.ArrayDeque;
@@ -45,7 +46,7 @@
      * @param clock monotonic clock in nanoseconds
      * @param buffers buffers for the bodies of responses, which all upstreams share
      * @param requestIdHeader name of the header that carries the request ID
-     * @param initialServiceNanos assumed service time until a request has completed
+     * @param serviceTimes service times of all servers of the service
      * @param initialColdTokens initial tokens of a cold server; see {@link ServerLoad#create}
      */
     Upstream(
@@ -55,7 +56,7 @@
             ResponseBuffers buffers,
             String requestIdHeader,
             Listener listener,
-            long initialServiceNanos,
+            ServiceTimes serviceTimes,
             double initialColdTokens) {
         mEntry = entry;
         mGroup = group;
@@ -63,7 +64,7 @@
         mBuffers = buffers;
         mListener = listener;
         mRequestIdHeader = requestIdHeader;
-        mLoad = ServerLoad.create(entry.slots(), initialServiceNanos, initialColdTokens);
+        mLoad = ServerLoad.create(entry.slots(), serviceTimes, initialColdTokens);
         updateColdTime(entry);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 
+import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.traffic.ServerEntry;
 
@@ -20,7 +21,7 @@
  * owner, even if the server's entry has been removed from the store.
  */
 final class UpstreamSet {
-    /** Service time that is assumed for a server until it has completed a request. */
+    /** Service time that is assumed until a server of the service has completed a request. */
     static final long INITIAL_SERVICE_NANOS = 300_000_000L;
 
     private final Directory mDirectory;
@@ -33,6 +34,7 @@
     private final ResponseBuffers mBuffers = new ResponseBuffers();
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, List<Upstream>> mByService = new HashMap<>();
+    private final Map<String, ServiceTimes> mServiceTimes = new HashMap<>();
 
     UpstreamSet(
             Directory directory,
@@ -141,7 +143,8 @@
                 mBuffers,
                 mRequestIdHeader,
                 new StrayResponses(entry.incarnationId()),
-                INITIAL_SERVICE_NANOS,
+                mServiceTimes.computeIfAbsent(
+                        entry.service(), s -> ServiceTimes.create(INITIAL_SERVICE_NANOS)),
                 mRandom.nextDouble());
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.traffic.ServerEntry;
 import org.junit.jupiter.api.AfterEach;
@@ -104,7 +105,15 @@
 
     private Upstream upstream(int server) {
         ServerEntry entry = mContext.directory().servers().get("s" + server + "@1");
-        return new Upstream(entry, null, mThread::now, new ResponseBuffers(), "id", null, 1, 0);
+        return new Upstream(
+                entry,
+                null,
+                mThread::now,
+                new ResponseBuffers(),
+                "id",
+                null,
+                ServiceTimes.create(1),
+                0);
     }
 
     private void breakAt(int server, String caller) {
