Take a reset of a new connection for a rejection before anything is sent

Load pattern: 95 daemons send requests for one hot key to the server that owns it. It accepts fewer connections while its queue is long and resets the others when it accepts them.

Cause: the request was written as soon as the connection was open, 2 ms before the reset arrived, so it counted as one that may have been executed: orders ended with 502, idempotent requests used up the retry budget, and the server counted as silent and got nothing for up to 2 s.

Change: the first request of a connection waits for a round trip and 2 ms, 20 ms at most. A reset until then is a rejection: the request goes on, orders too, after the pause of a rejected one, and the server is not suspect.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -45,8 +45,6 @@
     /** Interval at which waiting requests are tried again. */
     private static final long WAITING_INTERVAL_MILLIS = 15;
 
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /**
      * Minimum delay before a keyed request that a server rejected is sent again, multiplied by the
      * number of sends so far.
@@ -130,7 +128,7 @@
     private final UpstreamSet mUpstreams;
     private final RequestLog mRequestLog;
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
-    private final Map<String, Long> mMaxTimeoutNanosByRoute = new HashMap<>();
+    private final CallerDeadlines mCallerDeadlines;
     private final List<Exchange> mWaiting = new ArrayList<>();
     private boolean mDispatchScheduled;
     private final Set<Exchange> mInProgress = new LinkedHashSet<>();
@@ -166,6 +164,7 @@
                 new UpstreamSet(
                         directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
+        mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
         mUpstreams.registerGauges();
         metrics.registerGauge("requests.in_progress", mInProgress::size);
         metrics.registerGauge("requests.waiting", mWaiting::size);
@@ -262,7 +261,7 @@
             fail(exchange, ResultCode.NO_KEY, 0);
             return;
         }
-        setTimes(exchange);
+        mCallerDeadlines.setTimes(exchange);
         if (service.keyed()) {
             mKeyedRequestStats.onRequest(exchange.service(), exchange.key());
         }
@@ -290,29 +289,6 @@
         return true;
     }
 
-    private void setTimes(Exchange exchange) {
-        RouteRule route = exchange.route();
-        long timeoutNanos = route.timeoutNanos();
-        long elapsedNanos = 0;
-        String value = exchange.request().headers().get(mWire.headers().deadlineMillis());
-        if (value != null) {
-            try {
-                long remainingNanos = (long) (Double.parseDouble(value.trim()) * NANOS_PER_MILLI);
-                // The largest remaining time that was seen on the route is taken as the initial
-                // one. A request with less is a retry by its caller, and the difference is the
-                // time since the first attempt.
-                long maxNanos =
-                        mMaxTimeoutNanosByRoute.merge(route.name(), remainingNanos, Math::max);
-                elapsedNanos = maxNanos - remainingNanos;
-                timeoutNanos = Math.min(timeoutNanos, remainingNanos);
-            } catch (NumberFormatException e) {
-                mRequestLog.logInvalidDeadline(exchange, value);
-            }
-        }
-        exchange.setTimes(
-                exchange.arrivedAtNanos() - elapsedNanos, exchange.arrivedAtNanos() + timeoutNanos);
-    }
-
     private RetryBudget retryBudget(String service) {
         return mRetryBudgets.computeIfAbsent(
                 service,
@@ -479,6 +455,11 @@
                         Dispatcher.this.onNotSent(exchange, upstream, cause);
                     }
 
+                    @Override
+                    public void onNotAccepted(String cause) {
+                        Dispatcher.this.onNotAccepted(exchange, upstream, cause);
+                    }
+
                     @Override
                     public void onNoResponse(ResponseFailure failure) {
                         Dispatcher.this.onBroken(exchange, upstream, now, failure);
@@ -560,7 +541,11 @@
         mRequestLog.logNotSent(exchange, upstream, cause);
         mUnreachableListener.accept(upstream.entry().incarnationId());
         exchange.setWaitReason(ResultCode.CONNECT_FAILED);
-        // Not limited by the retry budget, since the request did not reach the server.
+        resendUnsent(exchange);
+    }
+
+    /** Sends a request again, without the retry budget, since it did not reach the server. */
+    private void resendUnsent(Exchange exchange) {
         if (exchange.sendCount() < MAX_SENDS) {
             sendOrQueue(exchange);
         } else if (!exchange.isEnded()) {
@@ -568,6 +553,20 @@
         }
     }
 
+    /**
+     * Queues the request again, as it did not reach the server, which has too many connections and
+     * is busy rather than lost.
+     */
+    private void onNotAccepted(Exchange exchange, Upstream upstream, String cause) {
+        exchange.endAttempt();
+        upstream.load().onRejected();
+        mRequestLog.logNotAccepted(exchange, upstream, cause);
+        exchange.setWaitReason(ResultCode.OVERLOADED);
+        exchange.setEarliestSendNanos(
+                mClock.getAsLong() + REJECTED_BACKOFF_NANOS * exchange.sendCount());
+        resendUnsent(exchange);
+    }
+
     private void onBroken(
             Exchange exchange, Upstream upstream, long sentAtNanos, ResponseFailure failure) {
         long now = mClock.getAsLong();
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -121,6 +121,19 @@
                 cause.getMessage());
     }
 
+    /** Logs that the server closed the connection before the request was sent. */
+    void logNotAccepted(Exchange exchange, Upstream upstream, String cause) {
+        mLog.write(
+                Part.SERVER,
+                "Server did not accept the connection",
+                "id",
+                exchange.id(),
+                "server",
+                upstream.entry().incarnationId(),
+                "cause",
+                cause);
+    }
+
     /**
      * Logs that this daemon responds with an error.
      *
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -132,7 +132,8 @@
             idle.get().send(request, listener);
             return idle.get();
         }
-        UpstreamConnection created = new UpstreamConnection(this, mBuffers, mRequestIdHeader);
+        UpstreamConnection created =
+                new UpstreamConnection(this, mClock, mBuffers, mRequestIdHeader);
         created.connectAndSend(mGroup, mEntry.address(), request, listener);
         return created;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -23,11 +23,16 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * An HTTP connection to a backend server that carries one request at a time. Confined to the event
  * loop.
  *
+ * <p>The first request waits until a server that is over its limit of connections would have reset
+ * the connection: a request that was sent on it might have been executed.
+ *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
  * the request in flight. A response with another ID, or with none, is skipped: the server sent it a
  * second time, and that to the request in flight may follow. Since all attempts of a request have
@@ -43,6 +48,11 @@
      */
     private static final int MAX_BODY_BYTES = 4 << 20;
 
+    /** Bounds of the time for which the first request waits for a reset of its connection. */
+    private static final long MIN_ACCEPT_NANOS = 2_000_000L;
+
+    private static final long MAX_ACCEPT_NANOS = 20_000_000L;
+
     /** Limit of the bytes other than bodies that arrive until a response is complete. */
     private static final int MAX_FRAMING_BYTES = 256 << 10;
 
@@ -63,6 +73,12 @@
         /** Called if the connection could not be opened, so that the request was not sent. */
         void onNotSent(Throwable cause);
 
+        /**
+         * Called if the server closed the connection before the request was sent, as one does that
+         * is over its limit of connections.
+         */
+        void onNotAccepted(String cause);
+
         /** Called if there is no usable response; the server may have executed the request. */
         void onNoResponse(ResponseFailure failure);
     }
@@ -87,6 +103,7 @@
     }
 
     private final Pool mPool;
+    private final LongSupplier mClock;
     private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
     private final ReceiveLimiter mLimiter =
@@ -106,6 +123,11 @@
     private SocketChannel mChannel;
     private Listener mListener;
     private String mRequestId;
+    private long mConnectStartedAt;
+
+    /** The first request while it waits for the server to accept the connection, or null. */
+    private FullHttpRequest mUnsentRequest;
+
     private HttpResponse mResponseHead;
     private ResponseBuffers.Buffer mResponseBody;
     private boolean mSkipResponse;
@@ -114,8 +136,10 @@
     private long mIdleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long mUsableUntilNanos;
 
-    UpstreamConnection(Pool pool, ResponseBuffers buffers, String requestIdHeader) {
+    UpstreamConnection(
+            Pool pool, LongSupplier clock, ResponseBuffers buffers, String requestIdHeader) {
         mPool = pool;
+        mClock = clock;
         mBuffers = buffers;
         mRequestIdHeader = requestIdHeader;
     }
@@ -126,6 +150,7 @@
         mListener = listener;
         mRequestId = request.headers().get(mRequestIdHeader);
         mLimiter.onRequest();
+        mConnectStartedAt = mClock.getAsLong();
         KeepAliveProbes.enable(new Bootstrap())
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -156,10 +181,39 @@
             request.release();
             mChannel.close();
         } else {
+            mUnsentRequest = request;
+            mChannel.eventLoop().schedule(this::sendFirst, acceptNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /**
+     * Returns how long the first request of a connection waits. A server that is over its limit of
+     * connections resets one when it accepts it, which shows within a round trip. The connect took
+     * one as well.
+     */
+    private long acceptNanos() {
+        long connectNanos = mClock.getAsLong() - mConnectStartedAt;
+        return Math.min(MAX_ACCEPT_NANOS, connectNanos + MIN_ACCEPT_NANOS);
+    }
+
+    private void sendFirst() {
+        FullHttpRequest request = mUnsentRequest;
+        if (request != null) {
+            mUnsentRequest = null;
             mChannel.writeAndFlush(request);
         }
     }
 
+    /** Drops the first request if it waits; returns whether it did. */
+    private boolean dropUnsent() {
+        boolean unsent = mUnsentRequest != null;
+        if (unsent) {
+            mUnsentRequest.release();
+            mUnsentRequest = null;
+        }
+        return unsent;
+    }
+
     private void onConnectFailed(Throwable cause) {
         Listener listener = mListener;
         mListener = null;
@@ -189,6 +243,7 @@
     }
 
     void close() {
+        dropUnsent();
         if (mChannel != null) {
             mChannel.close();
         }
@@ -336,8 +391,11 @@
         Listener listener = mListener;
         mListener = null;
         dropResponse();
+        boolean unsent = dropUnsent();
         mChannel.close();
-        if (listener != null) {
+        if (listener != null && unsent) {
+            listener.onNotAccepted(cause);
+        } else if (listener != null) {
             listener.onNoResponse(new ResponseFailure(cause, limit, mLimiter.receivedBytes()));
         }
     }
