--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -48,9 +48,10 @@
      */
     private static final int MAX_BODY_BYTES = 4 << 20;
 
-    /** Bounds of the time for which the first request waits for a reset of its connection. */
-    private static final long MIN_ACCEPT_NANOS = 2_000_000L;
+    /** Time, beside a round trip, for which the first request waits for a reset. */
+    private static final long ACCEPT_MARGIN_NANOS = 2_000_000L;
 
+    /** Longest time for which it waits, also if the connect took longer. */
     private static final long MAX_ACCEPT_NANOS = 20_000_000L;
 
     /** Limit of the bytes other than bodies that arrive until a response is complete. */
@@ -193,7 +194,7 @@
      */
     private long acceptNanos() {
         long connectNanos = mClock.getAsLong() - mConnectStartedAt;
-        return Math.min(MAX_ACCEPT_NANOS, connectNanos + MIN_ACCEPT_NANOS);
+        return Math.min(MAX_ACCEPT_NANOS, connectNanos + ACCEPT_MARGIN_NANOS);
     }
 
     private void sendFirst() {
