--- a/review/standins/MixedCase.java
+++ b/review/standins/MixedCase.java
@@ -49,7 +49,7 @@
     private void run() throws Exception {
         Listener spoiling = new Listener(socket -> serve(socket, "i-p0", true));
         Listener sound = new Listener(socket -> serve(socket, "i-p1", false));
-        mSite.mStore.put("config", "main", Site.configuration());
+        mSite.mStore.put("config", "main", Site.configuration(10));
         mSite.mStore.put("servers", "i-p0", entry(spoiling));
         mSite.mStore.put("servers", "i-p1", entry(sound));
         mSite.startDaemons(1);
--- a/review/standins/OwnerCase.java
+++ b/review/standins/OwnerCase.java
@@ -22,7 +22,7 @@
         Site site = new Site(Path.of(args[0]));
         KeyCheck check = new KeyCheck(site.mRecord);
         List<Backend> backends = new ArrayList<>();
-        site.mStore.put("config", "main", Site.configuration());
+        site.mStore.put("config", "main", Site.configuration(10));
         for (int i = 0; i < BACKENDS; i++) {
             Backend backend = new Backend("i-k" + i, "keyed", true, site.mRecord, check);
             backends.add(backend);
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -79,7 +79,7 @@
     }
 
     /** The configuration: a keyed and a plain service, with a safe and an unsafe route each. */
-    static String configuration() {
+    static String configuration(double timeoutSeconds) {
         StringBuilder routes = new StringBuilder();
         String[][] all = {
             {"key-read", "/key-read/", "safe", "keyed"},
@@ -92,9 +92,9 @@
                     .append(
                             String.format(
                                     "{\"name\":\"%s\",\"host\":\"%s\",\"path_prefix\":\"%s\","
-                                            + "\"kind\":\"%s\",\"timeout_s\":10,\"goal_s\":1,"
+                                            + "\"kind\":\"%s\",\"timeout_s\":%s,\"goal_s\":1,"
                                             + "\"priority\":1,\"service\":\"%s\",\"attempts\":2}",
-                                    route[0], HOST, route[1], route[2], route[3]));
+                                    route[0], HOST, route[1], route[2], timeoutSeconds, route[3]));
         }
         return "{\"version\":\"r3\",\"routes\":["
                 + routes
