--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A sound backend server as PROTOCOL.md tells it. A keyed one runs only requests whose key it
@@ -31,6 +32,9 @@
     final int[] mAtWork = new int[KEYS];
     private int mRunning;
 
+    /** When each request began to run, by its id. */
+    final Map<String, Long> mBegins = new ConcurrentHashMap<>();
+
     Backend(String id, String service, boolean keyed, Record record, KeyCheck check) {
         mId = id;
         mService = service;
@@ -59,11 +63,15 @@
 
     /** Returns the entry that the server keeps in the store. */
     String entry() {
+        return entry("ready");
+    }
+
+    String entry(String state) {
         return String.format(
                 "{\"addr\":\"%s\",\"born\":%d,\"info\":{\"service\":\"%s\",\"version\":\"v1\","
                         + "\"zone\":\"zone-a\",\"slots\":%d},"
-                        + "\"status\":{\"state\":\"ready\",\"seq\":1,\"warmup_left_s\":0}}",
-                address(), mBorn, mService, SLOTS);
+                        + "\"status\":{\"state\":\"%s\",\"seq\":1,\"warmup_left_s\":0}}",
+                address(), mBorn, mService, SLOTS, state);
     }
 
     private void serve(Socket socket) throws IOException {
@@ -153,6 +161,7 @@
                     "1");
             return;
         }
+        mBegins.put(id, System.nanoTime());
         mRecord.line("%s BEGIN %s %s key %d", mId, id, call.method(), key);
         boolean held;
         try {
--- a/review/standins/Listener.java
+++ b/review/standins/Listener.java
@@ -14,6 +14,8 @@
         void handle(Socket socket) throws IOException;
     }
 
+    private static int nextPort = 12_000 + (int) (ProcessHandle.current().pid() % 600) * 32;
+
     private final Handler mHandler;
     private final int mPort;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
@@ -113,11 +115,18 @@
         }
     }
 
-    static int freePort() {
-        try (ServerSocket server = bind(0)) {
-            return server.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+    /**
+     * Returns a free port below the range that the system gives to clients. Cases that run at the
+     * same time begin at different ports.
+     */
+    static synchronized int freePort() {
+        while (true) {
+            int port = nextPort++;
+            try (ServerSocket server = bind(port)) {
+                return server.getLocalPort();
+            } catch (IOException | IllegalStateException e) {
+                // In use; try the next one.
+            }
         }
     }
 }
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
  * A small deployment on the loopback interface: the store and the backends in this process, the
@@ -30,6 +31,8 @@
     static final int BROKEN = 1;
     static final int CANNOT_RUN = 2;
 
+    private static final int LOG_LINES = 40;
+
     final Record mRecord;
     final Store mStore = new Store();
     final boolean mTrouble = !"0".equals(System.getenv("TROUBLE"));
@@ -102,6 +105,8 @@
                 + "\"max_conns\":120,\"sharded\":true,\"warmup_s\":3,\"cold_per_s\":8,"
                 + "\"warm_s\":3,\"grants\":\"call\"},"
                 + "{\"name\":\"plain\",\"health_path\":\"/healthz\",\"max_conns\":120,"
+                + "\"warmup_s\":3,\"cold_per_s\":8},"
+                + "{\"name\":\"archive\",\"health_path\":\"/healthz\",\"max_conns\":120,"
                 + "\"warmup_s\":3,\"cold_per_s\":8}],"
                 + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
                 + "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
@@ -227,9 +232,22 @@
             }
             Thread.sleep(100);
         }
+        recordLogs();
         finish(CANNOT_RUN, "not reached in " + seconds + " s: " + what);
     }
 
+    /** Copies the first lines of the logs of all daemons to the record. */
+    private void recordLogs() {
+        for (Daemon daemon : mDaemons) {
+            mRecord.line("%s is %s", daemon.mName, daemon.mProcess.isAlive() ? "alive" : "ended");
+            try (Stream<String> lines = Files.lines(daemon.mLog)) {
+                lines.limit(LOG_LINES).forEach(l -> mRecord.line("%s: %s", daemon.mName, l));
+            } catch (IOException e) {
+                mRecord.line("%s: no log: %s", daemon.mName, e);
+            }
+        }
+    }
+
     boolean isReady(Daemon daemon) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", daemon.mReady)) {
             socket.setSoTimeout(1_000);
@@ -259,7 +277,11 @@
 
     /** Sends one request over a new connection; returns its status, or 0 without an answer. */
     int send(Daemon daemon, String method, String path, int key, long deadlineMillis) {
-        String id = newRequestId();
+        return send(daemon, newRequestId(), method, path, key, deadlineMillis);
+    }
+
+    int send(
+            Daemon daemon, String id, String method, String path, int key, long deadlineMillis) {
         mRecord.line("client SENDS %s %s %s key %d to %s", id, method, path, key, daemon.mName);
         int status = 0;
         try (Socket socket = new Socket("127.0.0.1", daemon.mFront)) {
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -15,11 +15,17 @@
  * watches; a PUT that changes nothing does not raise the revision.
  */
 final class Store {
+    /** Largest number of objects of a page. */
+    private static final int PAGE = 500;
+
     private final Map<String, TreeMap<String, Map<String, Object>>> mKinds = new TreeMap<>();
     private final List<Object[]> mHistory = new ArrayList<>();
     private final Listener mListener = new Listener(this::serve);
     private long mRevision = 1;
 
+    /** Runs once, between two pages of the next list of servers, if set. */
+    private Runnable mBetweenPages;
+
     String address() {
         return mListener.address();
     }
@@ -107,11 +113,7 @@
                     return object == null ? status(404) : new Object[] {200, object};
                 }
                 String after = call.query("after") == null ? "" : call.query("after");
-                Map<String, Object> page = new LinkedHashMap<>();
-                page.put("items", List.copyOf(kind(kind).tailMap(after, false).values()));
-                page.put("more", false);
-                page.put("current_rev", mRevision);
-                return new Object[] {200, page};
+                return list(kind, after);
             case "POST":
             case "PUT":
                 Map<String, Object> body = Json.parseObject(call.text());
@@ -144,6 +146,26 @@
         }
     }
 
+    private Object[] list(String kind, String after) {
+        List<Object> items = new ArrayList<>(kind(kind).tailMap(after, false).values());
+        boolean more = items.size() > PAGE;
+        Map<String, Object> page = new LinkedHashMap<>();
+        page.put("items", more ? new ArrayList<>(items.subList(0, PAGE)) : items);
+        page.put("more", more);
+        page.put("current_rev", mRevision);
+        if (more && kind.equals("servers") && mBetweenPages != null) {
+            Runnable task = mBetweenPages;
+            mBetweenPages = null;
+            task.run();
+        }
+        return new Object[] {200, page};
+    }
+
+    /** Sets what happens right after the store has served the first page of a list of servers. */
+    synchronized void setBetweenPages(Runnable task) {
+        mBetweenPages = task;
+    }
+
     private static Object[] status(int status) {
         return new Object[] {status, Map.of()};
     }
