--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -92,12 +92,12 @@
         EventThread thread = new EventLoopThread(mLoop, log);
         KeyedRequestStats keyedRequestStats = new KeyedRequestStats();
         Store store = new MeteredStore(adapter.store(), mMetrics);
-        registerGauges(clock, store.epoch());
         HttpClient client = HttpClient.create(mGroup);
         RelayedStore relayedStore =
-                new RelayedStore(store, settings, adapter.wire(), client, thread, clock, log);
+                new RelayedStore(
+                        store, settings, adapter.wire(), client, thread, clock, log, mMetrics);
         mDirectory = new Directory(relayedStore, adapter.wire(), thread, clock, log);
-        mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
+        registerGauges(clock, store.epoch());
         DaemonContext context =
                 new DaemonContext(
                         settings,
@@ -161,6 +161,7 @@
     }
 
     private void registerGauges(SuspensionClock clock, StoreEpoch epoch) {
+        mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
         mMetrics.registerGauge("clock.suspensions", clock::suspensions);
         mMetrics.registerGauge("store.epoch", () -> (int) epoch.current());
         mMetrics.registerGauge(
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -54,6 +54,7 @@
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
     private ImmutableList<Feeders.Member> mFeeders = ImmutableList.of();
     private boolean mIsFollower;
     private boolean mIsFeeder;
@@ -68,7 +69,8 @@
             HttpClient client,
             EventThread thread,
             LongSupplier clock,
-            DecisionLog log) {
+            DecisionLog log,
+            EntryMetrics metrics) {
         mDelegate = checkNotNull(delegate);
         mSettings = checkNotNull(settings);
         mWire = checkNotNull(wire);
@@ -76,6 +78,7 @@
         mThread = checkNotNull(thread);
         mClock = checkNotNull(clock);
         mLog = checkNotNull(log);
+        mMetrics = checkNotNull(metrics);
     }
 
     /** Sets the daemons of the fleet, of which some are chosen as feeders. */
@@ -149,10 +152,12 @@
         if (historyGone || error == null && reply.isOk()) {
             try {
                 if (epoch().observe(RelayEndpoint.decodeEpoch(reply))) {
-                    result.complete(
+                    StoreResult decoded =
                             historyGone
                                     ? new StoreResult.HistoryGone()
-                                    : RelayEndpoint.decode(reply, mWire));
+                                    : RelayEndpoint.decode(reply, mWire);
+                    mMetrics.onStoreCall("watch_feeder", StoreKind.SERVERS, decoded);
+                    result.complete(decoded);
                     return;
                 }
                 reason = "reply from an earlier epoch of the store";
--- a/entry/src/test/java/org/geraniumusher/entry/RelayedStoreTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RelayedStoreTest.java
@@ -29,7 +29,8 @@
                     HttpClient.create(mGroup),
                     mFixture.thread(),
                     mContext.clock(),
-                    mContext.log());
+                    mContext.log(),
+                    mContext.metrics());
 
     @AfterEach
     void close() {
