Take no entry for the proof that a server has terminated

Cause: RangeCoordinatorDriver counted a later entry with the id or the address of a known incarnation as its end.

Ruled out: failed calls to the server (the case logs none before the move), refused connections (its port stays open).

Change: such an entry only makes the coordinator renew the grants of the earlier incarnation at once. An answer for another id is the proof; otherwise its hold is waited for. tick_laterServerAtAddressOfSilentServer_... asserted the fault itself (a silent server counted as ended by an entry). It is replaced by three tests: the server answers and keeps its keys, it is silent and stays a holder, another one answers and the keys move within 0.5 s as before. The first two failed before the change.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -339,7 +339,7 @@
     }
 
     private void recordEntry(ServerEntry entry, long now) {
-        recordPredecessors(entry);
+        checkPredecessors(entry);
         if (!entry.service().equals(mService)) {
             return;
         }
@@ -350,12 +350,12 @@
     }
 
     /**
-     * Records that earlier incarnations with the ID or the address of {@code entry} have terminated
-     * or were replaced. An ID or an address is reused, by a server of any service, only after the
-     * previous incarnation has terminated. An incarnation with both accepts the calls to the
-     * previous one.
+     * Looks for earlier incarnations with the ID or the address of {@code entry}, which may have
+     * terminated. An entry does not prove that, since any writer can leave one: the address of such
+     * an incarnation is asked, and only an answer for another ID is a proof. An incarnation with
+     * both the same ID and the same address accepts the calls to the previous one.
      */
-    private void recordPredecessors(ServerEntry entry) {
+    private void checkPredecessors(ServerEntry entry) {
         for (ServerEntry other : mKnownServers.values()) {
             if (other.startMillis() >= entry.startMillis()) {
                 continue;
@@ -365,7 +365,7 @@
             if (sharesId && sharesAddress) {
                 mCoordinator.onReplaced(other.incarnationId());
             } else if (sharesId || sharesAddress) {
-                mCoordinator.onTerminated(other.incarnationId());
+                renewGrants(other.incarnationId());
             }
         }
     }
--- a/entry/src/test/java/org/geraniumusher/entry/FakeServerControl.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeServerControl.java
@@ -14,6 +14,7 @@
     private final EventThread mThread;
     private final Set<String> mRefusingIds = new HashSet<>();
     private final Set<String> mSilentIds = new HashSet<>();
+    private final Set<String> mReplacedIds = new HashSet<>();
     private int mCallCount;
 
     FakeServerControl(EventThread thread) {
@@ -25,6 +26,11 @@
         mSilentIds.add(serverId);
     }
 
+    /** Makes another server answer the calls to a server from now on. */
+    void replaceServer(String serverId) {
+        mReplacedIds.add(serverId);
+    }
+
     /** Returns the number of calls so far. */
     int callCount() {
         return mCallCount;
@@ -39,7 +45,9 @@
         mCallCount++;
         CompletableFuture<GrantResult> future = new CompletableFuture<>();
         GrantResult result = new GrantResult.Done(Optional.empty());
-        if (mRefusingIds.contains(server.id())) {
+        if (mReplacedIds.contains(server.id())) {
+            result = new GrantResult.OtherServer();
+        } else if (mRefusingIds.contains(server.id())) {
             result = new GrantResult.ConnectionRefused();
         } else if (mSilentIds.contains(server.id())) {
             result = new GrantResult.NoAnswer("no answer");
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -327,17 +327,48 @@
         assertThat(owners()).containsExactly("b@1");
     }
 
-    /** An address is reused only after the previous server at it has terminated. */
+    /**
+     * An entry of another writer had the address of a running server and a later start, and the
+     * keys of that server were given on while it worked on them. An entry alone proves no end.
+     */
+    @Test
+    void tick_laterEntryAtAddressOfServerThatAnswers_keysStay() {
+        RangeCoordinatorDriver driver = startDriver();
+        mStore.put(StoreKind.SERVERS, "n", FakeWireFormat.laterServerSpecOfOtherService(A_PORT));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+
+        run(driver, 2_000);
+
+        assertThat(owners()).containsExactly("a@1", "b@1");
+        assertThat(formerHolders()).isEmpty();
+    }
+
+    /** The same with a server that gives no answer and is no longer listed, but may still run. */
     @Test
-    void tick_laterServerAtAddressOfSilentServer_keysMoveBeforeHoldExpires() {
+    void tick_laterEntryAtAddressOfSilentServer_formerServerCountsAsHolder() {
         RangeCoordinatorDriver driver = startDriver();
         mFixture.control().stopAnswering("a");
+        mStore.remove(StoreKind.SERVERS, "a");
+        mStore.put(StoreKind.SERVERS, "n", FakeWireFormat.laterServerSpecOfOtherService(A_PORT));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+
+        run(driver, 2_000);
+
+        assertThat(formerHolders()).containsExactly("a@1");
+    }
+
+    /** The address is asked at once; that another server answers there proves the end. */
+    @Test
+    void tick_laterServerAnswersAtTheAddress_keysMoveBeforeHoldExpires() {
+        RangeCoordinatorDriver driver = startDriver();
+        mFixture.control().replaceServer("a");
         mStore.put(StoreKind.SERVERS, "n", FakeWireFormat.laterServerSpecOfOtherService(A_PORT));
         mDirectory.mirror(StoreKind.SERVERS).start();
 
         run(driver, 500);
 
         assertThat(owners()).containsExactly("b@1");
+        assertThat(formerHolders()).isEmpty();
     }
 
     /**
