Count no crash by an entry of a service that is not configured

CrashMonitor takes a later entry with the id or the address of a server for its crash when a request broke there, so an entry of another writer turned a reset connection of a running server into evidence against the requests on it.

Change: entries of services that the configuration does not name are ignored for that.

Result: the new test of CrashMonitorTest failed before and passes; CrashMonitorTest and DirectoryTest pass.

--- a/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -235,11 +235,16 @@
         }
     }
 
+    /**
+     * Returns whether a later server uses the ID or the address of this one. The entry of a service
+     * that no configuration names comes from another writer and shows nothing.
+     */
     private boolean hasSuccessor(ServerEntry server) {
         return mDirectory.servers().values().stream()
                 .anyMatch(
                         e ->
                                 e.startMillis() > server.startMillis()
+                                        && mDirectory.isServiceConfigured(e.service())
                                         && (e.id().equals(server.id())
                                                 || e.address().equals(server.address())));
     }
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -235,6 +235,11 @@
         return mConfiguration;
     }
 
+    /** Returns whether the configuration in force names a service. */
+    boolean isServiceConfigured(String service) {
+        return mConfiguration.map(c -> c.services().containsKey(service)).orElse(false);
+    }
+
     /** Returns the usable entries of servers by incarnation ID. */
     ImmutableMap<String, ServerEntry> servers() {
         return mServers;
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -66,10 +67,9 @@
         for (int i = 0; i < 4; i++) {
             mStore.put(StoreKind.SERVERS, "s" + i, FakeWireFormat.serverSpec(100 + i, false));
         }
-        mStore.put(
-                StoreKind.CONFIGURATION,
-                "main",
-                JsonNodeFactory.instance.objectNode().put("version", 1));
+        ObjectNode configuration = JsonNodeFactory.instance.objectNode().put("version", 1);
+        configuration.putArray("services").add(FakeWireFormat.SERVICE);
+        mStore.put(StoreKind.CONFIGURATION, "main", configuration);
         mContext.directory().addListener(mMonitor::onDirectoryChange);
         mCoordinator.setActingListener(mQuarantines::tick);
         mContext.directory().start();
@@ -222,6 +222,17 @@
         assertThat(crashes("c")).isEqualTo(1);
     }
 
+    /** An entry of another writer made a broken connection of a running server count as a crash. */
+    @Test
+    void onBroken_laterEntryOfServiceThatIsNotConfigured_isNoCrash() {
+        mProbeResult = ConnectProbe.Result.ACCEPTED;
+        mMonitor.onBroken(exchange("c"), upstream(0), CLOSED);
+        mStore.put(StoreKind.SERVERS, "n", FakeWireFormat.laterServerSpecOfOtherService(100));
+        advance(1_000);
+
+        assertThat(crashes("c")).isEqualTo(0);
+    }
+
     /** A request that runs to its end is not the cause: its crashes must not add up. */
     @Test
     void onResponse_suspectCompletes_isCleared() {
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -12,13 +12,14 @@
 import org.geraniumusher.model.Address;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
+import org.geraniumusher.traffic.ServiceRule;
 import org.geraniumusher.traffic.TrafficLimits;
 
 import java.util.Optional;
 
 /**
- * Decodes server entries, by default of {@link #SERVICE}, and configurations without routes;
- * rejects objects.
+ * Decodes server entries, by default of {@link #SERVICE}, and configurations that have no routes
+ * and name services in an array; rejects objects.
  */
 final class FakeWireFormat implements WireFormat {
     static final String SERVICE = "keyed";
@@ -52,10 +53,14 @@
     @Override
     public RouterConfig decodeConfiguration(JsonNode spec) {
         checkArgument(spec.path("version").isIntegralNumber(), "bad configuration: %s", spec);
+        ImmutableMap.Builder<String, ServiceRule> services = ImmutableMap.builder();
+        for (JsonNode name : spec.path("services")) {
+            services.put(name.asText(), new ServiceRule(name.asText(), false, "", 0, 0, 0));
+        }
         return RouterConfig.of(
                 spec.path("version").asLong(),
                 ImmutableList.of(),
-                ImmutableMap.of(),
+                services.buildOrThrow(),
                 TrafficLimits.DEFAULT);
     }
 
