Take no refused connection for the proof that a server has terminated

Cause: TerminationDetector counted four refused connections, 0.25 s or more apart, as the end of a server that the store lists as ready.

Ruled out: more refusals or a longer time between them, which only make the cut longer that breaks the rule.

Change: the detector and the reads of entries that it caused are removed; only an answer for another id is a proof, and otherwise the hold is waited for. A grant that was refused a connection was not sent and no longer extends the hold.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -192,6 +192,13 @@
         mFenced = true;
     }
 
+    /** Records a grant that never left this daemon. It adds nothing to the hold. */
+    void onGrantNotSent(long nextGrantAt) {
+        mGrantInFlight = false;
+        mGrantFailed = true;
+        mNextGrantAt = nextGrantAt;
+    }
+
     /** Records a grant that was given up and arrives by {@code arrivesBy} if at all. */
     void onGrantUnknown(long arrivesBy, long nextGrantAt) {
         if (mGrantInFlight) {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -532,6 +532,11 @@
         findLease(assignment).ifPresent(Lease::onFenced);
     }
 
+    /** Records that a grant could not be sent, so that its hold never begins. */
+    public void onGrantNotSent(Assignment assignment, long nowNanos) {
+        findLease(assignment).ifPresent(l -> l.onGrantNotSent(nowNanos + RETRY_DELAY_NANOS));
+    }
+
     /** Records that a grant got no answer. */
     public void onGrantUnknown(Assignment assignment, long nowNanos) {
         findLease(assignment)
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeModelTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeModelTest.java
@@ -34,6 +34,8 @@
                         "NoInheritedHold",
                         "NoConfirmation",
                         "NoWait",
+                        "NoProofOfEnd",
+                        "MoveAfterEnd",
                         "NoFormerHolder",
                         "NoRestoreWait",
                         "NoUnnamedHolder",
--- a/entry/src/main/java/org/geraniumusher/entry/GrantResult.java
+++ b/entry/src/main/java/org/geraniumusher/entry/GrantResult.java
@@ -13,7 +13,10 @@
     /** A different server answered at the address. */
     record OtherServer() implements GrantResult {}
 
-    /** Nothing listens at the address, or the server has reached its connection limit. */
+    /**
+     * The connection was refused, so the call was not sent. Nothing listens at the address, or the
+     * server has reached its connection limit, or is cut off.
+     */
     record ConnectionRefused() implements GrantResult {}
 
     /** A listener reset the connection without an answer. The call may still be carried out. */
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -11,7 +11,6 @@
 import org.geraniumusher.keyrange.RangeCoordinator;
 import org.geraniumusher.keyrange.RangeServer;
 import org.geraniumusher.keyrange.RangeTable;
-import org.geraniumusher.keyrange.TerminationDetector;
 import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.traffic.ServerEntry;
 
@@ -100,8 +99,6 @@
     /** All incarnations seen during this term, by ID, including those no longer listed. */
     private final Map<String, ServerEntry> mKnownServers = new HashMap<>();
 
-    private final TerminationDetector mTerminationDetector = TerminationDetector.create();
-
     /** Moving average of the request time of each incarnation. */
     private final Map<String, Double> mRequestSeconds = new HashMap<>();
 
@@ -169,7 +166,6 @@
      */
     void onNewEpoch() {
         mCoordinator.onNewEpoch(mStore.epoch().current());
-        mTerminationDetector.reset();
         if (mCoordinator.isStarted()) {
             mLog.write(
                     Part.OWNERSHIP,
@@ -512,6 +508,8 @@
             logFailure("Grant failed", assignment.range(), server, result);
             if (result instanceof GrantResult.Fenced) {
                 mCoordinator.onGrantFenced(assignment);
+            } else if (result instanceof GrantResult.ConnectionRefused) {
+                mCoordinator.onGrantNotSent(assignment, now);
             } else {
                 mCoordinator.onGrantUnknown(assignment, now);
             }
@@ -535,70 +533,26 @@
                 result);
     }
 
-    private boolean isListedAsReady(String incarnationId) {
-        ServerEntry entry = mDirectory.servers().get(incarnationId);
-        return entry != null
-                && !entry.leaving()
-                && !mDirectory.isSoonAfterRestore()
-                && mDirectory.mirror(StoreKind.SERVERS).isReachable();
-    }
-
+    /**
+     * Records the end of a server at whose address another one answers. Nothing else proves an end:
+     * a server that is cut off, that leaves or that is over its limit of connections may refuse
+     * them and still work on its keys.
+     */
     private void detectTermination(ServerEntry server, GrantResult result) {
-        if (result instanceof GrantResult.Done
-                || result instanceof GrantResult.Fenced
-                || result instanceof GrantResult.ConnectionReset) {
-            mTerminationDetector.onAnswered(server.incarnationId());
-        } else if (result instanceof GrantResult.OtherServer) {
-            recordTermination(server, result);
-        } else if (result instanceof GrantResult.ConnectionRefused
-                && isListedAsReady(server.incarnationId())) {
-            // This daemon's copy of the entry may be seconds old. The store has the current one, in
-            // which a leaving server has marked itself.
-            long epoch = mStore.epoch().current();
-            mStore.read(StoreKind.SERVERS, server.id())
-                    .thenAccept(
-                            read ->
-                                    mThread.execute(
-                                            () ->
-                                                    runIfCurrent(
-                                                            epoch,
-                                                            () ->
-                                                                    onEntryRead(
-                                                                            server, read,
-                                                                            result))));
-        }
-    }
-
-    private void onEntryRead(ServerEntry server, StoreResult read, GrantResult refusal) {
-        boolean ready =
-                read instanceof StoreResult.Written found
-                        && mDirectory
-                                .decodeServer(found.object())
-                                .filter(
-                                        e ->
-                                                e.incarnationId().equals(server.incarnationId())
-                                                        && !e.leaving())
-                                .isPresent();
-        if (mTerminationDetector.onConnectionRefused(
-                server.incarnationId(), ready, mClock.getAsLong())) {
-            recordTermination(server, refusal);
-            tickIfAuthorized(mClock.getAsLong());
+        if (result instanceof GrantResult.OtherServer) {
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Server has terminated",
+                    "service",
+                    mService,
+                    "server",
+                    server.incarnationId(),
+                    "proof",
+                    result);
+            mCoordinator.onTerminated(server.incarnationId());
         }
     }
 
-    private void recordTermination(ServerEntry server, GrantResult proof) {
-        mLog.write(
-                Part.OWNERSHIP,
-                "Server has terminated",
-                "service",
-                mService,
-                "server",
-                server.incarnationId(),
-                "proof",
-                proof);
-        mCoordinator.onTerminated(server.incarnationId());
-    }
-
     @Override
     public void release(String incarnationId, KeyRange range, long fence) {
         ServerEntry server = mKnownServers.get(incarnationId);
