Watch from the first page of a list, not from the last

Cause: what changes between two pages of a list is in no page before it, and KindMirror watched from the revision of the last page, so no event reported it either.

Change: Store.listAll reads all pages or fails, with the revision of the first one. The watch continues from it, and a change that is older than the object in the copy is skipped.

--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -17,10 +17,11 @@
 /**
  * Mirrors the objects of one kind in the store: lists them once, then watches for changes.
  *
- * <p>Invariant: the copy is the state of the store at one version, which never decreases. While the
- * store does not answer, the copy of a peer can replace it if its version is higher. When the store
- * has been restored, the objects are listed again, and results of earlier calls are ignored.
- * Confined to the event loop.
+ * <p>Invariant: the copy shows each object as of one version, which never decreases, or later.
+ * After a list of several pages some objects may be later; the changes since that version then
+ * bring the others up to date. While the store does not answer, the copy of a peer can replace it
+ * if its version is higher. When the store has been restored, the objects are listed again, and
+ * results of earlier calls are ignored. Confined to the event loop.
  */
 final class KindMirror {
     /**
@@ -71,9 +72,6 @@
     private final Runnable mOnHistoryGone;
     private final Runnable mOnReachable;
 
-    /** Objects from the pages received so far of a list in progress. */
-    private final Map<String, StoreObject> mListedSoFar = new HashMap<>();
-
     private ImmutableMap<String, StoreObject> mObjects = ImmutableMap.of();
     private StoreVersion mVersion = StoreVersion.NONE;
 
@@ -131,8 +129,14 @@
     void start() {
         mStarted = true;
         mCallGeneration++;
-        mListedSoFar.clear();
-        list("");
+        long generation = mCallGeneration;
+        mStore.listAll(mKind, false)
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () ->
+                                                runIfCurrent(
+                                                        generation, () -> onListResult(result))));
     }
 
     StoreKind kind() {
@@ -229,17 +233,6 @@
         }
     }
 
-    private void list(String after) {
-        long generation = mCallGeneration;
-        mStore.list(mKind, after, false)
-                .thenAccept(
-                        result ->
-                                mThread.execute(
-                                        () ->
-                                                runIfCurrent(
-                                                        generation, () -> onListResult(result))));
-    }
-
     private void runIfCurrent(long generation, Runnable task) {
         if (generation == mCallGeneration) {
             task.run();
@@ -258,16 +251,13 @@
             return;
         }
         onAnswer();
-        page.objects().forEach(object -> mListedSoFar.put(object.name(), object));
-        if (page.more() && !page.objects().isEmpty()) {
-            list(page.objects().get(page.objects().size() - 1).name());
-            return;
-        }
         StoreVersion listed = new StoreVersion(mStore.epoch().current(), page.revision());
         if (!mVersion.isAfter(listed)) {
             mVersion = listed;
             mHistory.resetTo(listed.revision());
-            mObjects = ImmutableMap.copyOf(mListedSoFar);
+            Map<String, StoreObject> objects = new HashMap<>();
+            page.objects().forEach(object -> objects.put(object.name(), object));
+            mObjects = ImmutableMap.copyOf(objects);
             mListedFromStore = true;
             try {
                 mOnChange.run();
@@ -277,7 +267,6 @@
         } else {
             scheduleIfCurrent(this::start, SHORT_RETRY_MILLIS);
         }
-        mListedSoFar.clear();
     }
 
     private void watch() {
@@ -329,18 +318,26 @@
         mHistory.add(changes.changes(), revision);
         if (!changes.changes().isEmpty()) {
             Map<String, StoreObject> next = new HashMap<>(mObjects);
-            for (StoreResult.Change change : changes.changes()) {
-                if (change.removed()) {
-                    next.remove(change.object().name());
-                } else {
-                    next.put(change.object().name(), change.object());
-                }
-            }
+            changes.changes().forEach(change -> apply(change, next));
             mObjects = ImmutableMap.copyOf(next);
             mOnChange.run();
         }
     }
 
+    /** Applies a change unless the object was listed at a later revision. */
+    private static void apply(StoreResult.Change change, Map<String, StoreObject> objects) {
+        StoreObject object = change.object();
+        StoreObject known = objects.get(object.name());
+        if (known != null && known.revision() > object.revision()) {
+            return;
+        }
+        if (change.removed()) {
+            objects.remove(object.name());
+        } else {
+            objects.put(object.name(), object);
+        }
+    }
+
     private void onAnswer() {
         mLastAnswerNanos = mClock.getAsLong();
         if (!mReachable) {
--- a/entry/src/main/java/org/geraniumusher/entry/Store.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Store.java
@@ -21,6 +21,19 @@
      */
     CompletableFuture<StoreResult> list(StoreKind kind, String after, boolean allowStale);
 
+    /**
+     * Lists all objects of a kind, page by page.
+     *
+     * <p>The result is a {@link StoreResult.Page} that no other follows. It shows each object as of
+     * its revision or later, since objects may change between two pages; the changes after its
+     * revision complete it. If a page is missing, the result is that of the failed call.
+     *
+     * @param allowStale whether the result may be seconds old, which is cheaper for the store
+     */
+    default CompletableFuture<StoreResult> listAll(StoreKind kind, boolean allowStale) {
+        return PagedList.read(this, kind, allowStale);
+    }
+
     /**
      * Waits for changes of objects of a kind after a revision (long polling).
      *
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -1,5 +1,7 @@
 package org.geraniumusher.entry;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
@@ -28,6 +30,9 @@
     private long mRevision = 1;
     private boolean mHoldAnswers;
     private boolean mDown;
+    private int mPageSize = Integer.MAX_VALUE;
+    private Runnable mBetweenPages = () -> {};
+    private long mLastWatchedRevision;
     private final StoreEpoch mEpoch;
     private long mStoreEpoch = 1;
 
@@ -77,12 +82,32 @@
         mDown = down;
     }
 
+    /**
+     * Divides lists into pages.
+     *
+     * @param betweenPages runs after each page that others follow
+     */
+    void setPages(int pageSize, Runnable betweenPages) {
+        mPageSize = pageSize;
+        mBetweenPages = betweenPages;
+    }
+
+    /** Returns the revision from which the last watch continues. */
+    long lastWatchedRevision() {
+        return mLastWatchedRevision;
+    }
+
     /** Returns the spec of an object, or a missing node if it does not exist. */
     JsonNode spec(StoreKind kind, String name) {
         StoreObject object = objects(kind).get(name);
         return object == null ? JsonNodeFactory.instance.missingNode() : object.spec();
     }
 
+    /** Returns an object, which must exist. */
+    StoreObject object(StoreKind kind, String name) {
+        return checkNotNull(objects(kind).get(name));
+    }
+
     void put(StoreKind kind, String name, JsonNode spec) {
         objects(kind).put(name, new StoreObject(name, ++mRevision, spec, spec));
     }
@@ -118,15 +143,20 @@
 
     @Override
     public CompletableFuture<StoreResult> list(StoreKind kind, String after, boolean allowStale) {
-        return answer(
-                new StoreResult.Page(
-                        ImmutableList.copyOf(objects(kind).tailMap(after, false).values()),
-                        false,
-                        mRevision));
+        List<StoreObject> rest = List.copyOf(objects(kind).tailMap(after, false).values());
+        boolean more = rest.size() > mPageSize;
+        List<StoreObject> page = more ? rest.subList(0, mPageSize) : rest;
+        CompletableFuture<StoreResult> result =
+                answer(new StoreResult.Page(ImmutableList.copyOf(page), more, mRevision));
+        if (more) {
+            mBetweenPages.run();
+        }
+        return result;
     }
 
     @Override
     public CompletableFuture<StoreResult> watch(StoreKind kind, long revision, long waitMillis) {
+        mLastWatchedRevision = revision;
         mLongestWaitMillis = Math.max(mLongestWaitMillis, waitMillis);
         if (mDown) {
             return answer(new StoreResult.Refused(503));
@@ -150,10 +180,15 @@
 
     /** Answers all pending watches with {@link StoreResult.HistoryGone}. */
     void dropHistory() {
+        answerWatches(new StoreResult.HistoryGone());
+    }
+
+    /** Answers all pending watches with a result. */
+    void answerWatches(StoreResult result) {
         List<CompletableFuture<StoreResult>> watches = List.copyOf(mWatches);
         mWatches.clear();
         mEpoch.observe(mStoreEpoch);
-        watches.forEach(w -> w.complete(new StoreResult.HistoryGone()));
+        watches.forEach(w -> w.complete(result));
     }
 
     @Override
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
+
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -76,4 +78,53 @@
 
         assertThat(mMirror.objects().keySet()).containsExactly("c");
     }
+
+    /**
+     * What changes between two pages of a list is in none of the pages. The watch continued from
+     * the revision of the last page, so a server that reported its leaving in this time got
+     * requests until its end.
+     */
+    @Test
+    void start_objectsChangeBetweenPages_watchCoversTheChanges() {
+        mStore.put(StoreKind.CONFIGURATION, "a", FakeWireFormat.serverSpec(1, false));
+        mStore.put(StoreKind.CONFIGURATION, "b", FakeWireFormat.serverSpec(1, false));
+        StoreObject before = mStore.object(StoreKind.CONFIGURATION, "a");
+        mStore.setPages(
+                1,
+                () -> mStore.put(StoreKind.CONFIGURATION, "a", FakeWireFormat.serverSpec(1, true)));
+
+        mMirror.start();
+
+        assertThat(mMirror.objects().keySet()).containsExactly("a", "b");
+        assertThat(mMirror.revision()).isEqualTo(before.revision() + 1);
+        assertThat(mStore.lastWatchedRevision()).isEqualTo(before.revision() + 1);
+    }
+
+    /**
+     * A watch from the first page reports changes that a later page already shows. They must not
+     * take an object back to an earlier state.
+     */
+    @Test
+    void watch_changeIsOlderThanThePageThatShowsTheObject_keepsTheNewerObject() {
+        mStore.put(StoreKind.CONFIGURATION, "a", FakeWireFormat.serverSpec(1, false));
+        mStore.put(StoreKind.CONFIGURATION, "b", FakeWireFormat.serverSpec(1, false));
+        StoreObject older = mStore.object(StoreKind.CONFIGURATION, "b");
+        mStore.setPages(
+                1,
+                () -> mStore.put(StoreKind.CONFIGURATION, "b", FakeWireFormat.serverSpec(2, true)));
+        mMirror.start();
+        StoreObject newer = mMirror.objects().get("b");
+        long revision = older.revision() + 3;
+
+        mStore.answerWatches(
+                new StoreResult.Changes(
+                        ImmutableList.of(
+                                new StoreResult.Change(older, false),
+                                new StoreResult.Change(older, true)),
+                        revision));
+
+        assertThat(newer.revision()).isGreaterThan(older.revision());
+        assertThat(mMirror.objects()).containsEntry("b", newer);
+        assertThat(mMirror.revision()).isEqualTo(revision);
+    }
 }
