Read all pages of the lists of daemons, tables and coordinators

A fleet of more daemons than a page holds counted as smaller than it is, so it used no feeders and each daemon sent too much to cold servers.

Change: these lists are read with Store.listAll.

--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -274,7 +274,7 @@
         mStoreCallInFlight = true;
         mNextPollAt = now + (mElection.mayContinue() ? RETRY_INTERVAL_NANOS : POLL_INTERVAL_NANOS);
         long generation = mCallGeneration;
-        mStore.list(StoreKind.COORDINATORS, "", mElection.record().isPresent())
+        mStore.listAll(StoreKind.COORDINATORS, mElection.record().isPresent())
                 .thenAccept(
                         result ->
                                 mThread.execute(
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -206,7 +206,7 @@
     }
 
     private void listDaemons() {
-        mStore.list(StoreKind.DAEMONS, "", true)
+        mStore.listAll(StoreKind.DAEMONS, true)
                 .thenAccept(result -> mThread.execute(() -> onDaemonsListed(result)));
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
@@ -69,7 +69,7 @@
     /** Starts to poll the store; must be called once. */
     void start() {
         // The first successful read must be complete and current; after that, stale reads suffice.
-        mStore.list(StoreKind.RANGES, "", mLoaded)
+        mStore.listAll(StoreKind.RANGES, mLoaded)
                 .thenAccept(result -> mThread.execute(() -> onListed(result)));
     }
 
