Let a feeder answer a follower that is ahead of its revision

Cause: revisions count the changes of all kinds. A follower that has just read the store can have a higher revision than a feeder whose watch of servers still waits, and after 0.7 s the feeder answered 503, so the follower watched the store for 3 s.

Change: a confirmed copy that is behind the follower holds nothing that the follower lacks. It is answered with no changes and keeps its revision. The bound of its lag stays: it had a later state than the feeder was confirmed at.

--- a/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayEndpoint.java
@@ -140,20 +140,28 @@
             poll.responder().reply(historyGoneReply());
             return;
         }
-        // If this copy is older than the follower's, later changes would not reach the follower.
-        if (!isConfirmed() || poll.version().isAfter(mServers.version())) {
+        if (!isConfirmed()) {
             poll.responder().reply(HttpReply.of(NOT_CONFIRMED, "{}"));
             return;
         }
+        if (poll.version().isAfter(mServers.version())) {
+            // A revision counts the changes of all kinds, so the copy of a follower that comes from
+            // the store can have a higher one. This copy holds nothing that the follower lacks.
+            reply(poll, poll.version(), ImmutableList.of());
+            return;
+        }
         Optional<ImmutableList<StoreResult.Change>> changes =
                 mServers.changesSince(poll.version().revision());
-        poll.responder()
-                .reply(
-                        changes.isPresent()
-                                ? DeflatedJson.encode(
-                                        HttpReply.of(
-                                                200, encode(mServers.version(), changes.get())))
-                                : historyGoneReply());
+        if (changes.isPresent()) {
+            reply(poll, mServers.version(), changes.get());
+        } else {
+            poll.responder().reply(historyGoneReply());
+        }
+    }
+
+    private static void reply(
+            PendingPoll poll, StoreVersion version, List<StoreResult.Change> changes) {
+        poll.responder().reply(DeflatedJson.encode(HttpReply.of(200, encode(version, changes))));
     }
 
     private HttpReply historyGoneReply() {
