Retire servers whose entries went while they could register again

Cause: a server whose entry is missing stays in use for 2.3 s after the store is reachable again, or was restored.

Change: the listeners of the directory run once when that time ends.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -123,8 +123,7 @@
                     mListeners.run();
                 };
         boolean detectsFaults = kind == StoreKind.SERVERS;
-        Runnable onReachable =
-                detectsFaults ? () -> mMirrors.values().forEach(KindMirror::retryNow) : () -> {};
+        Runnable onReachable = detectsFaults ? this::onServersReachable : () -> {};
         mMirrors.put(
                 kind,
                 new KindMirror(
@@ -141,6 +140,16 @@
                         onReachable));
     }
 
+    private void onServersReachable() {
+        mMirrors.values().forEach(KindMirror::retryNow);
+        runListenersAfterReregistration();
+    }
+
+    /** Has missing servers looked at again when they can no longer be about to register. */
+    private void runListenersAfterReregistration() {
+        mThread.schedule(mListeners::run, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
+    }
+
     /** Starts to read the store. */
     void start() {
         listAll();
@@ -153,6 +162,7 @@
         mMirrors.values().forEach(KindMirror::onNewEpoch);
         mThread.schedule(this::endLostEvacuations, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
         mThread.schedule(this::endLostDrains, LOST_DRAIN_NANOS, TimeUnit.NANOSECONDS);
+        runListenersAfterReregistration();
     }
 
     /** Ends the evacuations that a restore lost, unless it was followed by another restore. */
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -30,6 +31,22 @@
         mFixture.close();
     }
 
+    /**
+     * A server whose entry goes soon after the start or an outage was in use until the next change
+     * of the directory, since nothing ran when the time ended in which it may register again.
+     */
+    @Test
+    void mayMissingServersReregister_endsWithoutChange_listenersRun() {
+        List<Boolean> seen = new ArrayList<>();
+        mDirectory.start();
+        mDirectory.addListener(
+                () -> seen.add(mDirectory.mayMissingServersReregister(mThread.now())));
+
+        mThread.advance(3 * SECOND_NANOS);
+
+        assertThat(seen).contains(false);
+    }
+
     private void simulateOutage(long nanos) {
         mStore.setDown(true);
         mStore.failWatches();
