Give the first table of each term a revision of its own

Cause: the store does not raise the revision for a write that changes nothing. The first table of a term has no fences set, so it can equal the first table of the term before, and the fences of the two terms are then the same.

Change: tables name their writer and when they were written, as the coordinator record does.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -1,5 +1,6 @@
 package org.geraniumusher.entry;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 
@@ -84,6 +85,10 @@
     }
 
     private final String mService;
+
+    /** This daemon and its incarnation, which distinguish its tables in the store. */
+    private final String mWriter;
+
     private final Publisher mPublisher;
     private final BooleanSupplier mHasAuthority;
     private final Directory mDirectory;
@@ -136,6 +141,7 @@
             BooleanSupplier hasAuthority,
             DaemonContext context) {
         mService = service;
+        mWriter = context.settings().name() + "/" + context.incarnation();
         mPublisher = publisher;
         mHasAuthority = hasAuthority;
         mDirectory = context.directory();
@@ -413,7 +419,11 @@
         // The store may have been restored since; the table is one of this term's epoch.
         long epoch = mCoordinator.epoch();
         long storeEpoch = mStore.epoch().current();
-        var spec = RangeTableCodec.encode(epoch, assignments);
+        ObjectNode spec = RangeTableCodec.encode(epoch, assignments);
+        // The store does not raise the revision, from which fences are derived, for a write without
+        // a change.
+        spec.put("writer", mWriter);
+        spec.put("written_at", mClock.getAsLong());
         var call =
                 expectedRevision == 0
                         ? mStore.create(StoreKind.RANGES, mService, spec)
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -212,7 +212,10 @@
         if (revision != expectedRevision) {
             return answer(new StoreResult.Conflict(current));
         }
-        put(kind, name, spec);
+        // A write without a change leaves the revision as it is.
+        if (current == null || !current.spec().equals(spec)) {
+            put(kind, name, spec);
+        }
         return answer(new StoreResult.Written(objects(kind).get(name)));
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -33,6 +33,7 @@
     private final DaemonContextFixture mFixture = new DaemonContextFixture();
     private final FakeEventThread mThread = mFixture.thread();
     private final FakeStore mStore = mFixture.store();
+    private DaemonContext mContext;
     private Directory mDirectory;
     private final CoordinatorElection mElection = CoordinatorElection.create("d", 1, 0);
     private final List<Assignment> mPublishedGrants = new ArrayList<>();
@@ -62,12 +63,12 @@
     private RangeCoordinatorDriver startDriver() {
         mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(A_PORT, false));
         mStore.put(StoreKind.SERVERS, "b", FakeWireFormat.serverSpec(B_PORT, false));
-        DaemonContext context = mFixture.createContext("d");
-        mDirectory = context.directory();
+        mContext = mFixture.createContext("d");
+        mDirectory = mContext.directory();
         mDirectory.start();
         RangeCoordinatorDriver driver =
                 new RangeCoordinatorDriver(
-                        FakeWireFormat.SERVICE, mPublisher, () -> mHasAuthority, context);
+                        FakeWireFormat.SERVICE, mPublisher, () -> mHasAuthority, mContext);
         confirmRecord();
         run(driver, 3_000);
         assertThat(owners()).containsExactly("a@1", "b@1");
@@ -295,6 +296,27 @@
         }
     }
 
+    /**
+     * The store does not raise the revision for a write without a change. The first table of a term
+     * had the content of the first table of the term before, so its fences did not rise, and
+     * servers did not refuse late grants of the former coordinator.
+     */
+    @Test
+    void write_firstTableOfNextTerm_hasHigherFences() {
+        RangeCoordinatorDriver former = startDriver();
+        long formerRevision = mStore.object(StoreKind.RANGES, FakeWireFormat.SERVICE).revision();
+        former.end();
+
+        RangeCoordinatorDriver next =
+                new RangeCoordinatorDriver(
+                        FakeWireFormat.SERVICE, mPublisher, () -> mHasAuthority, mContext);
+        confirmRecord();
+        run(next, 2_000);
+
+        assertThat(mStore.object(StoreKind.RANGES, FakeWireFormat.SERVICE).revision())
+                .isGreaterThan(formerRevision);
+    }
+
     /** An entry that only the restore lost is written again soon, so its server keeps its keys. */
     @Test
     void onNewEpoch_serverWasListedBefore_keepsItsKeys() {
