Take a server for leaving once it says so in an answer

Cause: the operators' new rule (DRAIN): a server that leaves says so in all its answers, and gets no request later than the drain time after that. Until now only its entry told, which can stay ready.

Change: the header in an answer to a request marks the server as leaving at this daemon; in an answer to a grant or a release it does so at the coordinator, which moves its keys.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -255,6 +255,17 @@
         return mServers;
     }
 
+    /**
+     * Records that a server said in an answer that it is leaving, whatever its entry says. Must not
+     * be called by a listener.
+     */
+    void markLeaving(String incarnationId) {
+        if (mLeavingIncarnations.add(incarnationId)) {
+            decodeServers();
+            mListeners.run();
+        }
+    }
+
     /** Returns the number of entries of servers that are listed and not usable. */
     int unusableServers() {
         return (int) mDecodedServers.values().stream().filter(d -> d.entry().isEmpty()).count();
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -126,6 +126,7 @@
     private final CrashMonitor mCrashMonitor;
     private final Random mRandom;
     private final UpstreamSet mUpstreams;
+    private final ServerNotices mServerNotices;
     private final RequestLog mRequestLog;
     private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
     private final CallerDeadlines mCallerDeadlines;
@@ -163,6 +164,7 @@
         mUpstreams =
                 new UpstreamSet(
                         directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
+        mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
         mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
         mUpstreams.registerGauges();
@@ -480,10 +482,7 @@
         long now = mClock.getAsLong();
         exchange.endAttempt();
         mCrashMonitor.onResponse(exchange, upstream, response);
-        String load = response.header(mWire.headers().load());
-        if (load != null) {
-            mWire.decodeLoad(load).ifPresent(report -> upstream.load().onReport(report, now));
-        }
+        mServerNotices.onResponse(upstream, response, now);
         boolean rejected = response.header(mWire.headers().notExecuted()) != null;
         if (rejected || response.status() == 421) {
             upstream.load().onRejected();
--- a/entry/src/main/java/org/geraniumusher/entry/GrantResult.java
+++ b/entry/src/main/java/org/geraniumusher/entry/GrantResult.java
@@ -4,8 +4,13 @@
 
 /** The result of a grant or release. Implementations are immutable. */
 public sealed interface GrantResult {
-    /** The server carried out the call. The answer to a release may contain a handover token. */
-    record Done(Optional<String> handover) implements GrantResult {}
+    /**
+     * The server carried out the call.
+     *
+     * @param handover token for the next owner, which the answer to a release may contain
+     * @param leaving whether the server said that it is leaving
+     */
+    record Done(Optional<String> handover, boolean leaving) implements GrantResult {}
 
     /** The server rejected the call because it has seen a higher fence. */
     record Fenced() implements GrantResult {}
--- a/entry/src/main/java/org/geraniumusher/entry/HeaderNames.java
+++ b/entry/src/main/java/org/geraniumusher/entry/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param key key of the request
  * @param handover token that a server returns when it releases keys and that lets their next owner
  *     start warm
+ * @param serverLeaving present if the server that sent the response is leaving
  */
 public record HeaderNames(
         String requestId,
@@ -23,4 +24,5 @@
         String serverId,
         String load,
         String key,
-        String handover) {}
+        String handover,
+        String serverLeaving) {}
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -511,7 +511,7 @@
         long now = mClock.getAsLong();
         mMetrics.onCall("grant", result.getClass().getSimpleName());
         boolean moving = assignment.isMoving();
-        detectTermination(server, result);
+        recordServerState(server, result);
         if (result instanceof GrantResult.Done) {
             mCoordinator.onGranted(assignment, now);
         } else {
@@ -543,6 +543,14 @@
                 result);
     }
 
+    /** Records what the answer to a call tells of a server. */
+    private void recordServerState(ServerEntry server, GrantResult result) {
+        detectTermination(server, result);
+        if (result instanceof GrantResult.Done done && done.leaving()) {
+            mDirectory.markLeaving(server.incarnationId());
+        }
+    }
+
     /**
      * Records the end of a server at whose address another one answers. Nothing else proves an end:
      * a server that is cut off, that leaves or that is over its limit of connections may refuse
@@ -581,7 +589,7 @@
             ServerEntry server, KeyRange range, long fence, GrantResult result) {
         long now = mClock.getAsLong();
         mMetrics.onCall("release", result.getClass().getSimpleName());
-        detectTermination(server, result);
+        recordServerState(server, result);
         if (result instanceof GrantResult.Done done) {
             mCoordinator.onReleased(server.incarnationId(), range, fence, done.handover());
         } else {
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -118,6 +118,12 @@
         }
     }
 
+    /** Records that a server said in an answer that it is leaving. */
+    void markLeaving(Upstream upstream) {
+        logIfNewlyLeaving(upstream, true, "said in an answer");
+        upstream.markLeaving(mClock.getAsLong());
+    }
+
     private boolean isOwner(String incarnationId) {
         return mDirectory.tables().tables().values().stream()
                 .flatMap(t -> t.assignments().stream())
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -32,7 +32,8 @@
     private static final long WALL_START_MILLIS = 1_000_000;
     private static final String SIGNATURE = "signature";
     private static final HeaderNames HEADERS =
-            new HeaderNames("id", "deadline", SIGNATURE, "server", "not", "by", "load", "key", "h");
+            new HeaderNames(
+                    "id", "deadline", SIGNATURE, "server", "not", "by", "load", "key", "h", "l");
     private static final ResponseFailure CLOSED =
             new ResponseFailure("connection closed", Optional.empty(), 0);
 
--- a/entry/src/test/java/org/geraniumusher/entry/FakeServerControl.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeServerControl.java
@@ -44,7 +44,7 @@
     private CompletableFuture<GrantResult> answer(ServerEntry server) {
         mCallCount++;
         CompletableFuture<GrantResult> future = new CompletableFuture<>();
-        GrantResult result = new GrantResult.Done(Optional.empty());
+        GrantResult result = new GrantResult.Done(Optional.empty(), false);
         if (mReplacedIds.contains(server.id())) {
             result = new GrantResult.OtherServer();
         } else if (mRefusingIds.contains(server.id())) {
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -47,7 +47,7 @@
 
     @Override
     public HeaderNames headers() {
-        return new HeaderNames("", "", "", "", "", "", "", "", "");
+        return new HeaderNames("", "", "", "", "", "", "", "", "", "");
     }
 
     @Override
