Send no requests to a server that asked for a pause

The owner of a key got them again and again, as it has no substitute.

A request that no other server can run, and whose wait would end before, is refused at once, with the time that is left in Retry-After.

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -60,6 +60,7 @@
     private double mFailureRate;
     private long mColdUntilNanos = Long.MIN_VALUE / 2;
     private long mSuspectUntilNanos = Long.MIN_VALUE / 2;
+    private long mPausedUntilNanos = Long.MIN_VALUE / 2;
     private int mUnansweredInRow;
     private final double mInitialColdTokens;
     private double mColdTokens;
@@ -181,12 +182,31 @@
         return nowNanos < mSuspectUntilNanos;
     }
 
+    /** Records that the server wants no requests until a time. */
+    public void pauseUntil(long untilNanos) {
+        mPausedUntilNanos = Math.max(mPausedUntilNanos, untilNanos);
+    }
+
+    /** Returns whether the server wants no requests now. */
+    public boolean isPaused(long nowNanos) {
+        return nowNanos < mPausedUntilNanos;
+    }
+
+    /** Returns when the server takes requests again, or {@code nowNanos} if it takes them. */
+    public long pausedUntil(long nowNanos) {
+        return Math.max(nowNanos, mPausedUntilNanos);
+    }
+
     /**
-     * Returns whether the server is warm or has a token for a request while it is cold.
+     * Returns whether the server takes requests, and is warm or has a token for a request while it
+     * is cold.
      *
      * @param coldRequestsPerSecond tokens that a cold server gets per second
      */
     public boolean canAdmit(double coldRequestsPerSecond, long nowNanos) {
+        if (isPaused(nowNanos)) {
+            return false;
+        }
         if (!isCold(nowNanos)) {
             return true;
         }
@@ -197,8 +217,8 @@
     }
 
     /**
-     * Takes a token if the server is cold and has one; returns true in this case and if the server
-     * is warm.
+     * Takes a token if the server is cold and has one; returns whether it {@linkplain #canAdmit can
+     * admit} a request.
      *
      * @param coldRequestsPerSecond tokens that a cold server gets per second
      */
--- a/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
@@ -48,6 +48,18 @@
         assertThat(mLoad.expectedLoad(0)).isWithin(0.01).of(3);
     }
 
+    /** A server that asked for a pause must get no requests in it, and get them after it. */
+    @Test
+    void tryAdmit_paused_isFalseUntilThePauseEnds() {
+        mLoad.pauseUntil(3 * SECOND_NANOS);
+        mLoad.pauseUntil(SECOND_NANOS);
+
+        assertThat(mLoad.tryAdmit(100, 2 * SECOND_NANOS)).isFalse();
+        assertThat(mLoad.pausedUntil(2 * SECOND_NANOS)).isEqualTo(3 * SECOND_NANOS);
+        assertThat(mLoad.tryAdmit(100, 3 * SECOND_NANOS)).isTrue();
+        assertThat(mLoad.pausedUntil(4 * SECOND_NANOS)).isEqualTo(4 * SECOND_NANOS);
+    }
+
     @Test
     void tryAdmit_warm_isAlwaysTrue() {
         for (int i = 0; i < 100; i++) {
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -12,7 +12,6 @@
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
-import org.geraniumusher.retry.RetryBudget;
 import org.geraniumusher.traffic.RouteRule;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
@@ -20,10 +19,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
@@ -97,14 +94,9 @@
     private static final double RETRY_AFTER_JITTER_FRACTION = 0.5;
 
     /**
-     * Fraction of the retry ratio that this daemon uses. This fraction and those of the retry slack
-     * and of the cold rate leave a margin, because the daemons share these limits and none knows
-     * how much the others use.
+     * Fraction of the cold rate that this daemon uses. It leaves a margin, because the daemons
+     * share this rate and none knows how much the others use.
      */
-    private static final double RETRY_RATIO_FRACTION_USED = 0.7;
-
-    private static final double RETRY_SLACK_FRACTION_USED = 0.5;
-    private static final double MIN_RETRY_CAPACITY = 2;
     private static final double COLD_RATE_FRACTION_USED = 0.9;
 
     /** Short, because other daemons can take the request at once. */
@@ -128,7 +120,7 @@
     private final UpstreamSet mUpstreams;
     private final ServerNotices mServerNotices;
     private final RequestLog mRequestLog;
-    private final Map<String, RetryBudget> mRetryBudgets = new HashMap<>();
+    private final RetryBudgets mRetryBudgets;
     private final CallerDeadlines mCallerDeadlines;
     private final List<Exchange> mWaiting = new ArrayList<>();
     private boolean mDispatchScheduled;
@@ -164,7 +156,8 @@
         mUpstreams =
                 new UpstreamSet(
                         directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
-        mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread);
+        mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread, log);
+        mRetryBudgets = new RetryBudgets(settings);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
         mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
         mUpstreams.registerGauges();
@@ -267,7 +260,7 @@
         if (service.keyed()) {
             mKeyedRequestStats.onRequest(exchange.service(), exchange.key());
         }
-        retryBudget(exchange.service()).deposit();
+        mRetryBudgets.of(exchange.service(), mDaemonCount).deposit();
         long nanosUntilDeadline = exchange.deadlineAtNanos() - exchange.arrivedAtNanos();
         exchange.setDeadlineTimer(
                 mThread.schedule(
@@ -291,19 +284,6 @@
         return true;
     }
 
-    private RetryBudget retryBudget(String service) {
-        return mRetryBudgets.computeIfAbsent(
-                service,
-                s ->
-                        RetryBudget.create(
-                                mSettings.retryRatio() * RETRY_RATIO_FRACTION_USED,
-                                Math.max(
-                                        MIN_RETRY_CAPACITY,
-                                        RETRY_SLACK_FRACTION_USED
-                                                * mSettings.retrySlack()
-                                                / mDaemonCount)));
-    }
-
     /**
      * Sends a request to a server if one can take it now. Otherwise queues the request, or fails it
      * if it is quarantined, has waited too long or the queue is full.
@@ -328,14 +308,27 @@
                         : exchange.hasKey() ? findOwner(exchange, now) : pickServer(exchange, now);
         if (target.isPresent()) {
             send(exchange, target.get(), now);
-        } else if (hasWaitedTooLong(exchange, now) || mWaiting.size() >= MAX_WAITING_REQUESTS) {
-            fail(exchange, exchange.waitReason(), retryAfterSeconds(exchange));
-        } else {
+        } else if (!failIfUnavailable(exchange, now)) {
             mWaiting.add(exchange);
             scheduleDispatch();
         }
     }
 
+    /**
+     * Fails a request that has waited too long, or will have when a server takes requests again, or
+     * that finds the queue full; returns whether it did. The caller then learns when to come back.
+     */
+    private boolean failIfUnavailable(Exchange exchange, long now) {
+        long availableAt = mUpstreams.availableAt(exchange, now);
+        boolean unavailable =
+                hasWaitedTooLong(exchange, availableAt) || mWaiting.size() >= MAX_WAITING_REQUESTS;
+        if (unavailable) {
+            double pauseSeconds = (availableAt - now) / 1e9;
+            fail(exchange, exchange.waitReason(), pauseSeconds + retryAfterSeconds(exchange));
+        }
+        return unavailable;
+    }
+
     /**
      * Reports whether the request has waited so long that it is unlikely to be answered in time.
      */
@@ -521,8 +514,12 @@
             return;
         }
         exchange.setWaitReason(ResultCode.REFUSED_BY_SERVER);
+        if (upstream.load().isPaused(now) && failIfUnavailable(exchange, now)) {
+            return;
+        }
         boolean retry =
-                exchange.sendCount() < MAX_SENDS && retryBudget(exchange.service()).tryWithdraw();
+                exchange.sendCount() < MAX_SENDS
+                        && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
         if (!retry) {
             fail(exchange, exchange.waitReason(), retryAfterSeconds(exchange));
             return;
@@ -591,7 +588,7 @@
                         && exchange.sendCount() < MAX_SENDS
                         && !hasWaitedTooLong(exchange, now)
                         && mCrashMonitor.mayRetry(exchange)
-                        && retryBudget(exchange.service()).tryWithdraw();
+                        && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
         if (allowed) {
             sendOrQueue(exchange);
         }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -10,9 +10,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The upstreams of all backend servers that the directory lists. Confined to the event loop.
@@ -199,6 +201,20 @@
         return mByService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns when a server that may execute the request ends its pause, or {@code nowNanos} if one
+     * has none.
+     */
+    long availableAt(Exchange exchange, long nowNanos) {
+        Stream<Upstream> servers =
+                exchange.hasKey()
+                        ? mDirectory.table(exchange.service()).stream()
+                                .map(t -> get(t.find(exchange.key()).owner()))
+                                .filter(Objects::nonNull)
+                        : ofService(exchange.service()).stream().filter(u -> !u.isLeaving());
+        return servers.mapToLong(u -> u.load().pausedUntil(nowNanos)).min().orElse(nowNanos);
+    }
+
     /** Closes the idle connections that their servers are about to close. */
     void closeExpired() {
         long now = mClock.getAsLong();
