--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -129,6 +129,9 @@
     /** The first request while it waits for the server to accept the connection, or null. */
     private FullHttpRequest mUnsentRequest;
 
+    /** The write of the last request, or null before the first. */
+    private ChannelFuture mRequestWrite;
+
     private HttpResponse mResponseHead;
     private ResponseBuffers.Buffer mResponseBody;
     private boolean mSkipResponse;
@@ -201,7 +204,7 @@
         FullHttpRequest request = mUnsentRequest;
         if (request != null) {
             mUnsentRequest = null;
-            mChannel.writeAndFlush(request);
+            write(request);
         }
     }
 
@@ -229,7 +232,11 @@
         mListener = listener;
         mRequestId = request.headers().get(mRequestIdHeader);
         mLimiter.onRequest();
-        mChannel.writeAndFlush(request);
+        write(request);
+    }
+
+    private void write(FullHttpRequest request) {
+        mRequestWrite = mChannel.writeAndFlush(request);
     }
 
     /** Cancels the request in flight by closing the connection, on which the server drops it. */
@@ -300,7 +307,7 @@
         HttpResponse head = mResponseHead;
         byte[] body = mResponseBody.toByteArray();
         dropResponse();
-        if (mFailed) {
+        if (mFailed || !hasLength(head) && !isRequestWritten()) {
             fail("connection failed during a response without a length");
             return;
         }
@@ -323,6 +330,14 @@
         }
     }
 
+    /**
+     * Returns whether the whole request was written. If it was not when the connection ends, the
+     * write may have met a reset, which no read then reports.
+     */
+    private boolean isRequestWritten() {
+        return mRequestWrite != null && mRequestWrite.isSuccess();
+    }
+
     private static boolean hasLength(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head)
                 || HttpUtil.isTransferEncodingChunked(head)
