--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -324,11 +324,15 @@
         }
     }
 
-    /** Applies a change unless the object was listed at a later revision. */
+    /**
+     * Applies a change unless the object was listed at a later revision. A change without a
+     * revision is applied.
+     */
     private static void apply(StoreResult.Change change, Map<String, StoreObject> objects) {
         StoreObject object = change.object();
         StoreObject known = objects.get(object.name());
-        if (known != null && known.revision() > object.revision()) {
+        boolean hasRevision = object.revision() > 0;
+        if (hasRevision && known != null && known.revision() > object.revision()) {
             return;
         }
         if (change.removed()) {
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -127,4 +127,20 @@
         assertThat(mMirror.objects()).containsEntry("b", newer);
         assertThat(mMirror.revision()).isEqualTo(revision);
     }
+
+    /** The platform does not say whether an event of a removal carries a revision. */
+    @Test
+    void watch_removalWithoutRevision_removesTheObject() {
+        mStore.put(StoreKind.CONFIGURATION, "a", FakeWireFormat.serverSpec(1, false));
+        mMirror.start();
+        StoreObject known = mStore.object(StoreKind.CONFIGURATION, "a");
+        StoreObject removed = new StoreObject("a", 0, known.content(), known.spec());
+
+        mStore.answerWatches(
+                new StoreResult.Changes(
+                        ImmutableList.of(new StoreResult.Change(removed, true)),
+                        known.revision() + 1));
+
+        assertThat(mMirror.objects()).isEmpty();
+    }
 }
