--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -1,5 +1,9 @@
 package org.geraniumusher.entry;
 
+import io.netty.channel.EventLoopGroup;
+
+import org.geraniumusher.http.HttpClient;
+
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -67,6 +71,19 @@
                 new EntryMetrics("entry-1", 1, mThread::now, () -> 0));
     }
 
+    /** Returns a store that forwards to the fake store until it knows of feeders. */
+    RelayedStore createRelayedStore(DaemonContext context, EventLoopGroup group) {
+        return new RelayedStore(
+                mStore,
+                context.settings(),
+                new FakeWireFormat(),
+                HttpClient.create(group),
+                mThread,
+                context.clock(),
+                context.log(),
+                context.metrics());
+    }
+
     /** Returns a crash monitor whose probes get no answer. */
     CrashMonitor createCrashMonitor(DaemonContext context) {
         CoordinatorService coordinator = new CoordinatorService(context);
--- a/entry/src/test/java/org/geraniumusher/entry/RelayEndpointTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RelayEndpointTest.java
@@ -9,7 +9,6 @@
 import io.netty.channel.nio.NioIoHandler;
 
 import org.geraniumusher.http.HttpCall;
-import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.model.StoreVersion;
@@ -29,16 +28,7 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final DaemonContext mContext = mFixture.createContext("d");
-    private final RelayedStore mRelayed =
-            new RelayedStore(
-                    mStore,
-                    mContext.settings(),
-                    new FakeWireFormat(),
-                    HttpClient.create(mGroup),
-                    mFixture.thread(),
-                    mContext.clock(),
-                    mContext.log(),
-                    mContext.metrics());
+    private final RelayedStore mRelayed = mFixture.createRelayedStore(mContext, mGroup);
     private final RelayEndpoint mEndpoint = new RelayEndpoint(mContext, mRelayed);
     private final List<HttpReply> mReplies = new ArrayList<>();
 
--- a/entry/src/test/java/org/geraniumusher/entry/RelayedStoreTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RelayedStoreTest.java
@@ -6,7 +6,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
-import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.relay.Feeders;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -21,16 +20,7 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final DaemonContext mContext = mFixture.createContext("d");
-    private final RelayedStore mRelayed =
-            new RelayedStore(
-                    mStore,
-                    mContext.settings(),
-                    new FakeWireFormat(),
-                    HttpClient.create(mGroup),
-                    mFixture.thread(),
-                    mContext.clock(),
-                    mContext.log(),
-                    mContext.metrics());
+    private final RelayedStore mRelayed = mFixture.createRelayedStore(mContext, mGroup);
 
     @AfterEach
     void close() {
