Make the decoding of a server's entry private again

Cause: only the detector of terminations, which is gone, decoded entries outside Directory.

Change: Directory.decodeServer is private.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -462,7 +462,7 @@
     }
 
     /** Decodes the entry of a server. Logs the reason and returns empty if it is not usable. */
-    Optional<ServerEntry> decodeServer(StoreObject object) {
+    private Optional<ServerEntry> decodeServer(StoreObject object) {
         try {
             return Optional.of(mWire.decodeServerEntry(object));
         } catch (RuntimeException e) {
