Tell by which proof a former holder lost its keys

The log did not tell whether a holder had released a range, had outlived its hold, or was taken for terminated; only the last one left a line.

Change: the coordinator reports the end of each hold with its reason, which the daemon logs and counts (holds.ended.REASON).

No behaviour changes.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -231,10 +231,19 @@
         return mHolders.keySet();
     }
 
-    /** Removes the holders that cannot hold keys any more. */
-    void removeEndedHolders(Set<String> terminated, long nowNanos) {
-        mHolders.entrySet()
-                .removeIf(e -> terminated.contains(e.getKey()) || e.getValue().hasEnded(nowNanos));
+    /** Removes the holders that cannot hold keys any more, and returns them with the reason. */
+    Map<String, HoldEnd> removeEndedHolders(Set<String> terminated, long nowNanos) {
+        Map<String, HoldEnd> ended = new HashMap<>();
+        mHolders.forEach(
+                (incarnationId, holder) -> {
+                    if (terminated.contains(incarnationId)) {
+                        ended.put(incarnationId, HoldEnd.TERMINATED);
+                    } else {
+                        holder.endAt(nowNanos).ifPresent(end -> ended.put(incarnationId, end));
+                    }
+                });
+        mHolders.keySet().removeAll(ended.keySet());
+        return ended;
     }
 
     /**
@@ -310,8 +319,12 @@
             return copy;
         }
 
-        boolean hasEnded(long nowNanos) {
-            return nowNanos >= mHold.end || mReleased && nowNanos >= mHold.lateGrantUntil;
+        /** Returns why the hold has ended by {@code nowNanos}, or empty if it may last. */
+        Optional<HoldEnd> endAt(long nowNanos) {
+            if (mReleased && nowNanos >= mHold.lateGrantUntil) {
+                return Optional.of(HoldEnd.RELEASED);
+            }
+            return nowNanos >= mHold.end ? Optional.of(HoldEnd.EXPIRED) : Optional.empty();
         }
     }
 }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -31,19 +31,6 @@
 public final class RangeCoordinator {
     private static final long RENEWAL_INTERVAL_NANOS = 1_000_000_000L;
 
-    /**
-     * Hold of a grant while the store is available. After a server stops answering, its keys have
-     * no owner for up to this long. A lost coordinator must be replaced within it.
-     */
-    private static final long HOLD_NANOS = 4_000_000_000L;
-
-    /**
-     * Upper bound of a hold, counted from the store's last confirmation of the coordinator. Covers
-     * a store outage of 8 s (the longest at the operators' sites), the interval between two
-     * confirmations before it, and an election after it.
-     */
-    private static final long MAX_HOLD_AFTER_CONFIRMATION_NANOS = 11_500_000_000L;
-
     private static final long RETRY_DELAY_NANOS = 300_000_000L;
 
     /**
@@ -58,12 +45,6 @@
     /** Time for which renewals wait for a write that changes their assignments. */
     private static final long RENEWAL_DEFERRAL_NANOS = 300_000_000L;
 
-    /** Longest time that a packet is on its way over a healthy link. */
-    private static final long MAX_TRANSIT_NANOS = 300_000_000L;
-
-    /** Allows for clocks that run slow: 2% for the server, 1% for this daemon. */
-    private static final double CLOCK_DRIFT_FACTOR = 1.03;
-
     /** Interval between load moves, so that the effect of one shows before the next is planned. */
     private static final long LOAD_MOVE_INTERVAL_NANOS = 700_000_000L;
 
@@ -88,8 +69,17 @@
         void release(String incarnationId, KeyRange range, long fence);
     }
 
+    /** Is told which proof ends the hold of a former holder. */
+    public interface HoldListener {
+        /**
+         * Called when an incarnation no longer counts as a holder of the range of an assignment.
+         */
+        void onHoldEnded(String incarnationId, Assignment assignment, HoldEnd end);
+    }
+
     private final OutgoingCalls mCalls;
-    private final long mMaxHoldNanos;
+    private HoldListener mHoldListener = (incarnationId, assignment, end) -> {};
+    private final HoldBounds mHoldBounds;
     private final KeyLoad mLoad;
     private final Map<String, RangeServer> mServers = new LinkedHashMap<>();
     private final Set<String> mTerminated = new HashSet<>();
@@ -97,9 +87,6 @@
     private final Map<LeaseKey, Lease> mLeases = new HashMap<>();
     private RangeTable mTable;
     private final FormerHolders mFormerHolders;
-    private boolean mStoreUnavailable;
-    private long mConfirmedAt;
-    private long mFormerHoldEnd;
     private boolean mStarted;
     private long mEpoch;
     private boolean mRestored;
@@ -128,7 +115,7 @@
     private RangeCoordinator(
             OutgoingCalls calls, long maxHoldNanos, KeyLoad load, FormerHolders formerHolders) {
         mCalls = calls;
-        mMaxHoldNanos = maxHoldNanos;
+        mHoldBounds = new HoldBounds(maxHoldNanos);
         mLoad = load;
         mFormerHolders = formerHolders;
     }
@@ -144,30 +131,18 @@
                 checkNotNull(calls), maxHoldNanos, checkNotNull(load), checkNotNull(formerHolders));
     }
 
+    /** Sets the listener that is told of holds that have ended. */
+    public void setHoldListener(HoldListener listener) {
+        mHoldListener = checkNotNull(listener);
+    }
+
     /**
      * Sets when the store last confirmed this coordinator and whether the store is unavailable.
      * While it is unavailable, no other daemon can take over, so grants get longer holds, which may
      * end after the authority of this daemon.
      */
     public void setStoreStatus(long confirmedAtNanos, boolean storeUnavailable) {
-        mConfirmedAt = confirmedAtNanos;
-        mStoreUnavailable = storeUnavailable;
-    }
-
-    private long holdNanos(long nowNanos) {
-        long hold =
-                mStoreUnavailable
-                        ? mConfirmedAt + MAX_HOLD_AFTER_CONFIRMATION_NANOS - nowNanos
-                        : HOLD_NANOS;
-        return Math.min(hold, longestHoldNanos());
-    }
-
-    /**
-     * Returns the longest hold that any coordinator grants. It leaves the time limit of the grant,
-     * so that no hold ends later than if the longest one were granted without a delay.
-     */
-    private long longestHoldNanos() {
-        return mMaxHoldNanos - GRANT_TIME_LIMIT_NANOS;
+        mHoldBounds.setStoreStatus(confirmedAtNanos, storeUnavailable);
     }
 
     /** Sets the epoch of the store that this daemon saw first. */
@@ -233,10 +208,7 @@
             Optional<RangeTable> table,
             CoordinatorElection.FormerCoordinators former,
             long nowNanos) {
-        mFormerHoldEnd =
-                Math.min(
-                        latestHoldEnd(former.confirmedBy(), MAX_HOLD_AFTER_CONFIRMATION_NANOS),
-                        latestHoldEnd(former.grantsSentBy(), longestHoldNanos()));
+        mHoldBounds.setFormerCoordinators(former);
         beginTerm(table, nowNanos);
     }
 
@@ -250,9 +222,12 @@
         mNeedsNewFences = table.isPresent();
         boolean mayBeIncomplete = table.map(t -> t.version().epoch() < mEpoch).orElse(mRestored);
         if (mayBeIncomplete) {
-            mFormerHoldEnd = formerHoldEnd(nowNanos);
+            mHoldBounds.limitFormerHolds(nowNanos);
         }
-        mNextWriteAt = mayBeIncomplete ? Math.max(nowNanos, mFormerHoldEnd) : nowNanos;
+        mNextWriteAt =
+                mayBeIncomplete
+                        ? Math.max(nowNanos, mHoldBounds.formerHoldEnd(nowNanos))
+                        : nowNanos;
     }
 
     /**
@@ -359,7 +334,7 @@
             mNeedsNewFences = true;
             mStoredRevision = current.version().revision();
         } else {
-            mFormerHoldEnd = Long.MAX_VALUE;
+            mHoldBounds.setFormerCoordinatorsUnknown();
             beginTerm(Optional.of(current), nowNanos);
         }
     }
@@ -385,7 +360,8 @@
             if (lease == null) {
                 lease = createLease(assignment, previousLeases.values(), nowNanos);
                 if (former.isPresent() && isOwnedIn(former.get(), assignment)) {
-                    lease.inheritHold(Lease.Hold.withLateGrants(formerHoldEnd(nowNanos)));
+                    lease.inheritHold(
+                            Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(nowNanos)));
                 }
             }
             lease.update(assignment);
@@ -445,31 +421,15 @@
      */
     private Lease.Hold formerHold(String incarnationId, KeyRange range, long nowNanos) {
         long lastGrant = mFormerHolders.noGrantsSince(incarnationId, range).orElse(nowNanos);
-        long end = Math.min(formerHoldEnd(nowNanos), latestHoldEnd(lastGrant, longestHoldNanos()));
-        return Lease.Hold.withLateGrants(end);
-    }
-
-    /** Returns the time by which all grants of former coordinators have ended. */
-    private long formerHoldEnd(long nowNanos) {
-        return Math.min(latestHoldEnd(nowNanos, longestHoldNanos()), mFormerHoldEnd);
-    }
-
-    /** Returns the time by which the hold of a grant has ended that may have got no answer. */
-    private static long latestHoldEnd(long sentNanos, long holdNanos) {
-        return sentNanos
-                + GRANT_TIME_LIMIT_NANOS
-                + MAX_TRANSIT_NANOS
-                + maxHoldFromArrival(holdNanos);
-    }
-
-    /** Returns the longest time for which a server holds a range after a grant arrived. */
-    private static long maxHoldFromArrival(long holdNanos) {
-        return (long) (holdNanos * CLOCK_DRIFT_FACTOR);
+        return Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(lastGrant, nowNanos));
     }
 
     private void sendDueCalls(Lease lease, long nowNanos) {
         Assignment assignment = lease.assignment();
-        lease.removeEndedHolders(mTerminated, nowNanos);
+        lease.removeEndedHolders(mTerminated, nowNanos)
+                .forEach(
+                        (incarnationId, end) ->
+                                mHoldListener.onHoldEnded(incarnationId, assignment, end));
         for (String incarnationId : lease.takeDueReleases(nowNanos)) {
             mCalls.release(incarnationId, assignment.range(), assignment.fence());
         }
@@ -477,12 +437,15 @@
                 && mayRun(assignment.owner())
                 && (isUnchangedByPendingWrite(assignment)
                         || lease.hasSentGrant() && isRenewalUrgent(nowNanos))) {
-            long hold = holdNanos(nowNanos);
+            long hold = mHoldBounds.holdNanos(nowNanos);
             if (lease.hasGrantFailed()) {
                 // The grants sent to a silent server must not put off the end of its hold.
                 hold -= GRANT_TIME_LIMIT_NANOS;
             }
-            lease.onGrantSent(nowNanos, maxHoldFromArrival(hold), latestHoldEnd(nowNanos, hold));
+            lease.onGrantSent(
+                    nowNanos,
+                    HoldBounds.maxHoldFromArrival(hold),
+                    HoldBounds.latestHoldEnd(nowNanos, hold));
             mCalls.grant(assignment, hold, lease.handover());
         }
     }
@@ -543,7 +506,7 @@
                 .ifPresent(
                         l ->
                                 l.onGrantUnknown(
-                                        nowNanos + MAX_TRANSIT_NANOS,
+                                        nowNanos + HoldBounds.MAX_TRANSIT_NANOS,
                                         nowNanos + RETRY_DELAY_NANOS));
     }
 
@@ -632,7 +595,7 @@
             return false;
         }
         return lease == null
-                ? !assignment.isMoving() && nowNanos < formerHoldEnd(nowNanos)
+                ? !assignment.isMoving() && nowNanos < mHoldBounds.formerHoldEnd(nowNanos)
                 : lease.awaitsNewFence(nowNanos);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -6,6 +6,7 @@
 
 import org.geraniumusher.burn.BurnReport;
 import org.geraniumusher.burn.BurnSummary;
+import org.geraniumusher.keyrange.HoldEnd;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.operator.ServiceLevelTracker;
 import org.geraniumusher.operator.ServiceLevelTracker.Objective;
@@ -126,6 +127,11 @@
         mRegistry.counter("calls." + name + "." + result).inc();
     }
 
+    /** Counts a former holder of a range by the proof that ended its hold. */
+    void onHoldEnded(HoldEnd end) {
+        mRegistry.counter("holds.ended." + Ascii.toLowerCase(end.name())).inc();
+    }
+
     /** Counts a call to the store by its operation, kind of object and result. */
     void onStoreCall(String operation, StoreKind kind, StoreResult result) {
         mRegistry
