Take the ends of holds from the table with which a term starts

Cause: a new coordinator bounds the holds of former holders by the tables that its daemon has seen (FormerHolders). It starts its term with the table in the store, which may be a later one: while the store refuses a daemon, it misses tables, and a former holder may have owned the range again in them. The end of its earlier hold then counted as that of the later one, so its keys were granted on at once, without a release and without a wait.

RangeCoordinatorTest.start_tablesWereMissed_holdOfFormerHolderIsWaitedFor and start_missedTableNamesFormerHolderAsOwner_itsHoldIsWaitedFor failed before.

Change: the table with which a term starts is recorded like any other before a hold is bounded. A range with another fence starts anew there, so a former holder of a missed table counts from now on.

Result: both tests pass, and RangeHistoryTest (151), FormerHoldersTest and the other RangeCoordinator tests with them.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -214,6 +214,8 @@
 
     private void beginTerm(Optional<RangeTable> table, long nowNanos) {
         mStarted = true;
+        // The daemon may have missed tables that gave ranges back to a former holder.
+        table.ifPresent(t -> mFormerHolders.onTable(t, false, nowNanos));
         mLeases.clear();
         mPendingAssignments = null;
         mTable = table.orElse(null);
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -305,6 +305,43 @@
         assertThat(mCalls.grantedOwners()).containsExactly("b");
     }
 
+    /**
+     * This daemon saw a lose the keys, and missed the tables that gave them back to a and moved
+     * them to c. It took the end of the earlier hold for that of the later one (issue 38).
+     */
+    @Test
+    void start_tablesWereMissed_holdOfFormerHolderIsWaitedFor() {
+        mFormerHolders.onTable(MOVING, true, 0);
+        long now = 60_000 * MILLI;
+        Assignment moving = new Assignment(KeyRange.ALL, "c", 9, ImmutableList.of("a"));
+        setServers("b", "c");
+
+        startTermAfterMissedTables(moving, now);
+
+        assertThat(mCalls.grantedOwners()).doesNotContain("c");
+    }
+
+    /** The same if the last table names a as the owner, which is lost. */
+    @Test
+    void start_missedTableNamesFormerHolderAsOwner_itsHoldIsWaitedFor() {
+        mFormerHolders.onTable(MOVING, true, 0);
+        long now = 11_000 * MILLI;
+        Assignment owned = new Assignment(KeyRange.ALL, "a", 9, ImmutableList.of());
+        setServers("c");
+
+        startTermAfterMissedTables(owned, now);
+
+        assertThat(mCalls.grantedOwners()).doesNotContain("c");
+    }
+
+    private void startTermAfterMissedTables(Assignment assignment, long now) {
+        RangeTable last = RangeTable.of(new StoreVersion(0, 9), ImmutableList.of(assignment));
+        mCoordinator.start(Optional.of(last), new FormerCoordinators(now, now), now);
+        mCoordinator.tick(now);
+        mCoordinator.onWritten(new StoreVersion(0, 10), now);
+        mCoordinator.tick(now);
+    }
+
     /**
      * The grants of a coordinator that the store does not confirm must end by the time at which its
      * successor considers them ended.
