Send one copy at a time of a request on probation

Callers saw: a request that crashes servers took more of them down than the operators allow.

Cause: a probation made daemons watch for the success of the request, and limited nothing while a trial ran. How many copies went out depended on how soon the key had an owner, which takes longer since holds are waited for.

Change: a copy of a request on probation is sent only with a permit of the coordinator, which gives one in 3 s for a request in the whole fleet (TrialLedger). Other copies are rejected as not run, with the time until the next trial.

--- a/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -45,6 +45,12 @@
 
     private static final int MAX_LOGGED_SUSPECTS = 16;
 
+    /**
+     * Time for which a permitted trial may be sent again if it was not executed. Less than the time
+     * after which the coordinator permits another one.
+     */
+    private static final long TRIAL_NANOS = 2_000_000_000L;
+
     private final Directory mDirectory;
     private final EventThread mThread;
     private final LongSupplier mClock;
@@ -56,6 +62,7 @@
     private final String mNotExecutedHeader;
     private final ConnectProbe mProbe;
     private final CrashReporter mReporter;
+    private final ProbationTrials mTrials;
     private final CrashDetector<Exchange> mDetector = CrashDetector.create();
 
     /** Entries of the incarnations that may have crashed. */
@@ -79,7 +86,8 @@
             HeaderNames headers,
             LongSupplier wallMillis,
             ConnectProbe probe,
-            CrashReporter reporter) {
+            CrashReporter reporter,
+            ProbationTrials trials) {
         mDirectory = context.directory();
         mThread = context.thread();
         mClock = context.clock();
@@ -91,6 +99,7 @@
         mNotExecutedHeader = headers.notExecuted();
         mProbe = probe;
         mReporter = reporter;
+        mTrials = trials;
     }
 
     /** Returns the time in seconds for which the request is still rejected, if it is. */
@@ -112,6 +121,31 @@
         return OptionalDouble.of(Math.max(MIN_RETRY_AFTER_SECONDS, seconds));
     }
 
+    /** Decides whether a request may be sent to a server now; only one on probation may not. */
+    ProbationTrials.Decision decideTrial(Exchange exchange) {
+        if (!hasQuarantinedTarget(exchange)) {
+            return ProbationTrials.Decision.SEND;
+        }
+        Quarantine quarantine = mQuarantines.get(exchange.identity(mKeyHeader).fingerprint());
+        long now = mClock.getAsLong();
+        if (quarantine == null
+                || quarantine.state() != Quarantine.State.PROBATION
+                || exchange.holdsTrial(now)) {
+            return ProbationTrials.Decision.SEND;
+        }
+        ProbationTrials.Decision decision = mTrials.decide(quarantine.fingerprint());
+        if (decision == ProbationTrials.Decision.SEND) {
+            exchange.setTrialUntilNanos(now + TRIAL_NANOS);
+        }
+        return decision;
+    }
+
+    /** Returns the time in seconds until a copy of a request on probation may be tried. */
+    double trialInSeconds(Exchange exchange) {
+        return mTrials.rejectedForSeconds(exchange.identity(mKeyHeader).fingerprint())
+                .orElse(MIN_RETRY_AFTER_SECONDS);
+    }
+
     private boolean hasQuarantinedTarget(Exchange exchange) {
         return !mQuarantinedTargets.isEmpty()
                 && mQuarantinedTargets.contains(
@@ -210,6 +244,7 @@
             mQuarantines.keySet().stream()
                     .filter(f -> !quarantines.containsKey(f))
                     .forEach(mReporter::forget);
+            mTrials.retain(quarantines.keySet());
             mQuarantines = quarantines;
             mQuarantinedTargets =
                     quarantines.values().stream()
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -72,27 +72,6 @@
             Comparator.comparingInt((Exchange e) -> e.route().priority())
                     .thenComparingLong(Exchange::goalAtNanos);
 
-    /**
-     * Fraction of its latency goal for which a request may wait; the rest is left for its execution
-     * by the server.
-     */
-    private static final double MAX_WAIT_FRACTION = 0.5;
-
-    /**
-     * Fraction of its latency goal for which a request may wait if it arrives when the goal is
-     * nearly over. The same time is left before the deadline.
-     */
-    private static final double LATE_WAIT_FRACTION = 0.25;
-
-    /** Minimum delay before the caller's retry, as a fraction of the latency goal. */
-    private static final double MIN_RETRY_AFTER_FRACTION = 0.3;
-
-    /**
-     * Maximum random addition to that delay, as a fraction of the latency goal, which keeps callers
-     * from retrying at the same time.
-     */
-    private static final double RETRY_AFTER_JITTER_FRACTION = 0.5;
-
     /**
      * Fraction of the cold rate that this daemon uses. It leaves a margin, because the daemons
      * share this rate and none knows how much the others use.
@@ -306,8 +285,18 @@
                 now < exchange.earliestSendNanos()
                         ? Optional.empty()
                         : exchange.hasKey() ? findOwner(exchange, now) : pickServer(exchange, now);
-        if (target.isPresent()) {
+        ProbationTrials.Decision trial =
+                target.isPresent()
+                        ? mCrashMonitor.decideTrial(exchange)
+                        : ProbationTrials.Decision.WAIT;
+        if (trial == ProbationTrials.Decision.SEND) {
             send(exchange, target.get(), now);
+        } else if (trial == ProbationTrials.Decision.REJECT) {
+            double seconds = mCrashMonitor.trialInSeconds(exchange);
+            fail(
+                    exchange,
+                    ResultCode.QUARANTINED,
+                    seconds + WaitLimits.retryAfterSeconds(exchange, mRandom));
         } else if (!failIfUnavailable(exchange, now)) {
             mWaiting.add(exchange);
             scheduleDispatch();
@@ -321,34 +310,18 @@
     private boolean failIfUnavailable(Exchange exchange, long now) {
         long availableAt = mUpstreams.availableAt(exchange, now);
         boolean unavailable =
-                hasWaitedTooLong(exchange, availableAt) || mWaiting.size() >= MAX_WAITING_REQUESTS;
+                WaitLimits.hasWaitedTooLong(exchange, availableAt)
+                        || mWaiting.size() >= MAX_WAITING_REQUESTS;
         if (unavailable) {
             double pauseSeconds = (availableAt - now) / 1e9;
-            fail(exchange, exchange.waitReason(), pauseSeconds + retryAfterSeconds(exchange));
+            fail(
+                    exchange,
+                    exchange.waitReason(),
+                    pauseSeconds + WaitLimits.retryAfterSeconds(exchange, mRandom));
         }
         return unavailable;
     }
 
-    /**
-     * Reports whether the request has waited so long that it is unlikely to be answered in time.
-     */
-    private boolean hasWaitedTooLong(Exchange exchange, long now) {
-        long goalNanos = exchange.latencyGoalNanos();
-        long lateWaitNanos = (long) (goalNanos * LATE_WAIT_FRACTION);
-        long latestNanos =
-                Math.max(
-                        exchange.goalAtNanos() - (long) (goalNanos * (1 - MAX_WAIT_FRACTION)),
-                        exchange.arrivedAtNanos() + lateWaitNanos);
-        return now >= Math.min(latestNanos, exchange.deadlineAtNanos() - lateWaitNanos);
-    }
-
-    /** Returns a random delay, in seconds, after which the caller may retry the request. */
-    private double retryAfterSeconds(Exchange exchange) {
-        double goalSeconds = exchange.latencyGoalNanos() / 1e9;
-        return goalSeconds
-                * (MIN_RETRY_AFTER_FRACTION + RETRY_AFTER_JITTER_FRACTION * mRandom.nextDouble());
-    }
-
     /**
      * Returns the owner of the key if it can take the request now. Sets the wait reason, which
      * applies if the result is empty.
@@ -521,7 +494,7 @@
                 exchange.sendCount() < MAX_SENDS
                         && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
         if (!retry) {
-            fail(exchange, exchange.waitReason(), retryAfterSeconds(exchange));
+            fail(exchange, exchange.waitReason(), WaitLimits.retryAfterSeconds(exchange, mRandom));
             return;
         }
         if (exchange.hasKey()) {
@@ -545,7 +518,7 @@
         if (exchange.sendCount() < MAX_SENDS) {
             sendOrQueue(exchange);
         } else if (!exchange.isEnded()) {
-            fail(exchange, exchange.waitReason(), retryAfterSeconds(exchange));
+            fail(exchange, exchange.waitReason(), WaitLimits.retryAfterSeconds(exchange, mRandom));
         }
     }
 
@@ -586,7 +559,7 @@
                 exchange.route().kind().mayRepeat()
                         && exchange.triedIncarnations().size() < exchange.route().attempts()
                         && exchange.sendCount() < MAX_SENDS
-                        && !hasWaitedTooLong(exchange, now)
+                        && !WaitLimits.hasWaitedTooLong(exchange, now)
                         && mCrashMonitor.mayRetry(exchange)
                         && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
         if (allowed) {
@@ -604,7 +577,7 @@
         fail(
                 exchange,
                 sent ? ResultCode.TIMED_OUT : ResultCode.DEADLINE_UNREACHABLE,
-                sent ? 0 : retryAfterSeconds(exchange));
+                sent ? 0 : WaitLimits.retryAfterSeconds(exchange, mRandom));
     }
 
     /** Cancels a request whose response cannot be delivered because its connection closed. */
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -114,6 +114,7 @@
                 new QuarantineService(context, clocks.wallMillis(), mCoordinator);
         mCoordinator.setActingListener(quarantines::tick);
         CrashReporter crashReporter = new CrashReporter(context, mCoordinator, quarantines, client);
+        ProbationTrials trials = new ProbationTrials(context, mCoordinator, quarantines, client);
         mDispatcher =
                 new Dispatcher(
                         settings,
@@ -125,12 +126,7 @@
                         log,
                         mMetrics,
                         keyedRequestStats,
-                        new CrashMonitor(
-                                context,
-                                adapter.wire().headers(),
-                                clocks.wallMillis(),
-                                ConnectProbe.create(mGroup),
-                                crashReporter));
+                        createCrashMonitor(context, adapter, clocks, crashReporter, trials));
         mDispatcher.setUnreachableListener(mCoordinator::renewGrants);
         FleetStatus fleet = new FleetStatus(context, mCoordinator, client);
         mPeerService =
@@ -143,6 +139,7 @@
                         fleet,
                         relayedStore,
                         crashReporter,
+                        trials,
                         client,
                         mGroup);
         mOperatorEndpoint =
@@ -160,6 +157,21 @@
                         settings.callerAddress());
     }
 
+    private CrashMonitor createCrashMonitor(
+            DaemonContext context,
+            Adapter adapter,
+            Clocks clocks,
+            CrashReporter reporter,
+            ProbationTrials trials) {
+        return new CrashMonitor(
+                context,
+                adapter.wire().headers(),
+                clocks.wallMillis(),
+                ConnectProbe.create(mGroup),
+                reporter,
+                trials);
+    }
+
     private void registerGauges(SuspensionClock clock, StoreEpoch epoch) {
         mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
         mMetrics.registerGauge("clock.suspensions", clock::suspensions);
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -37,6 +37,7 @@
     private long mDeadlineAtNanos;
     private int mSendCount;
     private boolean mMayHaveRun;
+    private long mTrialUntilNanos = Long.MIN_VALUE;
     private boolean mEnded;
     private long mEarliestSendNanos = Long.MIN_VALUE;
     private ResultCode mWaitReason = ResultCode.OVERLOADED;
@@ -226,6 +227,16 @@
         return mMayHaveRun;
     }
 
+    /** Sets the time until which the request may be sent although it is on probation. */
+    void setTrialUntilNanos(long nanos) {
+        mTrialUntilNanos = nanos;
+    }
+
+    /** Reports whether the request has a permit for a trial that no server may have executed. */
+    boolean holdsTrial(long nowNanos) {
+        return !mMayHaveRun && nowNanos < mTrialUntilNanos;
+    }
+
     /** Sets the earliest time at which the request may be sent to a server. */
     void setEarliestSendNanos(long nanos) {
         mEarliestSendNanos = nanos;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -72,6 +72,7 @@
     private final RelayEndpoint mRelayEndpoint;
     private final TableExchange mTableExchange;
     private final CrashReporter mCrashReporter;
+    private final ProbationTrials mProbationTrials;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -97,6 +98,7 @@
             FleetStatus fleet,
             RelayedStore relayedStore,
             CrashReporter crashReporter,
+            ProbationTrials probationTrials,
             HttpClient client,
             EventLoopGroup group) {
         mSettings = context.settings();
@@ -114,6 +116,7 @@
         mRelayedStore = relayedStore;
         mRelayEndpoint = new RelayEndpoint(context, relayedStore);
         mCrashReporter = crashReporter;
+        mProbationTrials = probationTrials;
         mClient = client;
         mRandom = new Random(mIncarnation);
         mKnownAddresses.addAll(mSettings.seedAddresses());
@@ -339,6 +342,8 @@
             } else if (call.method().equals("POST") && call.path().equals(CrashReporter.PATH)) {
                 boolean accepted = mCrashReporter.onReport(DeflatedJson.decode(call));
                 responder.reply(HttpReply.of(accepted ? 200 : 503, "{}"));
+            } else if (call.method().equals("POST") && call.path().equals(ProbationTrials.PATH)) {
+                responder.reply(mProbationTrials.answer(MAPPER.readTree(call.body())));
             } else if (call.path().equals(RelayEndpoint.PATH)) {
                 mRelayEndpoint.answer(call, responder);
             } else if (call.path().equals(FleetStatus.PATH)) {
--- a/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
@@ -7,11 +7,13 @@
 import org.geraniumusher.quarantine.CrashSuspect;
 import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.quarantine.RequestFingerprint;
+import org.geraniumusher.quarantine.TrialLedger;
 
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
@@ -44,6 +46,7 @@
     private final DecisionLog mLog;
     private final CoordinatorService mCoordinator;
     private final CrashLedger mLedger = CrashLedger.create();
+    private final TrialLedger mTrials = TrialLedger.create();
 
     /** Writes whose results the directory may not show yet, by quarantine. */
     private final Map<RequestFingerprint, Write> mWrites = new HashMap<>();
@@ -106,6 +109,18 @@
         decide();
     }
 
+    /**
+     * Permits a trial of a request on probation if none is in progress anywhere.
+     *
+     * @return 0 if it is permitted, the time in nanoseconds until the next one may begin, or empty
+     *     if this daemon is not the coordinator
+     */
+    OptionalLong tryBeginTrial(RequestFingerprint fingerprint) {
+        return mCoordinator.isActing()
+                ? OptionalLong.of(mTrials.tryBegin(fingerprint, mClock.getAsLong()))
+                : OptionalLong.empty();
+    }
+
     /** Decides again if it is time to or the stored quarantines have changed. */
     void tick() {
         boolean changed = mDirectory.quarantines() != mLastStored;
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -57,7 +57,8 @@
                         mProbes++;
                         onResult.accept(mProbeResult);
                     },
-                    mReporter);
+                    mReporter,
+                    new ProbationTrials(mContext, mCoordinator, mQuarantines, null));
 
     private long wallMillis() {
         return WALL_START_MILLIS + mThread.now() / MILLI;
--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -93,7 +93,8 @@
                 new FakeWireFormat().headers(),
                 () -> 0,
                 (address, onResult) -> {},
-                new CrashReporter(context, coordinator, quarantines, null));
+                new CrashReporter(context, coordinator, quarantines, null),
+                new ProbationTrials(context, coordinator, quarantines, null));
     }
 
     @Override
