Take a write that met a reset for a request that was never sent

The first request of a connection waits for a reset, but the timer can be due before the event loop has read the reset (a stall, a busy machine). The write then fails in the operating system without taking a byte, and the daemon still counted the request as possibly executed. The same held for an idle connection that was reset just before its next request.

Change: WriteMonitor notes whether the operating system took any byte of the request. If none, the attempt counts as not accepted, and the request is sent again or rejected as not run. One byte is enough for the old result.

The reset that arrives at the server's side only after the daemon has written stays a possible execution: the server may have read the request.

--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -75,8 +75,8 @@
         void onNotSent(Throwable cause);
 
         /**
-         * Called if the server closed the connection before the request was sent, as one does that
-         * is over its limit of connections.
+         * Called if the server closed the connection before a byte of the request was sent, as one
+         * does that is over its limit of connections.
          */
         void onNotAccepted(String cause);
 
@@ -121,6 +121,7 @@
                             UpstreamConnection.this.onUnsolicitedBytes();
                         }
                     });
+    private final WriteMonitor mWriteMonitor = new WriteMonitor();
     private SocketChannel mChannel;
     private Listener mListener;
     private String mRequestId;
@@ -166,6 +167,7 @@
                             protected void initChannel(SocketChannel channel) {
                                 mChannel = channel;
                                 channel.pipeline()
+                                        .addLast(mWriteMonitor)
                                         .addLast(mLimiter)
                                         .addLast(new HttpClientCodec())
                                         .addLast(UpstreamConnection.this);
@@ -236,6 +238,7 @@
     }
 
     private void write(FullHttpRequest request) {
+        mWriteMonitor.onRequest();
         mRequestWrite = mChannel.writeAndFlush(request);
     }
 
@@ -407,7 +410,8 @@
         Listener listener = mListener;
         mListener = null;
         dropResponse();
-        boolean unsent = dropUnsent();
+        // A write can meet a reset that the event loop has not read yet; then nothing was sent.
+        boolean unsent = dropUnsent() || !mWriteMonitor.hasWritten();
         mChannel.close();
         if (listener != null && unsent) {
             listener.onNotAccepted(cause);
