Give requests without an id one of the daemon

A request without Request-Id, or with an empty one, was sent on as it was. Servers echo it with an empty id, which is not "none", so the response was skipped and the caller got 504 at its deadline for a request that had run. A response without an id was taken for that of any request without one. The same 504 came if the caller named Request-Id in its Connection field.

Change: RequestIds gives such a request an id from the name of the daemon, its incarnation and a counter. An exchange always has an id, and a response with an empty id or none is skipped. Connections to servers may now be reused for such requests, since their responses can be told apart. Of two Request-Id fields the first is sent.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -35,11 +35,13 @@
  * Handles one connection of a caller, which may pipeline requests. Confined to the event loop.
  *
  * <p>Invariant: responses are written in the order of the requests. After a response that closes
- * the connection, no request is handled and no response is written.
+ * the connection, no request is handled and no response is written. Each response carries the ID of
+ * its request, also if the caller sent none.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final Dispatcher mDispatcher;
     private final HeaderNames mHeaders;
+    private final RequestIds mRequestIds;
     private final LongSupplier mClock;
     private final BooleanSupplier mStopping;
     private final EntryMetrics mMetrics;
@@ -77,12 +79,14 @@
     CallerConnection(
             Dispatcher dispatcher,
             HeaderNames headers,
+            RequestIds requestIds,
             LongSupplier clock,
             BooleanSupplier stopping,
             EntryMetrics metrics,
             DecisionLog log) {
         mDispatcher = dispatcher;
         mHeaders = headers;
+        mRequestIds = requestIds;
         mClock = clock;
         mStopping = stopping;
         mMetrics = metrics;
@@ -124,7 +128,7 @@
             // The caller sends it again, as the response before it closes the connection.
             return;
         }
-        String id = request.headers().get(mHeaders.requestId(), "");
+        String id = idOf(request);
         PendingResponse pending = new PendingResponse(context, id, HttpUtil.isKeepAlive(request));
         mPending.add(pending);
         if (request.decoderResult().isFailure()) {
@@ -147,6 +151,12 @@
         mDispatcher.dispatch(pending.mExchange);
     }
 
+    /** Returns the ID that the caller sent, or a new one if it sent none or an empty one. */
+    private String idOf(FullHttpRequest request) {
+        String id = request.headers().get(mHeaders.requestId(), "");
+        return id.isBlank() ? mRequestIds.next() : id;
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         // A request that is still being received also counts as activity.
@@ -279,6 +289,7 @@
                             Unpooled.wrappedBuffer(response.body()));
             forwarded.headers().set(response.head().headers());
             HopByHopHeaders.remove(forwarded.headers());
+            forwarded.headers().set(mHeaders.requestId(), mId);
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
             complete(forwarded);
         }
@@ -295,9 +306,7 @@
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-            if (!mId.isEmpty()) {
-                response.headers().set(mHeaders.requestId(), mId);
-            }
+            response.headers().set(mHeaders.requestId(), mId);
             if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
                 response.headers()
                         .set(
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -33,6 +33,7 @@
     private final Dispatcher mDispatcher;
     private final Directory mDirectory;
     private final WireFormat mWire;
+    private final RequestIds mRequestIds;
     private final LongSupplier mClock;
     private final EntryMetrics mMetrics;
     private final DecisionLog mLog;
@@ -43,20 +44,15 @@
     private boolean mClosingIdle;
 
     CallerEndpoint(
-            Dispatcher dispatcher,
-            Directory directory,
-            WireFormat wire,
-            EventLoopGroup group,
-            LongSupplier clock,
-            EntryMetrics metrics,
-            DecisionLog log,
-            Address address) {
+            DaemonContext context, Dispatcher dispatcher, WireFormat wire, EventLoopGroup group) {
         mDispatcher = dispatcher;
-        mDirectory = directory;
+        mDirectory = context.directory();
         mWire = wire;
-        mClock = clock;
-        mMetrics = metrics;
-        mLog = log;
+        mRequestIds = RequestIds.create(context.settings().name(), context.incarnation());
+        mClock = context.clock();
+        mMetrics = context.metrics();
+        mLog = context.log();
+        Address address = context.settings().callerAddress();
         mListener =
                 TcpListener.bind(group, address.host(), address.port(), true, this::initPipeline);
     }
@@ -76,6 +72,7 @@
                         new CallerConnection(
                                 mDispatcher,
                                 mWire.headers(),
+                                mRequestIds,
                                 mClock,
                                 () -> mStopping,
                                 mMetrics,
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -145,16 +145,7 @@
         mOperatorEndpoint =
                 new OperatorEndpoint(
                         context, mCoordinator, mPeerService, fleet, clocks.wallMillis());
-        mCallerEndpoint =
-                new CallerEndpoint(
-                        mDispatcher,
-                        mDirectory,
-                        adapter.wire(),
-                        mGroup,
-                        clock,
-                        mMetrics,
-                        log,
-                        settings.callerAddress());
+        mCallerEndpoint = new CallerEndpoint(context, mDispatcher, adapter.wire(), mGroup);
     }
 
     private CrashMonitor createCrashMonitor(
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -1,5 +1,6 @@
 package org.geraniumusher.entry;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkState;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -65,7 +66,13 @@
     /** One attempt to get a response from a backend server. */
     record Attempt(Upstream upstream, UpstreamConnection connection, long sentAtNanos) {}
 
+    /**
+     * Creates a request that has arrived.
+     *
+     * @param id ID that the caller sent, or one that this daemon gave it; not empty
+     */
     Exchange(Request request, String id, long arrivedAtNanos, CallerResponder responder) {
+        checkArgument(!id.isBlank(), "request has no ID");
         mRequest = request;
         mId = id;
         mArrivedAtNanos = arrivedAtNanos;
@@ -189,10 +196,10 @@
 
     /**
      * Returns whether an idle connection may carry the request. A late response to an earlier
-     * attempt, or to another request if this one has no ID, could be taken for its own.
+     * attempt could be taken for its own, as all attempts have the same ID.
      */
     boolean mayUse(UpstreamConnection idle) {
-        return !mId.isEmpty() && !mUsedConnections.contains(idle);
+        return !mUsedConnections.contains(idle);
     }
 
     /** Counts a send to a server. */
--- a/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
@@ -18,7 +18,7 @@
 
     /**
      * Returns the request of a caller as it is sent to {@code server}: without hop-by-hop headers,
-     * with the time left until the deadline and with the ID of the server that may execute it.
+     * with its ID, the time left until the deadline and the ID of the server that may execute it.
      */
     static FullHttpRequest build(
             Exchange exchange, ServerEntry server, HeaderNames names, long nowNanos) {
@@ -35,6 +35,7 @@
         long remainingMillis =
                 Math.max(1, (exchange.deadlineAtNanos() - nowNanos) / NANOS_PER_MILLI);
         headers.set(names.deadlineMillis(), remainingMillis);
+        headers.set(names.requestId(), exchange.id());
         headers.set(names.expectedServer(), server.id());
         if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -1,5 +1,7 @@
 package org.geraniumusher.entry;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,7 +23,6 @@
 import org.geraniumusher.http.ReceiveLimiter;
 import org.geraniumusher.model.Address;
 
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -34,10 +35,11 @@
  * the connection: a request that was sent on it might have been executed.
  *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
- * the request in flight. A response with another ID, or with none, is skipped: the server sent it a
- * second time, and that to the request in flight may follow. Since all attempts of a request have
- * the same ID, a connection carries one of them at most. The connection is closed after a response
- * that is skipped, malformed, truncated, too long or unsolicited.
+ * the request in flight, which each request has. A response with another ID, an empty one or none
+ * is skipped: the server sent it a second time, and that to the request in flight may follow. Since
+ * all attempts of a request have the same ID, a connection carries one of them at most. The
+ * connection is closed after a response that is skipped, malformed, truncated, too long or
+ * unsolicited.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -153,7 +155,7 @@
     void connectAndSend(
             EventLoopGroup group, Address address, FullHttpRequest request, Listener listener) {
         mListener = listener;
-        mRequestId = request.headers().get(mRequestIdHeader);
+        mRequestId = requestIdOf(request);
         mLimiter.onRequest();
         mConnectStartedAt = mClock.getAsLong();
         KeepAliveProbes.enable(new Bootstrap())
@@ -177,6 +179,12 @@
                 .addListener((ChannelFuture connected) -> onConnected(connected, request));
     }
 
+    private String requestIdOf(FullHttpRequest request) {
+        String id = request.headers().get(mRequestIdHeader, "");
+        checkArgument(!id.isBlank(), "request has no ID");
+        return id;
+    }
+
     private void onConnected(ChannelFuture connected, FullHttpRequest request) {
         if (!connected.isSuccess()) {
             request.release();
@@ -232,7 +240,7 @@
     /** Sends another request; the connection must be idle and {@linkplain #isUsable usable}. */
     void send(FullHttpRequest request, Listener listener) {
         mListener = listener;
-        mRequestId = request.headers().get(mRequestIdHeader);
+        mRequestId = requestIdOf(request);
         mLimiter.onRequest();
         write(request);
     }
@@ -297,7 +305,7 @@
             return false;
         }
         String id = head.headers().get(mRequestIdHeader);
-        mSkipResponse = !Objects.equals(id, mRequestId);
+        mSkipResponse = !mRequestId.equals(id);
         if (mSkipResponse) {
             mPool.onSkippedResponse(mRequestId, id, head.status().code());
         }
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -65,6 +65,7 @@
         return new CallerConnection(
                 dispatcher,
                 wire.headers(),
+                RequestIds.create("entry-1", 1),
                 context.clock(),
                 () -> mStopping,
                 context.metrics(),
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -47,7 +47,17 @@
 
     @Override
     public HeaderNames headers() {
-        return new HeaderNames("", "", "", "", "", "", "", "", "", "");
+        return new HeaderNames(
+                "id",
+                "deadline",
+                "signature",
+                "server",
+                "not",
+                "by",
+                "load",
+                "key",
+                "handover",
+                "leaving");
     }
 
     @Override
