--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -60,7 +60,7 @@
     private double mFailureRate;
     private long mColdUntilNanos = Long.MIN_VALUE / 2;
     private long mSuspectUntilNanos = Long.MIN_VALUE / 2;
-    private long mPausedUntilNanos = Long.MIN_VALUE / 2;
+    private final ServerPause mPause = new ServerPause();
     private int mUnansweredInRow;
     private final double mInitialColdTokens;
     private double mColdTokens;
@@ -182,19 +182,19 @@
         return nowNanos < mSuspectUntilNanos;
     }
 
-    /** Records that the server wants no requests until a time. */
-    public void pauseUntil(long untilNanos) {
-        mPausedUntilNanos = Math.max(mPausedUntilNanos, untilNanos);
+    /** Returns the time for which the server wants no requests, which answers change. */
+    public ServerPause pause() {
+        return mPause;
     }
 
     /** Returns whether the server wants no requests now. */
     public boolean isPaused(long nowNanos) {
-        return nowNanos < mPausedUntilNanos;
+        return mPause.isActive(nowNanos);
     }
 
     /** Returns when the server takes requests again, or {@code nowNanos} if it takes them. */
     public long pausedUntil(long nowNanos) {
-        return Math.max(nowNanos, mPausedUntilNanos);
+        return mPause.endNanos(nowNanos);
     }
 
     /**
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerPause.java
@@ -0,0 +1,95 @@
+package org.geraniumusher.dispatch;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.math.LongMath;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.regex.Pattern;
+
+/**
+ * The time for which one incarnation of a server wants no requests, from the {@code Retry-After}
+ * fields of its answers with status 503. Not thread-safe.
+ *
+ * <p>Invariant: the end of a pause never moves to an earlier time. A value that is no time changes
+ * nothing.
+ */
+public final class ServerPause {
+    /** Digits, and a fraction if any. HTTP has neither sign nor exponent in this field. */
+    private static final Pattern DECIMAL_SECONDS = Pattern.compile("[0-9]+(\\.[0-9]+)?");
+
+    /** Outlasts each server. Times of the clock plus this many nanoseconds don't overflow. */
+    private static final double MAX_NANOS = Duration.ofDays(36_500).toNanos();
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private long mEndNanos = Long.MIN_VALUE / 2;
+    private boolean mIgnoredBefore;
+
+    /** What an answer with status 503 did to the pause. */
+    public enum Change {
+        /** No field, or a pause that ends no later than the one before. */
+        NONE,
+        /** A pause began. */
+        BEGUN,
+        /** The pause ends later than it would have. */
+        EXTENDED,
+        /** The first field of this server that is no time. */
+        IGNORED_FIRST,
+        /** A later one of that kind. */
+        IGNORED_AGAIN
+    }
+
+    /**
+     * Processes an answer with status 503.
+     *
+     * @param retryAfter values of its {@code Retry-After} fields, none if it has no such field
+     */
+    public Change onUnavailable(List<String> retryAfter, long nowNanos) {
+        if (retryAfter.isEmpty()) {
+            return Change.NONE;
+        }
+        OptionalDouble seconds = parseSeconds(retryAfter);
+        if (seconds.isEmpty()) {
+            Change change = mIgnoredBefore ? Change.IGNORED_AGAIN : Change.IGNORED_FIRST;
+            mIgnoredBefore = true;
+            return change;
+        }
+        double nanos = Math.min(seconds.getAsDouble() * NANOS_PER_SECOND, MAX_NANOS);
+        long endNanos = LongMath.saturatedAdd(nowNanos, (long) nanos);
+        if (endNanos <= endNanos(nowNanos)) {
+            return Change.NONE;
+        }
+        Change change = isActive(nowNanos) ? Change.EXTENDED : Change.BEGUN;
+        mEndNanos = endNanos;
+        return change;
+    }
+
+    /** Returns the time that all values state, or empty if one is no time or two differ. */
+    private static OptionalDouble parseSeconds(List<String> values) {
+        ImmutableSet.Builder<Double> distinct = ImmutableSet.builder();
+        for (String value : values) {
+            String text = value.trim();
+            if (!DECIMAL_SECONDS.matcher(text).matches()) {
+                return OptionalDouble.empty();
+            }
+            // Infinite for a number beyond the range of a double.
+            distinct.add(Double.parseDouble(text));
+        }
+        ImmutableSet<Double> seconds = distinct.build();
+        return seconds.size() == 1
+                ? OptionalDouble.of(seconds.iterator().next())
+                : OptionalDouble.empty();
+    }
+
+    /** Returns whether the server wants no requests now. */
+    public boolean isActive(long nowNanos) {
+        return nowNanos < mEndNanos;
+    }
+
+    /** Returns when the server takes requests again, or {@code nowNanos} if it takes them. */
+    public long endNanos(long nowNanos) {
+        return Math.max(nowNanos, mEndNanos);
+    }
+}
--- a/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dispatch/ServerLoadTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
+
 import org.junit.jupiter.api.Test;
 
 /** Guards the estimate of a server's load and the rate limit of a cold server. */
@@ -51,8 +53,8 @@
     /** A server that asked for a pause must get no requests in it, and get them after it. */
     @Test
     void tryAdmit_paused_isFalseUntilThePauseEnds() {
-        mLoad.pauseUntil(3 * SECOND_NANOS);
-        mLoad.pauseUntil(SECOND_NANOS);
+        mLoad.pause().onUnavailable(ImmutableList.of("3"), 0);
+        mLoad.pause().onUnavailable(ImmutableList.of("1"), 0);
 
         assertThat(mLoad.tryAdmit(100, 2 * SECOND_NANOS)).isFalse();
         assertThat(mLoad.pausedUntil(2 * SECOND_NANOS)).isEqualTo(3 * SECOND_NANOS);
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -135,7 +135,7 @@
         mUpstreams =
                 new UpstreamSet(
                         directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
-        mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread, log);
+        mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread, log, metrics);
         mRetryBudgets = new RetryBudgets(settings);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
         mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -112,6 +112,11 @@
         mRegistry.counter("responses.skipped").inc();
     }
 
+    /** Counts a response with status 503 whose {@code Retry-After} is no time. */
+    void onRetryAfterIgnored() {
+        mRegistry.counter("responses.retry_after_ignored").inc();
+    }
+
     /** Counts a server that crashed while it ran requests of this daemon. */
     void onCrash() {
         mRegistry.counter("servers.crashed").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
@@ -2,13 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.primitives.Doubles;
+import com.google.common.base.Ascii;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 
-import java.util.concurrent.TimeUnit;
+import java.util.List;
 
 /**
  * Applies what servers say of themselves in the headers of their responses: their load, that they
@@ -20,28 +20,30 @@
 final class ServerNotices {
     private static final int SERVICE_UNAVAILABLE = 503;
 
-    /** Limit of a pause, so that a faulty server is tried again some time. */
-    private static final double MAX_RETRY_AFTER_SECONDS = TimeUnit.HOURS.toSeconds(1);
-
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private static final int MAX_LOGGED_CHARS = 200;
+
     private final Directory mDirectory;
     private final UpstreamSet mUpstreams;
     private final WireFormat mWire;
     private final EventThread mThread;
     private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
 
     ServerNotices(
             Directory directory,
             UpstreamSet upstreams,
             WireFormat wire,
             EventThread thread,
-            DecisionLog log) {
+            DecisionLog log,
+            EntryMetrics metrics) {
         mDirectory = checkNotNull(directory);
         mUpstreams = checkNotNull(upstreams);
         mWire = checkNotNull(wire);
         mThread = checkNotNull(thread);
         mLog = checkNotNull(log);
+        mMetrics = checkNotNull(metrics);
     }
 
     /** Processes a response, whose request must still count as in flight. */
@@ -62,21 +64,35 @@
     }
 
     private void pause(Upstream upstream, UpstreamResponse response, long nowNanos) {
-        String value = response.header(HttpHeaderNames.RETRY_AFTER.toString());
-        Double seconds = value == null ? null : Doubles.tryParse(value.trim());
-        if (seconds == null || !Doubles.isFinite(seconds) || seconds <= 0) {
-            return;
+        List<String> values = response.headers(HttpHeaderNames.RETRY_AFTER.toString());
+        switch (upstream.load().pause().onUnavailable(values, nowNanos)) {
+            case BEGUN -> logPause(upstream, nowNanos);
+            case IGNORED_FIRST -> {
+                mMetrics.onRetryAfterIgnored();
+                logIgnored(upstream, values);
+            }
+            case IGNORED_AGAIN -> mMetrics.onRetryAfterIgnored();
+            default -> {}
         }
-        double pause = Math.min(seconds, MAX_RETRY_AFTER_SECONDS);
-        if (!upstream.load().isPaused(nowNanos)) {
-            mLog.write(
-                    Part.SERVER,
-                    "Server wants no requests for some time",
-                    "server",
-                    upstream.entry().incarnationId(),
-                    "seconds",
-                    pause);
-        }
-        upstream.load().pauseUntil(nowNanos + (long) (pause * NANOS_PER_SECOND));
+    }
+
+    private void logPause(Upstream upstream, long nowNanos) {
+        mLog.write(
+                Part.SERVER,
+                "Server wants no requests for some time",
+                "server",
+                upstream.entry().incarnationId(),
+                "seconds",
+                (upstream.load().pausedUntil(nowNanos) - nowNanos) / NANOS_PER_SECOND);
+    }
+
+    private void logIgnored(Upstream upstream, List<String> values) {
+        mLog.write(
+                Part.SERVER,
+                "Retry-After of a server is no number of seconds and is ignored",
+                "server",
+                upstream.entry().incarnationId(),
+                "values",
+                Ascii.truncate(String.join("; ", values), MAX_LOGGED_CHARS, "..."));
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamResponse.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamResponse.java
@@ -4,6 +4,8 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 
+import java.util.List;
+
 /**
  * A complete response of a backend server. Not copied: neither the head nor the body may be
  * changed.
@@ -24,4 +26,9 @@
     String header(String name) {
         return head.headers().get(name);
     }
+
+    /** Returns the values of all fields of a header, in their order. */
+    List<String> headers(String name) {
+        return head.headers().getAll(name);
+    }
 }
