Show which servers are leaving or paused at each daemon, and until when

Cause: a daemon sends nothing to a server that asked for a pause, and nothing after the drain time to one that leaves, but no status, counter or line told so. The begin of a pause was logged, its lengthening and its end were not.

Change: a pause is logged at its begin, when it grows by 0.5 s or more (requests in transit lengthen it by a little each), and at its end, by a timer of the event thread or when the daemon forgets the incarnation. Counters servers.pauses and servers.said_leaving, gauge servers.paused. The status of a daemon lists its servers that are leaving (said in an answer, by the entry, or entry removed) or paused, with the end of the pause; the new command `servers` prints it for all daemons. The field is left out of the JSON while it is empty, as with quarantines, since earlier releases reject it. A coordinator that heard it in the answer to a grant no longer logs it as reported by the entry.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -8,13 +8,13 @@
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.StoreVersion;
+import org.geraniumusher.operator.Leaving;
 import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.quarantine.RequestFingerprint;
 import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
 
-import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -80,15 +80,14 @@
 
     private final DrainHistory mDrainHistory = new DrainHistory();
 
-    /** Incarnations whose entries said that they are leaving, the oldest first. */
-    private final Set<String> mLeavingIncarnations =
-            Collections.newSetFromMap(
-                    new LinkedHashMap<>() {
-                        @Override
-                        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-                            return size() > MAX_LEAVING_INCARNATIONS;
-                        }
-                    });
+    /** Incarnations that are leaving and from what this daemon knew it first, the oldest first. */
+    private final Map<String, Leaving> mLeavingIncarnations =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Leaving> eldest) {
+                    return size() > MAX_LEAVING_INCARNATIONS;
+                }
+            };
 
     /**
      * Caches whether servers are evacuated or drained, by incarnation ID. Cleared when servers,
@@ -260,12 +259,17 @@
      * be called by a listener.
      */
     void markLeaving(String incarnationId) {
-        if (mLeavingIncarnations.add(incarnationId)) {
+        if (mLeavingIncarnations.putIfAbsent(incarnationId, Leaving.SAID) == null) {
             decodeServers();
             mListeners.run();
         }
     }
 
+    /** Returns from what this daemon knew first that an incarnation is leaving. */
+    Leaving leaving(String incarnationId) {
+        return mLeavingIncarnations.getOrDefault(incarnationId, Leaving.ENTRY);
+    }
+
     /** Returns the number of entries of servers that are listed and not usable. */
     int unusableServers() {
         return (int) mDecodedServers.values().stream().filter(d -> d.entry().isEmpty()).count();
@@ -456,9 +460,9 @@
      */
     private ServerEntry keepLeaving(ServerEntry entry) {
         if (entry.leaving()) {
-            mLeavingIncarnations.add(entry.incarnationId());
+            mLeavingIncarnations.putIfAbsent(entry.incarnationId(), Leaving.ENTRY);
         }
-        return mLeavingIncarnations.contains(entry.incarnationId()) ? entry.asLeaving() : entry;
+        return mLeavingIncarnations.containsKey(entry.incarnationId()) ? entry.asLeaving() : entry;
     }
 
     /** Decodes the entry of a server. Logs the reason and returns empty if it is not usable. */
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -200,9 +200,9 @@
         dispatchWaiting();
     }
 
-    /** Closes idle connections that the servers are about to close. */
-    void closeExpired() {
-        mUpstreams.closeExpired();
+    /** Returns the servers that requests are sent to. */
+    UpstreamSet upstreams() {
+        return mUpstreams;
     }
 
     /** Starts to process a request that has arrived; it may end during this call. */
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -115,20 +115,18 @@
         mCoordinator.setActingListener(quarantines::tick);
         CrashReporter crashReporter = new CrashReporter(context, mCoordinator, quarantines, client);
         ProbationTrials trials = new ProbationTrials(context, mCoordinator, quarantines, client);
+        CrashMonitor crashMonitor =
+                createCrashMonitor(context, adapter, clocks, crashReporter, trials);
         mDispatcher =
-                new Dispatcher(
-                        settings,
-                        mDirectory,
-                        adapter.wire(),
-                        mGroup,
-                        thread,
-                        clock,
-                        log,
-                        mMetrics,
-                        keyedRequestStats,
-                        createCrashMonitor(context, adapter, clocks, crashReporter, trials));
+                createDispatcher(context, adapter.wire(), mGroup, keyedRequestStats, crashMonitor);
         mDispatcher.setUnreachableListener(mCoordinator::renewGrants);
-        FleetStatus fleet = new FleetStatus(context, mCoordinator, client);
+        FleetStatus fleet =
+                new FleetStatus(
+                        context,
+                        mCoordinator,
+                        client,
+                        mDispatcher.upstreams(),
+                        clocks.wallMillis());
         mPeerService =
                 new PeerService(
                         context,
@@ -163,6 +161,25 @@
                 trials);
     }
 
+    private static Dispatcher createDispatcher(
+            DaemonContext context,
+            WireFormat wire,
+            EventLoopGroup group,
+            KeyedRequestStats keyedRequestStats,
+            CrashMonitor crashMonitor) {
+        return new Dispatcher(
+                context.settings(),
+                context.directory(),
+                wire,
+                group,
+                context.thread(),
+                context.clock(),
+                context.log(),
+                context.metrics(),
+                keyedRequestStats,
+                crashMonitor);
+    }
+
     private void registerGauges(SuspensionClock clock, StoreEpoch epoch) {
         mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
         mMetrics.registerGauge("clock.suspensions", clock::suspensions);
@@ -248,7 +265,7 @@
 
     private void runHousekeeping() {
         long nowNanos = mClock.getAsLong();
-        mDispatcher.closeExpired();
+        mDispatcher.upstreams().closeExpired();
         mCallerEndpoint.closeIdle(nowNanos);
         mLoop.schedule(this::runHousekeeping, HOUSEKEEPING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -122,6 +122,16 @@
         mRegistry.counter("servers.crashed").inc();
     }
 
+    /** Counts a pause that a server asked for. */
+    void onPause() {
+        mRegistry.counter("servers.pauses").inc();
+    }
+
+    /** Counts a server that said in an answer that it is leaving. */
+    void onSaidLeaving() {
+        mRegistry.counter("servers.said_leaving").inc();
+    }
+
     /** Counts a response of a backend server that exceeded a limit. */
     void onResponseOverLimit(ResponseLimit limit) {
         mRegistry.counter(limit.counterName()).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
+++ b/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 
 /**
  * Reports the status of this daemon to its peers, and collects theirs when an operator requests a
@@ -42,6 +43,8 @@
     private final DaemonContext mContext;
     private final CoordinatorService mCoordinator;
     private final HttpClient mClient;
+    private final UpstreamSet mUpstreams;
+    private final LongSupplier mWallClock;
 
     /**
      * Status of one daemon, as sent between daemons.
@@ -50,7 +53,19 @@
      */
     record Status(MemberStatus member, byte[] burn) {}
 
-    FleetStatus(DaemonContext context, CoordinatorService coordinator, HttpClient client) {
+    /**
+     * Creates the status of a daemon.
+     *
+     * @param wallClock milliseconds since 1970
+     */
+    FleetStatus(
+            DaemonContext context,
+            CoordinatorService coordinator,
+            HttpClient client,
+            UpstreamSet upstreams,
+            LongSupplier wallClock) {
+        mUpstreams = checkNotNull(upstreams);
+        mWallClock = checkNotNull(wallClock);
         mContext = checkNotNull(context);
         mCoordinator = checkNotNull(coordinator);
         mClient = checkNotNull(client);
@@ -104,7 +119,8 @@
                         mContext.directory().drains().stream().map(Drain::name).toList(),
                         quarantineRevisions(),
                         tables,
-                        mCoordinator.isActing() ? ImmutableList.of(COORDINATOR) : List.of());
+                        mCoordinator.isActing() ? ImmutableList.of(COORDINATOR) : List.of(),
+                        mUpstreams.statuses(mWallClock.getAsLong()));
         return new Status(member, mContext.metrics().burnSummary().toBytes());
     }
 
@@ -148,6 +164,7 @@
                         ImmutableList.of(),
                         ImmutableMap.of(),
                         ImmutableMap.of(),
+                        ImmutableList.of(),
                         ImmutableList.of());
         return new Status(unknown, new byte[0]);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 
 import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.operator.Leaving;
 
 import java.util.List;
 
@@ -20,8 +21,6 @@
 final class ServerNotices {
     private static final int SERVICE_UNAVAILABLE = 503;
 
-    private static final double NANOS_PER_SECOND = 1e9;
-
     private static final int MAX_LOGGED_CHARS = 200;
 
     private final Directory mDirectory;
@@ -30,6 +29,7 @@
     private final EventThread mThread;
     private final DecisionLog mLog;
     private final EntryMetrics mMetrics;
+    private final ServerPauses mPauses;
 
     ServerNotices(
             Directory directory,
@@ -44,6 +44,8 @@
         mThread = checkNotNull(thread);
         mLog = checkNotNull(log);
         mMetrics = checkNotNull(metrics);
+        mPauses = new ServerPauses(thread, log, metrics);
+        upstreams.setRemovalListener(mPauses::onRemoved);
     }
 
     /** Processes a response, whose request must still count as in flight. */
@@ -53,7 +55,8 @@
             mWire.decodeLoad(load).ifPresent(report -> upstream.load().onReport(report, nowNanos));
         }
         if (response.header(mWire.headers().serverLeaving()) != null && !upstream.isLeaving()) {
-            mUpstreams.markLeaving(upstream);
+            mMetrics.onSaidLeaving();
+            mUpstreams.markLeaving(upstream, Leaving.SAID);
             // The listeners of the directory send waiting requests, which must not happen within
             // the processing of a response.
             mThread.execute(() -> mDirectory.markLeaving(upstream.entry().incarnationId()));
@@ -66,7 +69,7 @@
     private void pause(Upstream upstream, UpstreamResponse response, long nowNanos) {
         List<String> values = response.headers(HttpHeaderNames.RETRY_AFTER.toString());
         switch (upstream.load().pause().onUnavailable(values, nowNanos)) {
-            case BEGUN -> logPause(upstream, nowNanos);
+            case BEGUN, EXTENDED -> mPauses.onPaused(upstream, nowNanos);
             case IGNORED_FIRST -> {
                 mMetrics.onRetryAfterIgnored();
                 logIgnored(upstream, values);
@@ -76,16 +79,6 @@
         }
     }
 
-    private void logPause(Upstream upstream, long nowNanos) {
-        mLog.write(
-                Part.SERVER,
-                "Server wants no requests for some time",
-                "server",
-                upstream.entry().incarnationId(),
-                "seconds",
-                (upstream.load().pausedUntil(nowNanos) - nowNanos) / NANOS_PER_SECOND);
-    }
-
     private void logIgnored(Upstream upstream, List<String> values) {
         mLog.write(
                 Part.SERVER,
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -5,6 +5,7 @@
 
 import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.dispatch.ServiceTimes;
+import org.geraniumusher.operator.Leaving;
 import org.geraniumusher.traffic.ServerEntry;
 
 import java.util.ArrayDeque;
@@ -28,7 +29,7 @@
     private final Listener mListener;
     private final Deque<UpstreamConnection> mIdleConnections = new ArrayDeque<>();
     private ServerEntry mEntry;
-    private boolean mLeaving;
+    private Leaving mLeaving = Leaving.NO;
     private long mLeavingSinceNanos = Long.MAX_VALUE;
 
     /** Is notified of what the server sends to no request. */
@@ -76,15 +77,16 @@
         return mLoad;
     }
 
+    long nowNanos() {
+        return mClock.getAsLong();
+    }
+
     /** Replaces the entry by a newer one of the same incarnation. */
-    void update(ServerEntry entry, long nowNanos) {
+    void update(ServerEntry entry) {
         if (!entry.equals(mEntry)) {
             updateColdTime(entry);
         }
         mEntry = entry;
-        if (entry.leaving()) {
-            markLeaving(nowNanos);
-        }
     }
 
     private void updateColdTime(ServerEntry entry) {
@@ -94,16 +96,20 @@
         }
     }
 
-    /** Records that the server is leaving and closes its idle connections. */
-    void markLeaving(long nowNanos) {
-        if (!mLeaving) {
-            mLeaving = true;
+    /** Records that the server is leaving, unless that is known, and closes idle connections. */
+    void markLeaving(Leaving cause, long nowNanos) {
+        if (!isLeaving()) {
+            mLeaving = cause;
             mLeavingSinceNanos = nowNanos;
             closeIdle();
         }
     }
 
     boolean isLeaving() {
+        return mLeaving != Leaving.NO;
+    }
+
+    Leaving leaving() {
         return mLeaving;
     }
 
@@ -157,7 +163,7 @@
 
     @Override
     public void onIdle(UpstreamConnection connection) {
-        if (mLeaving) {
+        if (isLeaving()) {
             connection.close();
             return;
         }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -4,14 +4,20 @@
 
 import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.operator.Leaving;
+import org.geraniumusher.operator.ServerStatus;
 import org.geraniumusher.traffic.ServerEntry;
 
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -37,6 +43,7 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, List<Upstream>> mByService = new HashMap<>();
     private final Map<String, ServiceTimes> mServiceTimes = new HashMap<>();
+    private Consumer<Upstream> mRemovalListener = upstream -> {};
 
     UpstreamSet(
             Directory directory,
@@ -55,11 +62,17 @@
         mRandom = random;
     }
 
+    /** Sets the listener that gets each upstream that is removed. */
+    void setRemovalListener(Consumer<Upstream> listener) {
+        mRemovalListener = listener;
+    }
+
     /** Registers gauges of the servers in each state and of the buffered responses. */
     void registerGauges() {
         mMetrics.registerGauge("servers.usable", () -> count(u -> !u.isLeaving() && !isSuspect(u)));
         mMetrics.registerGauge("servers.suspect", () -> count(u -> !u.isLeaving() && isSuspect(u)));
         mMetrics.registerGauge("servers.leaving", () -> count(Upstream::isLeaving));
+        mMetrics.registerGauge("servers.paused", () -> count(this::isPaused));
         mMetrics.registerGauge("responses.buffered_bytes", mBuffers::totalBytes);
     }
 
@@ -67,6 +80,10 @@
         return upstream.load().isSuspect(mClock.getAsLong());
     }
 
+    private boolean isPaused(Upstream upstream) {
+        return upstream.load().isPaused(mClock.getAsLong());
+    }
+
     private int count(Predicate<Upstream> condition) {
         return (int) mUpstreams.values().stream().filter(condition).count();
     }
@@ -79,8 +96,10 @@
         for (ServerEntry entry : entries.values()) {
             Upstream upstream =
                     mUpstreams.computeIfAbsent(entry.incarnationId(), id -> createUpstream(entry));
-            logIfNewlyLeaving(upstream, entry.leaving(), "reported by its entry");
-            upstream.update(entry, now);
+            upstream.update(entry);
+            if (entry.leaving()) {
+                markLeaving(upstream, mDirectory.leaving(entry.incarnationId()));
+            }
         }
         mByService.clear();
         for (Upstream upstream : mUpstreams.values()) {
@@ -99,33 +118,31 @@
             return false;
         }
         if (!mDirectory.mayMissingServersReregister(nowNanos)) {
-            logIfNewlyLeaving(upstream, true, "its entry was removed");
-            upstream.markLeaving(nowNanos);
+            markLeaving(upstream, Leaving.ENTRY_REMOVED);
         }
-        return upstream.isLeaving() && !isOwner(incarnationId);
+        boolean remove = upstream.isLeaving() && !isOwner(incarnationId);
+        if (remove) {
+            mRemovalListener.accept(upstream);
+        }
+        return remove;
     }
 
-    /** Logs that a server is leaving, unless the upstream is already marked as leaving. */
-    private void logIfNewlyLeaving(Upstream upstream, boolean leaving, String cause) {
-        if (leaving && !upstream.isLeaving()) {
+    /** Records and logs that a server is leaving, unless that is known already. */
+    void markLeaving(Upstream upstream, Leaving cause) {
+        if (!upstream.isLeaving()) {
+            upstream.markLeaving(cause, mClock.getAsLong());
             mLog.write(
                     Part.SERVER,
                     "Server is leaving",
                     "server",
                     upstream.entry().incarnationId(),
                     "cause",
-                    cause,
+                    cause.cause(),
                     "revision",
                     mDirectory.mirror(StoreKind.SERVERS).revision());
         }
     }
 
-    /** Records that a server said in an answer that it is leaving. */
-    void markLeaving(Upstream upstream) {
-        logIfNewlyLeaving(upstream, true, "said in an answer");
-        upstream.markLeaving(mClock.getAsLong());
-    }
-
     private boolean isOwner(String incarnationId) {
         return mDirectory.tables().tables().values().stream()
                 .flatMap(t -> t.assignments().stream())
@@ -215,6 +232,36 @@
         return servers.mapToLong(u -> u.load().pausedUntil(nowNanos)).min().orElse(nowNanos);
     }
 
+    /**
+     * Returns the status of each server that is leaving or paused, by service and incarnation.
+     *
+     * @param wallMillis milliseconds since 1970
+     */
+    List<ServerStatus> statuses(long wallMillis) {
+        long now = mClock.getAsLong();
+        return mUpstreams.values().stream()
+                .filter(u -> u.isLeaving() || u.load().isPaused(now))
+                .map(u -> statusOf(u, now, wallMillis))
+                .sorted(
+                        Comparator.comparing(ServerStatus::service)
+                                .thenComparing(ServerStatus::server))
+                .toList();
+    }
+
+    private static ServerStatus statusOf(Upstream upstream, long nowNanos, long wallMillis) {
+        long leftNanos = upstream.load().pausedUntil(nowNanos) - nowNanos;
+        Instant until =
+                Instant.ofEpochMilli(wallMillis)
+                        .plusNanos(leftNanos)
+                        .truncatedTo(ChronoUnit.MILLIS);
+        return new ServerStatus(
+                upstream.entry().incarnationId(),
+                upstream.entry().service(),
+                upstream.leaving(),
+                leftNanos == 0 ? "" : until.toString(),
+                leftNanos / 1e9);
+    }
+
     /** Closes the idle connections that their servers are about to close. */
     void closeExpired() {
         long now = mClock.getAsLong();
--- a/entry/src/main/java/org/geraniumusher/operator/MemberStatus.java
+++ b/entry/src/main/java/org/geraniumusher/operator/MemberStatus.java
@@ -23,6 +23,8 @@
  *     the request; left out of the JSON while empty, because releases that do not know it reject it
  * @param tableVersions version of the daemon's key-range table, by name of the keyed service
  * @param roles what the daemon does besides routing, such as {@code coordinator}
+ * @param servers the backend servers that are leaving or paused at the daemon; left out of the JSON
+ *     while empty, because releases that do not know it reject it
  */
 public record MemberStatus(
         String name,
@@ -33,7 +35,8 @@
         List<String> drains,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> quarantines,
         Map<String, Long> tableVersions,
-        List<String> roles) {
+        List<String> roles,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ServerStatus> servers) {
     /** Makes immutable copies of the collections. */
     public MemberStatus {
         checkNotNull(name, "name");
@@ -46,6 +49,7 @@
                         : ImmutableSortedMap.copyOf(quarantines);
         drains = ImmutableList.copyOf(drains);
         roles = ImmutableList.copyOf(roles);
+        servers = servers == null ? ImmutableList.of() : ImmutableList.copyOf(servers);
     }
 
     /** Whether a daemon answered the last status request. */
--- a/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
+++ b/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
@@ -10,6 +10,10 @@
 /** Guards against daemons of different releases that cannot read each other's states. */
 final class MemberStatusTest {
     private static MemberStatus withQuarantines(Map<String, Long> quarantines) {
+        return create(quarantines, List.of());
+    }
+
+    private static MemberStatus create(Map<String, Long> quarantines, List<ServerStatus> servers) {
         return new MemberStatus(
                 "d",
                 1,
@@ -19,7 +23,8 @@
                 List.of(),
                 quarantines,
                 Map.of("keyed", 7L),
-                List.of());
+                List.of(),
+                servers);
     }
 
     /** A release without the field rejects it and would show the daemon as suspect. */
@@ -33,6 +38,25 @@
         assertThat(Json.read(json, MemberStatus.class)).isEqualTo(member);
     }
 
+    /** A release without the field rejects it and would show the daemon as suspect. */
+    @Test
+    void json_noServers_fieldIsLeftOutAndReadAsNone() {
+        MemberStatus member = withQuarantines(Map.of());
+
+        String json = Json.write(member);
+
+        assertThat(json).doesNotContain("servers");
+        assertThat(Json.read(json, MemberStatus.class)).isEqualTo(member);
+    }
+
+    @Test
+    void json_servers_areReadBack() {
+        MemberStatus member =
+                create(Map.of(), List.of(new ServerStatus("s@1", "keyed", Leaving.ENTRY, "", 0)));
+
+        assertThat(Json.read(Json.write(member), MemberStatus.class)).isEqualTo(member);
+    }
+
     @Test
     void json_quarantines_areReadBack() {
         MemberStatus member = withQuarantines(Map.of("a".repeat(32), 8L));
--- a/tool/src/main/java/org/geraniumusher/tool/CommandContext.java
+++ b/tool/src/main/java/org/geraniumusher/tool/CommandContext.java
@@ -13,12 +13,12 @@
  */
 record CommandContext(
         OperatorClient client, Output output, Function<Duration, PollTimer> pollTimers) {
-    /** Fetches a reply and prints it, as a table unless the operator chose JSON. */
-    <T> Optional<Failure> printReply(String uri, Class<T> type, Function<T, Table> toTable) {
+    /** Fetches a reply and prints it, as text or a table unless the operator chose JSON. */
+    <T> Optional<Failure> printReply(String uri, Class<T> type, Function<T, ?> toText) {
         return client.get(uri, type)
                 .map(
                         reply -> {
-                            output.printResult(reply, () -> toTable.apply(reply));
+                            output.printResult(reply, () -> toText.apply(reply));
                             return reply;
                         })
                 .findFailure();
--- a/tool/src/main/java/org/geraniumusher/tool/CommandLine.java
+++ b/tool/src/main/java/org/geraniumusher/tool/CommandLine.java
@@ -131,6 +131,8 @@
         owner.addArgument("service");
         owner.addArgument("key");
         addCommand(commands, "daemons", "show the daemons");
+        addCommand(
+                commands, "servers", "show the servers that are leaving or paused at each daemon");
         Subparser assignments =
                 addCommand(commands, "assignments", "show the key ranges of a service");
         assignments.addArgument("service");
--- a/tool/src/main/java/org/geraniumusher/tool/Main.java
+++ b/tool/src/main/java/org/geraniumusher/tool/Main.java
@@ -107,6 +107,7 @@
                     quarantines.release(options.getString("request"), timeout(options));
             case "owner" -> state.owner(service, options.getString("key"));
             case "daemons" -> state.daemons();
+            case "servers" -> state.servers();
             case "assignments" -> state.assignments(service);
             default ->
                     state.burnReport(Optional.ofNullable(options.getString("html")).map(Path::of));
--- a/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
@@ -4,15 +4,20 @@
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.operator.Replies;
+import org.geraniumusher.operator.ServerStatus;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
 /**
- * Implements the commands that show owners, daemons, assignments and burn rates. Not thread-safe.
+ * Implements the commands that show owners, daemons, servers, assignments and burn rates. Not
+ * thread-safe.
  */
 final class StateCommands {
     private final CommandContext mContext;
@@ -36,6 +41,12 @@
         return mContext.printReply("/admin/daemons", Replies.Daemons.class, StateCommands::toTable);
     }
 
+    /** Prints the servers that are leaving or paused at each daemon. */
+    Optional<Failure> servers() {
+        return mContext.printReply(
+                "/admin/daemons", Replies.Daemons.class, StateCommands::toServersText);
+    }
+
     /** Prints the key ranges of a service and their owners. */
     Optional<Failure> assignments(String service) {
         String uri = "/admin/assignments?service=" + OperatorClient.escapeQueryValue(service);
@@ -107,6 +118,37 @@
         return table;
     }
 
+    /** Includes which daemons did not answer, because a list without theirs looks complete. */
+    private static String toServersText(Replies.Daemons reply) {
+        Table table =
+                Table.withHeader(
+                        "DAEMON", "SERVER", "SERVICE", "LEAVING", "PAUSED UNTIL", "SECONDS LEFT");
+        for (MemberStatus member : reply.daemons()) {
+            for (ServerStatus server : member.servers()) {
+                table.addRow(
+                        member.name(),
+                        server.server(),
+                        server.service(),
+                        server.leaving(),
+                        server.pausedUntil(),
+                        String.format(Locale.ROOT, "%.1f", server.pauseSecondsLeft()));
+            }
+        }
+        Map<MemberStatus.State, List<String>> names =
+                reply.daemons().stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        MemberStatus::state,
+                                        Collectors.mapping(
+                                                MemberStatus::name, Collectors.toList())));
+        List<String> silent = names.getOrDefault(MemberStatus.State.SUSPECT, List.of());
+        return table
+                + String.format(
+                        "reported by %d daemons%s%n",
+                        names.getOrDefault(MemberStatus.State.ALIVE, List.of()).size(),
+                        silent.isEmpty() ? "" : ", no answer from " + String.join(", ", silent));
+    }
+
     private static Table toTable(Replies.Assignments reply) {
         Table table = Table.withHeader("FIRST", "LAST", "OWNER", "EPOCH", "PREVIOUS", "PENDING");
         for (Replies.RangeRow range : reply.ranges()) {
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -196,6 +196,19 @@
         assertThat(err()).contains("NO_DAEMON (406): no answer from 127.0.0.1:1 (");
     }
 
+    /** An operator must see why a server gets no requests, until when, and at which daemon. */
+    @Test
+    void servers_tableAndJson_showLeavingAndPausedServersOfEachDaemon() {
+        assertThat(run("servers")).isEqualTo(0);
+        assertThat(out()).containsMatch("entry-1 +bs-1@5 +catalogue +SAID +- +0.0\n");
+        assertThat(out())
+                .containsMatch("entry-1 +bs-2@6 +orders +NO +2026-12-05T03:00:00.250Z +2.\\d\n");
+        assertThat(out()).contains("reported by 1 daemons\n");
+        assertThat(run("servers", "--output", "json")).isEqualTo(0);
+        assertThat(Json.readTree(out()).at("/daemons/0/servers/0/leaving").asText())
+                .isEqualTo("SAID");
+    }
+
     @Test
     void run_invalidArguments_isUsageError() {
         assertThat(runIn(ImmutableMap.of(), "daemons")).isEqualTo(ExitCode.USAGE);
--- a/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
+++ b/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
@@ -16,8 +16,10 @@
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.operator.JsonReply;
+import org.geraniumusher.operator.Leaving;
 import org.geraniumusher.operator.MemberStatus;
 import org.geraniumusher.operator.Replies;
+import org.geraniumusher.operator.ServerStatus;
 import org.geraniumusher.quarantine.Quarantine;
 
 import java.util.HashMap;
@@ -135,7 +137,16 @@
                                 mLagging ? List.of() : List.copyOf(mDrains.keySet()),
                                 quarantinesInForce(),
                                 ImmutableMap.of("catalogue", 7L),
-                                List.of("coordinator"))));
+                                List.of("coordinator"),
+                                List.of(
+                                        new ServerStatus(
+                                                "bs-1@5", "catalogue", Leaving.SAID, "", 0),
+                                        new ServerStatus(
+                                                "bs-2@6",
+                                                "orders",
+                                                Leaving.NO,
+                                                "2026-12-05T03:00:00.250Z",
+                                                2.25)))));
     }
 
     private Map<String, Long> quarantinesInForce() {
