Report servers that say that they leave to the coordinator

Cause: a server of a keyed service that says in an answer that it is leaving is marked at the daemon that passes the answer on. The coordinator learnt it only from the answer to its own next grant. While its grants failed it never did, and the keys stayed with a server to which the other daemons send nothing after drain_s.

Change: LeavingReporter sends the incarnations that a daemon knows by the word of a server to the coordinator, at once by a listener of the directory and on each tick of PeerService until the present coordinator has acknowledged them, so that one that takes over learns them too. The coordinator marks the incarnation and moves its keys as for an entry that says so. It drops a report about an incarnation that it doesn't list, and says so in its reply; the sender repeats it while it lists it itself.

What is bounded: if the server answers the release, its keys have another owner before drain_s is over. If it answers no call, its hold must run out: 4.92 s after the last grant (4 s with 3%, 0.5 s and 0.3 s), and the keys have no owner from drain_s on.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -14,6 +14,7 @@
 import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.ServerEntry;
+import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -259,12 +260,44 @@
      * be called by a listener.
      */
     void markLeaving(String incarnationId) {
-        if (mLeavingIncarnations.putIfAbsent(incarnationId, Leaving.SAID) == null) {
+        markLeaving(incarnationId, Leaving.SAID);
+    }
+
+    /**
+     * Records the report of another daemon that a server said that it is leaving. Returns false,
+     * and does nothing, if this incarnation is not listed. Must not be called by a listener.
+     */
+    boolean onReportedLeaving(String incarnationId) {
+        boolean listed = mServers.containsKey(incarnationId);
+        if (listed) {
+            markLeaving(incarnationId, Leaving.SAID_ELSEWHERE);
+        }
+        return listed;
+    }
+
+    private void markLeaving(String incarnationId, Leaving cause) {
+        if (mLeavingIncarnations.putIfAbsent(incarnationId, cause) == null) {
             decodeServers();
             mListeners.run();
         }
     }
 
+    /** Returns the listed servers of keyed services that said that they are leaving. */
+    ImmutableList<String> saidLeaving() {
+        return mLeavingIncarnations.entrySet().stream()
+                .filter(e -> e.getValue().isOwnWord())
+                .map(Map.Entry::getKey)
+                .filter(id -> mServers.containsKey(id) && isKeyed(mServers.get(id)))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private boolean isKeyed(ServerEntry server) {
+        return mConfiguration
+                .map(c -> c.services().get(server.service()))
+                .map(ServiceRule::keyed)
+                .orElse(false);
+    }
+
     /** Returns from what this daemon knew first that an incarnation is leaving. */
     Leaving leaving(String incarnationId) {
         return mLeavingIncarnations.getOrDefault(incarnationId, Leaving.ENTRY);
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -37,8 +37,9 @@
 
 /**
  * Communicates with the other daemons: registers this daemon in the store and lists the others,
- * reports the requests of keyed services to the coordinator, answers the calls of peers, and copies
- * store objects from a peer while the store is unreachable. Confined to the event loop.
+ * reports the requests and the leaving servers of keyed services to the coordinator, answers the
+ * calls of peers, and copies store objects from a peer while the store is unreachable. Confined to
+ * the event loop.
  */
 final class PeerService implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -73,6 +74,7 @@
     private final TableExchange mTableExchange;
     private final CrashReporter mCrashReporter;
     private final ProbationTrials mProbationTrials;
+    private final LeavingReporter mLeavingReporter;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -117,6 +119,7 @@
         mRelayEndpoint = new RelayEndpoint(context, relayedStore);
         mCrashReporter = crashReporter;
         mProbationTrials = probationTrials;
+        mLeavingReporter = new LeavingReporter(context, coordinator, client);
         mClient = client;
         mRandom = new Random(mIncarnation);
         mKnownAddresses.addAll(mSettings.seedAddresses());
@@ -134,6 +137,7 @@
     /** Starts the periodic work; must be called once. */
     void start() {
         mStartedAt = mClock.getAsLong();
+        mDirectory.addListener(mLeavingReporter::send);
         tick();
     }
 
@@ -144,6 +148,7 @@
             sendReports();
         }
         mCrashReporter.tick();
+        mLeavingReporter.send();
         if (!mRegistered && !mRegistering) {
             register();
         }
@@ -344,6 +349,8 @@
                 responder.reply(HttpReply.of(accepted ? 200 : 503, "{}"));
             } else if (call.method().equals("POST") && call.path().equals(ProbationTrials.PATH)) {
                 responder.reply(mProbationTrials.answer(MAPPER.readTree(call.body())));
+            } else if (call.method().equals("POST") && call.path().equals(LeavingReporter.PATH)) {
+                responder.reply(mLeavingReporter.reply(call));
             } else if (call.path().equals(RelayEndpoint.PATH)) {
                 mRelayEndpoint.answer(call, responder);
             } else if (call.path().equals(FleetStatus.PATH)) {
--- a/entry/src/main/java/org/geraniumusher/operator/Leaving.java
+++ b/entry/src/main/java/org/geraniumusher/operator/Leaving.java
@@ -6,6 +6,8 @@
     NO(""),
     /** The server said so in an answer to this daemon. */
     SAID("said in an answer"),
+    /** The server said so in an answer to another daemon, which reported it. */
+    SAID_ELSEWHERE("said in an answer to another daemon"),
     /** The entry of the server in the store says so. */
     ENTRY("reported by its entry"),
     /** The entry of the server was removed from the store. */
@@ -24,6 +26,6 @@
 
     /** Reports whether the server itself said so in an answer, whatever its entry says. */
     public boolean isOwnWord() {
-        return this == SAID;
+        return this == SAID || this == SAID_ELSEWHERE;
     }
 }
