Move the keys of a server whose hold has run out, whatever its entry says

Each grant without an answer put off the end of its hold, which so never came for a silent one.

Change: ServerReachability counts an owner as lost when its grants fail until its hold has run out; its ranges are reassigned at once. Retries of a grant end by the end of the first one that failed. A lost server is probed with releases of the range that it has lost, resumes ranges that it still owns when it answers, and gets others after a pause of 1 s that doubles up to 30 s. A server whose last grant failed is given nothing. Log lines and counters tell of losses and of the time until the next grant.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/HoldBounds.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/HoldBounds.java
@@ -98,6 +98,14 @@
                 + maxHoldFromArrival(holdNanos);
     }
 
+    /**
+     * Returns the longest hold of a grant sent at a time whose hold has ended by {@code endNanos},
+     * also without an answer. It is not positive if there is none.
+     */
+    static long holdEndingBy(long endNanos, long sentNanos) {
+        return (long) ((endNanos - latestHoldEnd(sentNanos, 0)) / CLOCK_DRIFT_FACTOR);
+    }
+
     /** Returns the longest time for which a server holds a range after a grant arrived. */
     static long maxHoldFromArrival(long holdNanos) {
         return (long) (holdNanos * CLOCK_DRIFT_FACTOR);
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -14,6 +14,18 @@
  * <p>Invariant: a grant is due only when no other incarnation may still hold keys of the range.
  */
 final class Lease {
+    /**
+     * Shortest hold that is granted again after a failure; a shorter one would run out before it is
+     * renewed.
+     */
+    private static final long MIN_RETRY_HOLD_NANOS = 300_000_000L;
+
+    /** Time for which grants fail before an owner without a hold counts as lost. */
+    private static final long MIN_FAILURE_NANOS = 1_000_000_000L;
+
+    /** A time that stands for none. */
+    static final long NEVER = Long.MAX_VALUE;
+
     private final Map<String, FormerHolder> mHolders = new HashMap<>();
     private Assignment mAssignment;
     private boolean mGranted;
@@ -39,6 +51,19 @@
     private long mLowerFenceUntil;
 
     private boolean mGrantFailed;
+
+    /** When the first grant was sent that failed since the last one was accepted, or NEVER. */
+    private long mFailingSince = NEVER;
+
+    /** Time by which the holds of grants that are sent again after a failure must have ended. */
+    private long mRetryHoldEnd;
+
+    /**
+     * When the first grant failed of the loss since which no owner has accepted the range, or
+     * NEVER.
+     */
+    private long mLostSince = NEVER;
+
     private Optional<String> mHandover = Optional.empty();
     private boolean mFenced;
 
@@ -55,6 +80,7 @@
         lease.mLateGrantUntil = ownLateGrantUntil();
         lease.mLowerFenceUntil = mLowerFenceUntil;
         lease.mNextGrantAt = mNextGrantAt;
+        lease.copyFailures(this);
         return lease;
     }
 
@@ -68,12 +94,19 @@
         lease.mHoldEnd = holdEnd();
         lease.mLowerFenceUntil = lateGrantUntil();
         lease.mHandover = handover();
+        lease.copyFailures(this);
         mHolders.forEach(
                 (incarnationId, holder) ->
                         lease.mHolders.put(incarnationId, holder.withoutReleaseInFlight()));
         return lease;
     }
 
+    private void copyFailures(Lease other) {
+        mFailingSince = other.mFailingSince;
+        mRetryHoldEnd = other.mRetryHoldEnd;
+        mLostSince = other.mLostSince;
+    }
+
     Assignment assignment() {
         return mAssignment;
     }
@@ -139,6 +172,49 @@
         return mHolders.isEmpty() && !mGrantInFlight && !mFenced && nowNanos >= mNextGrantAt;
     }
 
+    /**
+     * Returns the hold of a grant that is sent now. Retries after a failure do not put off the time
+     * by which the owner holds nothing.
+     */
+    long holdNanos(long fullHoldNanos, long nowNanos) {
+        return mFailingSince == NEVER
+                ? fullHoldNanos
+                : Math.min(fullHoldNanos, HoldBounds.holdEndingBy(mRetryHoldEnd, nowNanos));
+    }
+
+    /** Reports whether a grant for such a hold can still be renewed in time. */
+    boolean isUsefulHold(long holdNanos) {
+        return mFailingSince == NEVER || holdNanos >= MIN_RETRY_HOLD_NANOS;
+    }
+
+    /** Reports whether the grants to the owner failed until its hold ran out. */
+    boolean isOwnerLost(long nowNanos) {
+        return !mGrantInFlight
+                && mFailingSince != NEVER
+                && nowNanos - mFailingSince >= MIN_FAILURE_NANOS
+                && nowNanos >= mHoldEnd;
+    }
+
+    /** Processes an answer of an owner that was lost, which is granted the range again. */
+    void onOwnerReturned(long nowNanos) {
+        mLostSince = lostSince();
+        mFailingSince = NEVER;
+        renewOnNextTick(nowNanos);
+    }
+
+    /**
+     * Returns when the first grant failed of the loss since which no owner has accepted the range,
+     * or of the present failures; {@link #NEVER} if there is none.
+     */
+    long lostSince() {
+        return Math.min(mLostSince, mFailingSince);
+    }
+
+    /** Records that the range lost its owner. */
+    void setLostSince(long nanos) {
+        mLostSince = nanos;
+    }
+
     void renewOnNextTick(long nowNanos) {
         mNextGrantAt = Math.min(mNextGrantAt, nowNanos);
     }
@@ -147,11 +223,6 @@
         return mGranted ? Optional.empty() : mHandover;
     }
 
-    /** Reports whether the last grant with a known result got no answer. */
-    boolean hasGrantFailed() {
-        return mGrantFailed;
-    }
-
     /**
      * Records a grant.
      *
@@ -165,8 +236,13 @@
         mInFlightHoldEnd = holdEnd;
     }
 
-    /** Records an answer at {@code nowNanos}, before which the grant arrived. */
-    void onGrantAccepted(long nowNanos, long nextGrantAt) {
+    /**
+     * Records an answer at {@code nowNanos}, before which the grant arrived.
+     *
+     * @return when the first grant failed of the loss that has ended, or {@link #NEVER}
+     */
+    long onGrantAccepted(long nowNanos, long nextGrantAt) {
+        long lostSince = mLostSince;
         if (mGrantInFlight) {
             mHoldEnd = Math.max(mHoldEnd, nowNanos + mInFlightHoldNanos);
         }
@@ -174,17 +250,30 @@
         mGranted = true;
         mGrantFailed = false;
         mLowerFenceUntil = 0;
-        mNextGrantAt = nextGrantAt;
+        // A grant after a failure has a short hold.
+        mNextGrantAt = mFailingSince == NEVER ? nextGrantAt : nowNanos;
+        mFailingSince = NEVER;
+        mLostSince = NEVER;
+        return lostSince;
     }
 
     void onFenced() {
         mHoldEnd = holdEnd();
         mGrantInFlight = false;
+        mFailingSince = NEVER;
         mFenced = true;
     }
 
     /** Records a grant that never left this daemon. It adds nothing to the hold. */
     void onGrantNotSent(long nextGrantAt) {
+        onGrantFailed(nextGrantAt);
+    }
+
+    private void onGrantFailed(long nextGrantAt) {
+        if (mGrantInFlight && mFailingSince == NEVER) {
+            mFailingSince = mGrantSentAt;
+            mRetryHoldEnd = holdEnd();
+        }
         mGrantInFlight = false;
         mGrantFailed = true;
         mNextGrantAt = nextGrantAt;
@@ -197,9 +286,7 @@
             mHoldEnd = Math.max(mHoldEnd, holdEnd);
             mLateGrantUntil = Math.max(mLateGrantUntil, holdEnd);
         }
-        mGrantInFlight = false;
-        mGrantFailed = true;
-        mNextGrantAt = nextGrantAt;
+        onGrantFailed(nextGrantAt);
     }
 
     /** Adds an incarnation that may still hold keys of the range. */
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Grants the ranges of one service and moves them while this daemon is the coordinator.
@@ -69,21 +71,14 @@
         void release(String incarnationId, KeyRange range, long fence);
     }
 
-    /** Is told which proof ends the hold of a former holder. */
-    public interface HoldListener {
-        /**
-         * Called when an incarnation no longer counts as a holder of the range of an assignment.
-         */
-        void onHoldEnded(String incarnationId, Assignment assignment, HoldEnd end);
-    }
-
     private final OutgoingCalls mCalls;
-    private HoldListener mHoldListener = (incarnationId, assignment, end) -> {};
+    private HoldListener mHoldListener = HoldListener.NONE;
     private final HoldBounds mHoldBounds;
     private final KeyLoad mLoad;
     private final Map<String, RangeServer> mServers = new LinkedHashMap<>();
     private final Set<String> mTerminated = new HashSet<>();
     private final Set<String> mReplaced = new HashSet<>();
+    private final ServerReachability mReachability = new ServerReachability();
     private final Map<LeaseKey, Lease> mLeases = new HashMap<>();
     private RangeTable mTable;
     private final FormerHolders mFormerHolders;
@@ -237,9 +232,7 @@
      * answer.
      */
     public void renewGrants(String incarnationId, long nowNanos) {
-        mLeases.values().stream()
-                .filter(l -> l.assignment().owner().equals(incarnationId))
-                .forEach(l -> l.renewOnNextTick(nowNanos));
+        leasesOf(incarnationId).forEach(l -> l.renewOnNextTick(nowNanos));
     }
 
     /** Returns the table as last written or read. */
@@ -277,6 +270,7 @@
         if (!mStarted) {
             return;
         }
+        updateReachability(nowNanos);
         if (!mWriteInFlight && !needsStoredTable() && nowNanos >= mNextWriteAt) {
             writeNext(nowNanos);
         }
@@ -285,6 +279,32 @@
         }
     }
 
+    private void updateReachability(long nowNanos) {
+        Predicate<String> ownsRanges = id -> leasesOf(id).findAny().isPresent();
+        mReachability
+                .takeReturned(ownsRanges, nowNanos)
+                .forEach(id -> onOwnerReturned(id, nowNanos));
+        for (Lease lease : mLeases.values()) {
+            Assignment assignment = lease.assignment();
+            if (lease.isOwnerLost(nowNanos) && !mReachability.isLost(assignment.owner())) {
+                mReachability.onLost(assignment, nowNanos);
+                mHoldListener.onOwnerLost(assignment);
+            }
+        }
+        mReachability
+                .takeDueProbes(id -> mServers.containsKey(id) && mayRun(id), ownsRanges, nowNanos)
+                .forEach(p -> mCalls.release(p.incarnationId(), p.range(), p.fence()));
+    }
+
+    private void onOwnerReturned(String incarnationId, long nowNanos) {
+        leasesOf(incarnationId).forEach(l -> l.onOwnerReturned(nowNanos));
+        mHoldListener.onOwnerReturned(incarnationId);
+    }
+
+    private Stream<Lease> leasesOf(String incarnationId) {
+        return mLeases.values().stream().filter(l -> l.assignment().owner().equals(incarnationId));
+    }
+
     private void writeNext(long nowNanos) {
         if (mPendingAssignments == null) {
             ImmutableList<Assignment> next = planAssignments(nowNanos);
@@ -361,7 +381,8 @@
             Lease lease = previousLeases.get(key);
             if (lease == null) {
                 lease = createLease(assignment, previousLeases.values(), nowNanos);
-                if (former.isPresent() && isOwnedIn(former.get(), assignment)) {
+                if (former.isPresent()
+                        && former.get().ownsPartOf(assignment.owner(), assignment.range())) {
                     lease.inheritHold(
                             Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(nowNanos)));
                 }
@@ -371,15 +392,6 @@
         }
     }
 
-    /** Reports whether a former coordinator may have granted the owner keys of the range. */
-    private static boolean isOwnedIn(RangeTable table, Assignment assignment) {
-        return table.assignments().stream()
-                .anyMatch(
-                        a ->
-                                a.owner().equals(assignment.owner())
-                                        && a.range().overlaps(assignment.range()));
-    }
-
     private Lease createLease(
             Assignment assignment, Collection<Lease> previousLeases, long nowNanos) {
         for (Lease lease : previousLeases) {
@@ -394,6 +406,11 @@
             }
         }
         Lease created = new Lease(assignment, nowNanos);
+        previousLeases.stream()
+                .filter(l -> l.assignment().range().overlaps(assignment.range()))
+                .mapToLong(Lease::lostSince)
+                .min()
+                .ifPresent(created::setLostSince);
         previousLeases.stream()
                 .filter(l -> l.assignment().range().overlaps(assignment.range()))
                 .flatMap(l -> l.holdOf(assignment.owner()).stream())
@@ -437,12 +454,12 @@
         }
         if (lease.isGrantDue(nowNanos)
                 && mayRun(assignment.owner())
+                && !mReachability.isLost(assignment.owner())
                 && (isUnchangedByPendingWrite(assignment)
                         || lease.mayBeHeld() && isRenewalUrgent(nowNanos))) {
-            long hold = mHoldBounds.holdNanos(nowNanos);
-            if (lease.hasGrantFailed()) {
-                // The grants sent to a silent server must not put off the end of its hold.
-                hold -= GRANT_TIME_LIMIT_NANOS;
+            long hold = lease.holdNanos(mHoldBounds.holdNanos(nowNanos), nowNanos);
+            if (!lease.isUsefulHold(hold)) {
+                return;
             }
             lease.onGrantSent(
                     nowNanos,
@@ -488,22 +505,32 @@
 
     /** Records that the owner accepted a grant. */
     public void onGranted(Assignment assignment, long nowNanos) {
-        findLease(assignment)
-                .ifPresent(l -> l.onGrantAccepted(nowNanos, nowNanos + RENEWAL_INTERVAL_NANOS));
+        mReachability.onAnswered(assignment.owner());
+        findLease(assignment).ifPresent(l -> onGranted(l, nowNanos));
+    }
+
+    private void onGranted(Lease lease, long nowNanos) {
+        long lostSince = lease.onGrantAccepted(nowNanos, nowNanos + RENEWAL_INTERVAL_NANOS);
+        if (lostSince != Lease.NEVER) {
+            mHoldListener.onRecovered(lease.assignment(), nowNanos - lostSince);
+        }
     }
 
     /** Records that the owner rejected a grant because it has seen a higher fence. */
     public void onGrantFenced(Assignment assignment) {
+        mReachability.onAnswered(assignment.owner());
         findLease(assignment).ifPresent(Lease::onFenced);
     }
 
     /** Records that a grant could not be sent, so that its hold never begins. */
     public void onGrantNotSent(Assignment assignment, long nowNanos) {
+        mReachability.onGrantFailed(assignment.owner());
         findLease(assignment).ifPresent(l -> l.onGrantNotSent(nowNanos + RETRY_DELAY_NANOS));
     }
 
     /** Records that a grant got no answer. */
     public void onGrantUnknown(Assignment assignment, long nowNanos) {
+        mReachability.onGrantFailed(assignment.owner());
         findLease(assignment)
                 .ifPresent(
                         l ->
@@ -515,6 +542,7 @@
     /** Records that an incarnation has released a range and has no work on it any more. */
     public void onReleased(
             String incarnationId, KeyRange range, long fence, Optional<String> handover) {
+        mReachability.onAnswered(incarnationId);
         findLease(range, fence).ifPresent(l -> l.onReleased(incarnationId, handover));
     }
 
@@ -537,7 +565,10 @@
             return RangePlanner.divideEvenly(mServers.values());
         }
         List<RangeServer> servers =
-                mServers.values().stream().filter(s -> mayRun(s.incarnationId())).toList();
+                mServers.values().stream()
+                        .filter(s -> mayRun(s.incarnationId()))
+                        .map(s -> mReachability.restrict(s, nowNanos))
+                        .toList();
         mLoad.advance(nowNanos);
         RangePlanner planner = RangePlanner.create(servers, mLoad);
         if (mTable.assignments().stream().anyMatch(a -> !canOwnRanges(a.owner()))) {
@@ -593,7 +624,9 @@
      * ends its hold.
      */
     private boolean mustSeeNewFence(Assignment assignment, Lease lease, long nowNanos) {
-        if (!mServers.containsKey(assignment.owner()) || !mayRun(assignment.owner())) {
+        if (!mServers.containsKey(assignment.owner())
+                || !mayRun(assignment.owner())
+                || mReachability.isLost(assignment.owner())) {
             return false;
         }
         return lease == null
@@ -611,7 +644,10 @@
 
     private boolean canOwnRanges(String incarnationId) {
         RangeServer server = mServers.get(incarnationId);
-        return server != null && server.acceptsRanges() && mayRun(incarnationId);
+        return server != null
+                && server.acceptsRanges()
+                && mayRun(incarnationId)
+                && !mReachability.isLost(incarnationId);
     }
 
     private boolean mayRun(String incarnationId) {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeTable.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeTable.java
@@ -65,6 +65,12 @@
         return mAssignments;
     }
 
+    /** Reports whether a server owns keys of a range. */
+    boolean ownsPartOf(String owner, KeyRange range) {
+        return mAssignments.stream()
+                .anyMatch(a -> a.owner().equals(owner) && a.range().overlaps(range));
+    }
+
     /** Returns the assignment of {@code key}, in time logarithmic in the number of ranges. */
     public Assignment find(int key) {
         checkArgument(KeyRange.ALL.contains(key), "key is out of range: %s", key);
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
@@ -147,6 +148,20 @@
         mRegistry.counter("holds.ended." + Ascii.toLowerCase(end.name())).inc();
     }
 
+    /** Counts an owner whose grants failed until its hold ran out. */
+    void onOwnerLost() {
+        mRegistry.counter("owners.lost").inc();
+    }
+
+    /**
+     * Counts a range that is granted again after the loss of its owner, by the time since the first
+     * failed grant.
+     */
+    void onRangeRecovered(long lostNanos) {
+        mRegistry.counter("ranges.recovered").inc();
+        mRegistry.counter("ranges.recovered_ms").inc(TimeUnit.NANOSECONDS.toMillis(lostNanos));
+    }
+
     /** Counts a call to the store by its operation, kind of object and result. */
     void onStoreCall(String operation, StoreKind kind, StoreResult result) {
         mRegistry
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -1,14 +1,12 @@
 package org.geraniumusher.entry;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.CoordinatorElection;
-import org.geraniumusher.keyrange.HoldEnd;
 import org.geraniumusher.keyrange.KeyLoad;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.keyrange.RangeCoordinator;
@@ -160,7 +158,7 @@
                         context.settings().maxHoldNanos(),
                         mLoad,
                         mDirectory.tables().formerHolders(service));
-        mCoordinator.setHoldListener(this::onHoldEnded);
+        mCoordinator.setHoldListener(new HoldLog(mService, mMetrics, mLog));
         StoreEpoch epoch = mStore.epoch();
         if (epoch.mayBeRestored()) {
             mCoordinator.onNewEpoch(epoch.current());
@@ -546,23 +544,6 @@
                 result);
     }
 
-    private void onHoldEnded(String incarnationId, Assignment assignment, HoldEnd end) {
-        mMetrics.onHoldEnded(end);
-        mLog.write(
-                Part.OWNERSHIP,
-                "Former holder has no keys of the range any more",
-                "service",
-                mService,
-                "server",
-                incarnationId,
-                "range",
-                assignment.range(),
-                "fence",
-                assignment.fence(),
-                "reason",
-                Ascii.toLowerCase(end.name()));
-    }
-
     /** Records what the answer to a call tells of a server. */
     private void recordServerState(ServerEntry server, GrantResult result) {
         detectTermination(server, result);
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -135,6 +135,21 @@
         assertThat(formerHolders()).isEmpty();
     }
 
+    /** Its keys had no owner for as long as its entry stayed (issue 39). */
+    @Test
+    void tick_readyServerRefusesConnections_keysMoveWhenItsHoldHasRunOut() {
+        RangeCoordinatorDriver driver = startDriver();
+        mFixture.control().refuseConnections("a");
+
+        for (int i = 0; i < 5; i++) {
+            confirmRecord();
+            run(driver, 900);
+        }
+
+        assertThat(owners()).containsExactly("b@1");
+        assertThat(formerHolders()).isEmpty();
+    }
+
     /** The same for a server that has left the list: the next owner waits for its hold. */
     @Test
     void tick_serverThatIsNotListedRefusesConnections_isHolderUntilHoldExpires() {
