Write the lines on holds in one place, and give a comment back to its record

Cause: the read-through. Three lines of HoldLog named the same fields, and the comment on a write of a quarantine stood before another record.

No line, field or behaviour changes.

--- a/entry/src/main/java/org/geraniumusher/entry/HoldLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/HoldLog.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.entry;
 
 import com.google.common.base.Ascii;
+import com.google.common.collect.ObjectArrays;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.Assignment;
@@ -27,17 +28,10 @@
     @Override
     public void onHoldEnded(String incarnationId, Assignment assignment, HoldEnd end) {
         mMetrics.onHoldEnded(end);
-        mLog.write(
-                Part.OWNERSHIP,
+        write(
                 "Former holder has no keys of the range any more",
-                "service",
-                mService,
-                "server",
                 incarnationId,
-                "range",
-                assignment.range(),
-                "fence",
-                assignment.fence(),
+                assignment,
                 "reason",
                 Ascii.toLowerCase(end.name()));
     }
@@ -45,17 +39,10 @@
     @Override
     public void onOwnerLost(Assignment assignment) {
         mMetrics.onOwnerLost();
-        mLog.write(
-                Part.OWNERSHIP,
+        write(
                 "Server is lost, its hold has run out without an answer",
-                "service",
-                mService,
-                "server",
                 assignment.owner(),
-                "range",
-                assignment.range(),
-                "fence",
-                assignment.fence());
+                assignment);
     }
 
     @Override
@@ -72,18 +59,27 @@
     @Override
     public void onRecovered(Assignment assignment, long lostNanos) {
         mMetrics.onRangeRecovered(lostNanos);
-        mLog.write(
-                Part.OWNERSHIP,
+        write(
                 "Range of a lost owner is granted again",
-                "service",
-                mService,
-                "server",
                 assignment.owner(),
-                "range",
-                assignment.range(),
-                "fence",
-                assignment.fence(),
+                assignment,
                 "lost_ms",
                 TimeUnit.NANOSECONDS.toMillis(lostNanos));
     }
+
+    /** Writes a line on a server and the range of an assignment, with further fields. */
+    private void write(
+            String event, String incarnationId, Assignment assignment, Object... fields) {
+        Object[] common = {
+            "service",
+            mService,
+            "server",
+            incarnationId,
+            "range",
+            assignment.range(),
+            "fence",
+            assignment.fence()
+        };
+        mLog.write(Part.OWNERSHIP, event, ObjectArrays.concat(common, fields, Object.class));
+    }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/QuarantineService.java
@@ -55,11 +55,6 @@
     private long mNextDecisionAt;
     private long mLoggedDrops;
 
-    /**
-     * A write of a quarantine.
-     *
-     * @param revision revision of the object that the write replaces, or -1 if there was none
-     */
     /**
      * What a daemon reports of a crash.
      *
@@ -68,6 +63,11 @@
      */
     record CrashReport(Collection<CrashSuspect> suspects, long ageMillis) {}
 
+    /**
+     * A write of a quarantine.
+     *
+     * @param revision revision of the object that the write replaces, or -1 if there was none
+     */
     private record Write(long at, long revision) {}
 
     /**
