Stop using a removed server at daemons that the store refuses

Cause: while a daemon does not reach the store, a missing entry counts as one that may have expired in an outage, also in a list that came from a peer which had reached the store all the time.

Change: the copy of a peer says whether it is settled, that is, read when the store had been reachable for 2.3 s. What is missing in a settled copy is gone. A peer whose copy settles later sends it again.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -37,13 +37,6 @@
  * back no older configuration, and no incarnation of a server that was leaving.
  */
 final class Directory {
-    /**
-     * Time after the store is reachable again, or was restored, within which this daemon reads new
-     * entries of the servers whose entries expired or were lost meanwhile. The servers register
-     * again within about 2 s; the rest is the time until this daemon has read the entries.
-     */
-    private static final long REREGISTRATION_NANOS = 2_300_000_000L;
-
     /**
      * Time after a restore for which lost drains stay in force. Covers an election, after which the
      * coordinator writes them again.
@@ -147,7 +140,7 @@
 
     /** Has missing servers looked at again when they can no longer be about to register. */
     private void runListenersAfterReregistration() {
-        mThread.schedule(mListeners::run, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
+        mThread.schedule(mListeners::run, KindMirror.SETTLING_NANOS, TimeUnit.NANOSECONDS);
     }
 
     /** Starts to read the store. */
@@ -160,14 +153,14 @@
         mRestoredAtNanos = OptionalLong.of(mClock.getAsLong());
         mEvacuationsBeforeRestore.addAll(mEvacuatedDataCentres);
         mMirrors.values().forEach(KindMirror::onNewEpoch);
-        mThread.schedule(this::endLostEvacuations, REREGISTRATION_NANOS, TimeUnit.NANOSECONDS);
+        mThread.schedule(this::endLostEvacuations, KindMirror.SETTLING_NANOS, TimeUnit.NANOSECONDS);
         mThread.schedule(this::endLostDrains, LOST_DRAIN_NANOS, TimeUnit.NANOSECONDS);
         runListenersAfterReregistration();
     }
 
     /** Ends the evacuations that a restore lost, unless it was followed by another restore. */
     private void endLostEvacuations() {
-        if (isWithinRestore(REREGISTRATION_NANOS) || mEvacuationsBeforeRestore.isEmpty()) {
+        if (isWithinRestore(KindMirror.SETTLING_NANOS) || mEvacuationsBeforeRestore.isEmpty()) {
             return;
         }
         mLog.write(
@@ -197,7 +190,7 @@
 
     /** Returns whether entries of servers may still be those of the backup that was restored. */
     boolean isSoonAfterRestore() {
-        return isWithinRestore(REREGISTRATION_NANOS);
+        return isWithinRestore(KindMirror.SETTLING_NANOS);
     }
 
     private boolean isWithinRestore(long nanos) {
@@ -523,9 +516,6 @@
      * entries may have expired only while the store was unreachable, or were lost in a restore.
      */
     boolean mayMissingServersReregister(long nowNanos) {
-        KindMirror servers = mMirrors.get(StoreKind.SERVERS);
-        return !servers.isReachable()
-                || isWithinRestore(REREGISTRATION_NANOS)
-                || nowNanos - servers.reachableSinceNanos() < REREGISTRATION_NANOS;
+        return isSoonAfterRestore() || !mMirrors.get(StoreKind.SERVERS).isSettled(nowNanos);
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -21,7 +21,9 @@
  * After a list of several pages some objects may be later; the changes since that version then
  * bring the others up to date. While the store does not answer, the copy of a peer can replace it
  * if its version is higher. When the store has been restored, the objects are listed again, and
- * results of earlier calls are ignored. Confined to the event loop.
+ * results of earlier calls are ignored. A copy is settled if it was read when the store had been
+ * reachable for {@link #SETTLING_NANOS}; an object that is missing in it was removed, and did not
+ * only expire while its writer could not reach the store. Confined to the event loop.
  */
 final class KindMirror {
     /**
@@ -56,6 +58,13 @@
     /** Pause after a watch that returned changes, so that one call collects a burst of them. */
     static final long COALESCING_PAUSE_MILLIS = 300;
 
+    /**
+     * Time after the store is reachable again, or was restored, within which this daemon reads new
+     * entries of the servers whose entries expired or were lost meanwhile. The servers register
+     * again within about 2 s; the rest is the time until this daemon has read the entries.
+     */
+    static final long SETTLING_NANOS = 2_300_000_000L;
+
     /**
      * Pause after the first failure in a row, which may be a connection reset, and after a list
      * that is older than the copy.
@@ -86,6 +95,9 @@
     private long mUnreachableSinceNanos;
     private long mReachableSinceNanos;
 
+    /** Whether the copy is settled; only used while the store is unreachable. */
+    private boolean mUnreachableCopySettled;
+
     /** Consecutive calls without a usable answer. */
     private int mFailures;
 
@@ -183,9 +195,11 @@
         return mUnreachableSinceNanos;
     }
 
-    /** Returns the clock time in ns since which the store is reachable, if it is. */
-    long reachableSinceNanos() {
-        return mReachableSinceNanos;
+    /** Returns whether the copy is settled, apart from restores of the store. */
+    boolean isSettled(long nowNanos) {
+        return mReachable
+                ? nowNanos - mReachableSinceNanos >= SETTLING_NANOS
+                : mUnreachableCopySettled;
     }
 
     /** Retries without a further pause if the last call failed, as another kind got an answer. */
@@ -209,13 +223,16 @@
     }
 
     /**
-     * Replaces the copy with that of a peer if the store is unreachable and the peer's is newer.
+     * Replaces the copy with that of a peer if the store is unreachable and the peer's is newer, or
+     * is the same and settled for the first time.
      *
      * @param version version of the peer's copy
+     * @param settled whether the peer's copy is settled
      * @param objects all objects of the kind at that version, by name
      */
-    void adoptPeerCopy(StoreVersion version, Map<String, StoreObject> objects) {
-        if (!mReachable && version.isAfter(mVersion)) {
+    void adoptPeerCopy(StoreVersion version, boolean settled, Map<String, StoreObject> objects) {
+        boolean settles = settled && !mUnreachableCopySettled && version.equals(mVersion);
+        if (!mReachable && (version.isAfter(mVersion) || settles)) {
             mLog.write(
                     DecisionLog.Part.STORE,
                     "Copied objects from a peer",
@@ -224,8 +241,11 @@
                     "epoch",
                     version.epoch(),
                     "revision",
-                    version.revision());
+                    version.revision(),
+                    "settled",
+                    settled);
             mVersion = version;
+            mUnreachableCopySettled = settled;
             mHistory.resetTo(version.revision());
             mObjects = ImmutableMap.copyOf(objects);
             mListedFromStore = false;
@@ -362,6 +382,7 @@
     private void onFailure(StoreResult result) {
         mFailures++;
         if (mReachable) {
+            mUnreachableCopySettled = isSettled(mClock.getAsLong());
             mReachable = false;
             mUnreachableSinceNanos = mClock.getAsLong();
             mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -274,7 +274,9 @@
                                 + "?newer_than="
                                 + mirror.version().revision()
                                 + "&epoch="
-                                + mirror.version().epoch());
+                                + mirror.version().epoch()
+                                + "&settled="
+                                + mirror.isSettled(mClock.getAsLong()));
         mClient.call(peer, call, CALL_TIMEOUT)
                 .whenComplete(
                         (reply, error) -> {
@@ -295,7 +297,7 @@
             StoreVersion version =
                     new StoreVersion(copy.path("epoch").asLong(), copy.path("revision").asLong(-1));
             if (mStore.epoch().observe(version.epoch())) {
-                mirror.adoptPeerCopy(version, objects);
+                mirror.adoptPeerCopy(version, copy.path("settled").asBoolean(), objects);
             }
         } catch (IOException | RuntimeException e) {
             mLog.write(
@@ -380,12 +382,21 @@
                         Long.parseLong(call.query("epoch").orElse("0")),
                         Long.parseLong(call.query("newer_than").orElse("-1")));
         mStore.epoch().observe(known.epoch());
-        if (mirror == null || !mirror.version().isAfter(known)) {
+        if (mirror == null) {
+            return HttpReply.of(204, "");
+        }
+        boolean settled = mirror.isSettled(mClock.getAsLong()) && !mDirectory.isSoonAfterRestore();
+        boolean settles =
+                settled
+                        && !Boolean.parseBoolean(call.query("settled").orElse("true"))
+                        && mirror.version().equals(known);
+        if (!mirror.version().isAfter(known) && !settles) {
             return HttpReply.of(204, "");
         }
         ObjectNode copy = JsonNodeFactory.instance.objectNode();
         copy.put("epoch", mirror.version().epoch());
         copy.put("revision", mirror.version().revision());
+        copy.put("settled", settled);
         ArrayNode objects = copy.putArray("objects");
         mirror.objects().values().forEach(object -> objects.add(object.content()));
         return new HttpReply(200, MAPPER.writeValueAsBytes(copy));
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -4,7 +4,9 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
 
+import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.traffic.ServerEntry;
 import org.junit.jupiter.api.AfterEach;
@@ -280,6 +282,69 @@
         assertThat(mDirectory.quarantines()).containsExactly(old.fingerprint(), old);
     }
 
+    /** Starts with a server that is missing in the copy of a peer, while the store is away. */
+    private void copyFromPeerWithoutServer(boolean settled) {
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        mDirectory.start();
+        mThread.advance(5 * SECOND_NANOS);
+        mStore.setDown(true);
+        mStore.failWatches();
+        StoreVersion own = mDirectory.mirror(StoreKind.SERVERS).version();
+        adopt(new StoreVersion(own.epoch(), own.revision() + 1), settled);
+        assertThat(mDirectory.servers()).isEmpty();
+    }
+
+    private void adopt(StoreVersion version, boolean settled) {
+        mDirectory.mirror(StoreKind.SERVERS).adoptPeerCopy(version, settled, ImmutableMap.of());
+    }
+
+    /**
+     * A daemon that the store refused used a removed server until the store answered it again
+     * (willowgate scale-2, seed 179998294959).
+     */
+    @Test
+    void mayMissingServersReregister_missingInSettledCopyOfPeer_isFalse() {
+        copyFromPeerWithoutServer(true);
+
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isFalse();
+    }
+
+    /** The entry may have expired in an outage that has just ended for the peer. */
+    @Test
+    void mayMissingServersReregister_missingInUnsettledCopyOfPeer_isTrueUntilThatCopyIsSettled() {
+        copyFromPeerWithoutServer(false);
+        mThread.advance(5 * SECOND_NANOS);
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isTrue();
+
+        adopt(mDirectory.mirror(StoreKind.SERVERS).version(), true);
+
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isFalse();
+    }
+
+    /** A copy that a peer took in an outage says nothing of the entries that are missing in it. */
+    @Test
+    void mayMissingServersReregister_unsettledCopyAfterSettledOne_isTrue() {
+        copyFromPeerWithoutServer(true);
+        StoreVersion own = mDirectory.mirror(StoreKind.SERVERS).version();
+
+        adopt(new StoreVersion(own.epoch(), own.revision() + 1), false);
+
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isTrue();
+    }
+
+    /** An entry that expired in an outage must not count as removed once the store answers. */
+    @Test
+    void mayMissingServersReregister_storeAnswersAfterSettledCopy_isTrueForTwoSeconds() {
+        copyFromPeerWithoutServer(true);
+
+        mStore.setDown(false);
+        mThread.advance(SECOND_NANOS / 2);
+
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isTrue();
+        mThread.advance(3 * SECOND_NANOS);
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isFalse();
+    }
+
     @Test
     void mayMissingServersReregister_noOutage_isFalse() {
         mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
