Linger after the last response for as long as the caller sends

Callers that receive their last response slowly, and go on sending, were cut by a reset.

Cause: after the end of its output the daemon discarded input for 1 s and then closed the connection, also when the caller was still receiving. Input after that resets the connection, and the kernel drops what it has not delivered.

Change: the second counts from the last input, for 30 s at most.

Result: LastResponseTest.lastResponse_slowCallerGoesOnSending_arrivesWhole ended with "Connection reset by peer" before, and passes (5.8 s of receiving). LastResponseTest 6 of 6, GracefulStopTest and RequestsDuringStopTest pass.

--- a/entry/src/main/java/org/geraniumusher/http/LingeringClose.java
+++ b/entry/src/main/java/org/geraniumusher/http/LingeringClose.java
@@ -10,13 +10,16 @@
 
 /**
  * Closes a connection of a server after its last response in two steps: ends the output, then
- * discards input until the client closes. If unread input were left at the close, or arrived after
- * it, the kernel would reset the connection and drop the part of the response that the client has
- * not received. Stateless; to be used on the event loop of the channel.
+ * discards input until the client closes or goes silent. If unread input were left at the close, or
+ * arrived after it, the kernel would reset the connection and drop the part of the response that
+ * the client has not received. Stateless; to be used on the event loop of the channel.
  */
 public final class LingeringClose {
-    /** Longest time from the end of the output until the connection is closed by this side. */
-    private static final long LINGER_MILLIS = 1_000;
+    /** Time without input after which the connection is closed by this side. */
+    private static final long SILENCE_MILLIS = 1_000;
+
+    /** Limit of the time from the end of the output for a client that goes on sending. */
+    private static final long MAX_LINGER_MILLIS = 30_000;
 
     private LingeringClose() {}
 
@@ -26,15 +29,42 @@
             channel.close();
             return;
         }
-        channel.pipeline().addFirst(new DiscardInput());
+        InputDiscarder discarder = new InputDiscarder();
+        channel.pipeline().addFirst(discarder);
         duplex.shutdownOutput();
-        channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        closeWhenSilent(channel, discarder, MAX_LINGER_MILLIS);
+    }
+
+    private static void closeWhenSilent(
+            Channel channel, InputDiscarder discarder, long remainingMillis) {
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            long remaining = remainingMillis - SILENCE_MILLIS;
+                            if (remaining > 0 && channel.isActive() && discarder.takeReceived()) {
+                                closeWhenSilent(channel, discarder, remaining);
+                            } else {
+                                channel.close();
+                            }
+                        },
+                        SILENCE_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
-    /** Releases all input. */
-    private static final class DiscardInput extends ChannelInboundHandlerAdapter {
+    /** Releases all input and remembers that there was some. Confined to the event loop. */
+    private static final class InputDiscarder extends ChannelInboundHandlerAdapter {
+        private boolean mReceived;
+
+        /** Returns whether there was input since the last call. */
+        boolean takeReceived() {
+            boolean received = mReceived;
+            mReceived = false;
+            return received;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
+            mReceived = true;
             ReferenceCountUtil.release(message);
         }
     }
