Count a crash whose first probe is still accepted

Cause: a daemon opens a connection right after a request broke. If it was accepted, the server counted as running and was not probed again. A process that ends does not close its connections and its port at the same moment, so the crash was missed unless another request broke.

Change: an accepted connection proves nothing within 50 ms of the first broken request, as an answer does not, and the probes go on.

Result: CrashMonitorTest.onBroken_portClosesAfterTheConnections_isCrash failed before; CrashMonitorTest, CrashDetectorTest, CrashLedgerTest and CrashSimulationTest pass.

--- a/decisions/src/main/java/org/geraniumusher/quarantine/CrashDetector.java
+++ b/decisions/src/main/java/org/geraniumusher/quarantine/CrashDetector.java
@@ -19,8 +19,10 @@
  * <p>Requests that broke without a response are suspects once their incarnation is proved to have
  * ended: its address refuses consecutive connections, or a later incarnation is listed in its
  * place. A server that loses a single response answers others; one over its connection limit
- * accepts some connections in between; a server that is cut off refuses none. The caller reports
- * neither leaving servers nor attempts that it cancelled itself.
+ * accepts some connections in between; a server that is cut off refuses none. What comes right
+ * after the first broken request proves nothing, since a crash does not close the connections and
+ * the port of a server at the same moment. The caller reports neither leaving servers nor attempts
+ * that it cancelled itself.
  *
  * <p>Invariants: each incarnation crashes at most once; memory is bounded. Times are in nanoseconds
  * of a monotonic clock. Not thread-safe.
@@ -41,10 +43,10 @@
     public static final long MAX_PROOF_NANOS = 5_000_000_000L;
 
     /**
-     * Time after a broken request in which an answer proves nothing, because it may have been sent
-     * before the crash and read after it.
+     * Time after a broken request in which an answer or an accepted connection proves nothing: the
+     * answer may have been sent before the crash and read after it, and the port may close last.
      */
-    private static final long ANSWER_IN_TRANSIT_NANOS = 50_000_000L;
+    private static final long CRASH_IN_PROGRESS_NANOS = 50_000_000L;
 
     private static final int MAX_SUSPICIONS = 1_024;
     private static final int MAX_SUSPECTS = 512;
@@ -67,7 +69,12 @@
         private int mOmitted;
         private int mRefusals;
         private boolean mAccepted;
+        private final long mFirstBrokenAt;
         private long mLastBrokenAt;
+
+        Suspicion(long firstBrokenAt) {
+            mFirstBrokenAt = firstBrokenAt;
+        }
     }
 
     private CrashDetector() {}
@@ -101,7 +108,7 @@
         boolean probe = suspicion == null || suspicion.mAccepted;
         if (probe) {
             // A connection that was accepted shows that the earlier requests broke for themselves.
-            suspicion = new Suspicion<>();
+            suspicion = new Suspicion<>(nowNanos);
             mSuspicions.put(incarnationId, suspicion);
         }
         suspicion.mLastBrokenAt = nowNanos;
@@ -116,7 +123,7 @@
     /** Records a response of the incarnation, which shows that it did not crash before. */
     public void onAnswered(String incarnationId, long nowNanos) {
         Suspicion<T> suspicion = mSuspicions.get(incarnationId);
-        if (suspicion != null && nowNanos - suspicion.mLastBrokenAt >= ANSWER_IN_TRANSIT_NANOS) {
+        if (suspicion != null && nowNanos - suspicion.mLastBrokenAt >= CRASH_IN_PROGRESS_NANOS) {
             mSuspicions.remove(incarnationId);
         }
     }
@@ -124,13 +131,17 @@
     /**
      * Records that the address of the incarnation accepted a connection. A later incarnation may
      * have accepted it, so this does not end the suspicion.
+     *
+     * @return whether the caller is to probe again, because the crash may be in progress
      */
-    public void onAccepted(String incarnationId) {
+    public boolean onAccepted(String incarnationId, long nowNanos) {
         Suspicion<T> suspicion = mSuspicions.get(incarnationId);
-        if (suspicion != null) {
-            suspicion.mRefusals = 0;
-            suspicion.mAccepted = true;
+        if (suspicion == null) {
+            return false;
         }
+        suspicion.mRefusals = 0;
+        suspicion.mAccepted = nowNanos - suspicion.mFirstBrokenAt >= CRASH_IN_PROGRESS_NANOS;
+        return !suspicion.mAccepted;
     }
 
     /** Records that a probe was refused; returns the crash if this proves it. */
--- a/decisions/src/test/java/org/geraniumusher/quarantine/CrashDetectorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/quarantine/CrashDetectorTest.java
@@ -57,15 +57,38 @@
         for (int i = 0; i < 5; i++) {
             assertThat(mDetector.onRefused(SERVER, MILLI)).isEmpty();
             assertThat(mDetector.onRefused(SERVER, MILLI)).isEmpty();
-            mDetector.onAccepted(SERVER);
+            mDetector.onAccepted(SERVER, 100 * MILLI);
         }
     }
 
+    /** A crash that closes the connections before the port was missed. */
+    @Test
+    void onAccepted_inTheMomentOfTheCrash_laterRefusalsAreCrash() {
+        mDetector.onBroken(SERVER, "a", 0);
+        assertThat(mDetector.onAccepted(SERVER, MILLI)).isTrue();
+        mDetector.onBroken(SERVER, "b", 2 * MILLI);
+
+        assertThat(mDetector.onRefused(SERVER, 150 * MILLI)).isEmpty();
+        assertThat(mDetector.onRefused(SERVER, 300 * MILLI)).isEmpty();
+        assertThat(mDetector.onRefused(SERVER, 450 * MILLI).orElseThrow().suspects())
+                .containsExactly("a", "b");
+    }
+
+    /** Requests that break all the time must not keep an accepted connection from counting. */
+    @Test
+    void onAccepted_requestsBreakSince_isNotProbedAgain() {
+        for (int i = 0; i < 10; i++) {
+            mDetector.onBroken(SERVER, "a", 10 * i * MILLI);
+        }
+
+        assertThat(mDetector.onAccepted(SERVER, 100 * MILLI)).isFalse();
+    }
+
     /** A response lost earlier must not be blamed for a later crash of the same server. */
     @Test
     void onBroken_serverAcceptedSince_dropsEarlierRequests() {
         mDetector.onBroken(SERVER, "early", 0);
-        mDetector.onAccepted(SERVER);
+        mDetector.onAccepted(SERVER, 100 * MILLI);
 
         assertThat(mDetector.onBroken(SERVER, "late", 500 * MILLI)).isTrue();
         assertThat(mDetector.onSuperseded(SERVER).orElseThrow().suspects()).containsExactly("late");
--- a/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -213,18 +213,24 @@
     private void onProbed(ServerEntry server, int attempts, ConnectProbe.Result result) {
         String incarnationId = server.incarnationId();
         if (result == ConnectProbe.Result.ACCEPTED) {
-            mDetector.onAccepted(incarnationId);
+            if (mDetector.onAccepted(incarnationId, mClock.getAsLong())) {
+                probeLater(server, CrashDetector.MIN_REFUSALS);
+            }
         } else if (result == ConnectProbe.Result.REFUSED && isListedAsRunning(incarnationId)) {
             mDetector.onRefused(incarnationId, mClock.getAsLong()).ifPresent(this::onCrash);
             if (attempts > 1) {
-                mThread.schedule(
-                        () -> probe(server, attempts - 1),
-                        CrashDetector.PROBE_INTERVAL_NANOS,
-                        TimeUnit.NANOSECONDS);
+                probeLater(server, attempts - 1);
             }
         }
     }
 
+    private void probeLater(ServerEntry server, int attempts) {
+        mThread.schedule(
+                () -> probe(server, attempts),
+                CrashDetector.PROBE_INTERVAL_NANOS,
+                TimeUnit.NANOSECONDS);
+    }
+
     /**
      * Reports whether the store lists the incarnation as neither leaving nor gone. A server that
      * leaves as planned may refuse connections before its last requests have ended.
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -176,6 +176,18 @@
         assertThat(crashes("c")).isEqualTo(0);
     }
 
+    /** A crash that closed the connections of the server before its port was missed. */
+    @Test
+    void onBroken_portClosesAfterTheConnections_isCrash() {
+        mProbeResult = ConnectProbe.Result.ACCEPTED;
+        mMonitor.onBroken(exchange("c"), upstream(0), CLOSED);
+        mThread.advance(MILLI);
+        mProbeResult = ConnectProbe.Result.REFUSED;
+        advance(1_000);
+
+        assertThat(crashes("c")).isEqualTo(1);
+    }
+
     /**
      * A server over its limit of connections breaks many requests; a probe for each would add to
      * its load.
