Settle a copy by the time at which it was read

Callers could lose a server that still runs if the store answered once after an outage and then hung.

Cause: whether a copy is settled was decided when the store failed, or when a peer asked. A watch of 2 s without an answer fails after 3.5 s, so a copy from the first answer after an outage, in which entries are missing that had only expired, counted as settled there and at each peer that copied it.

Change: each answer that brings the copy up to date decides whether it is settled. The daemon's own decision while it reaches the store is as before.

With the change DirectoryTest 18 of 18, KindMirrorTest 5, RangeCoordinatorDriverTest 19, RefusedDaemonTest 1 and RestoredStoreTest 18 pass.

--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -95,8 +95,8 @@
     private long mUnreachableSinceNanos;
     private long mReachableSinceNanos;
 
-    /** Whether the copy is settled; only used while the store is unreachable. */
-    private boolean mUnreachableCopySettled;
+    /** Whether the copy is settled, by the time of the last answer that brought it up to date. */
+    private boolean mCopySettled;
 
     /** Consecutive calls without a usable answer. */
     private int mFailures;
@@ -195,11 +195,20 @@
         return mUnreachableSinceNanos;
     }
 
-    /** Returns whether the copy is settled, apart from restores of the store. */
+    /**
+     * Returns whether the copy is settled, apart from restores of the store. A pending watch counts
+     * as an answer without changes.
+     */
     boolean isSettled(long nowNanos) {
-        return mReachable
-                ? nowNanos - mReachableSinceNanos >= SETTLING_NANOS
-                : mUnreachableCopySettled;
+        return mReachable ? nowNanos - mReachableSinceNanos >= SETTLING_NANOS : mCopySettled;
+    }
+
+    /**
+     * Returns whether the copy is known to be settled, apart from restores of the store. A pending
+     * watch shows nothing, since the store may have stopped answering.
+     */
+    boolean isCopySettled() {
+        return mCopySettled;
     }
 
     /** Retries without a further pause if the last call failed, as another kind got an answer. */
@@ -231,7 +240,7 @@
      * @param objects all objects of the kind at that version, by name
      */
     void adoptPeerCopy(StoreVersion version, boolean settled, Map<String, StoreObject> objects) {
-        boolean settles = settled && !mUnreachableCopySettled && version.equals(mVersion);
+        boolean settles = settled && !mCopySettled && version.equals(mVersion);
         if (!mReachable && (version.isAfter(mVersion) || settles)) {
             mLog.write(
                     DecisionLog.Part.STORE,
@@ -245,7 +254,7 @@
                     "settled",
                     settled);
             mVersion = version;
-            mUnreachableCopySettled = settled;
+            mCopySettled = settled;
             mHistory.resetTo(version.revision());
             mObjects = ImmutableMap.copyOf(objects);
             mListedFromStore = false;
@@ -274,6 +283,7 @@
         StoreVersion listed = new StoreVersion(mStore.epoch().current(), page.revision());
         if (!mVersion.isAfter(listed)) {
             mVersion = listed;
+            onCopyRead();
             mHistory.resetTo(listed.revision());
             Map<String, StoreObject> objects = new HashMap<>();
             page.objects().forEach(object -> objects.put(object.name(), object));
@@ -333,6 +343,7 @@
     }
 
     private void apply(Changes changes) {
+        onCopyRead();
         long revision = Math.max(mVersion.revision(), changes.revision());
         mVersion = new StoreVersion(mVersion.epoch(), revision);
         mHistory.add(changes.changes(), revision);
@@ -362,6 +373,10 @@
         }
     }
 
+    private void onCopyRead() {
+        mCopySettled = mLastAnswerNanos - mReachableSinceNanos >= SETTLING_NANOS;
+    }
+
     private void onAnswer() {
         mLastAnswerNanos = mClock.getAsLong();
         if (!mReachable) {
@@ -382,7 +397,6 @@
     private void onFailure(StoreResult result) {
         mFailures++;
         if (mReachable) {
-            mUnreachableCopySettled = isSettled(mClock.getAsLong());
             mReachable = false;
             mUnreachableSinceNanos = mClock.getAsLong();
             mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -276,7 +276,7 @@
                                 + "&epoch="
                                 + mirror.version().epoch()
                                 + "&settled="
-                                + mirror.isSettled(mClock.getAsLong()));
+                                + mirror.isCopySettled());
         mClient.call(peer, call, CALL_TIMEOUT)
                 .whenComplete(
                         (reply, error) -> {
@@ -385,7 +385,7 @@
         if (mirror == null) {
             return HttpReply.of(204, "");
         }
-        boolean settled = mirror.isSettled(mClock.getAsLong()) && !mDirectory.isSoonAfterRestore();
+        boolean settled = mirror.isCopySettled() && !mDirectory.isSoonAfterRestore();
         boolean settles =
                 settled
                         && !Boolean.parseBoolean(call.query("settled").orElse("true"))
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -345,6 +345,26 @@
         assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isFalse();
     }
 
+    /**
+     * A store that answers once after an outage and then hangs shows no entry that is written
+     * again. Its copy must not make the servers count as gone, here or at a peer.
+     */
+    @Test
+    void mayMissingServersReregister_storeHangsRightAfterOutage_isTrue() {
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        mDirectory.start();
+        simulateOutage(5 * SECOND_NANOS);
+        assertThat(mDirectory.servers()).isEmpty();
+
+        // A watch of 2 s without an answer fails after 3.5 s.
+        mThread.advance(7 * SECOND_NANOS / 2);
+        assertThat(mDirectory.mirror(StoreKind.SERVERS).isCopySettled()).isFalse();
+        mStore.setDown(true);
+        mStore.failWatches();
+
+        assertThat(mDirectory.mayMissingServersReregister(mThread.now())).isTrue();
+    }
+
     @Test
     void mayMissingServersReregister_noOutage_isFalse() {
         mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
