Count refusals only for the suspicion that they were probed for

A server that is over its limit of connections could count as crashed after refusals within 0.15 s instead of 0.3 s.

Cause: since the probes go on after a connection that was accepted within 50 ms. An answer can refute the suspicion meanwhile. If a further request broke, the probes of the former suspicion and those of the new one were counted together.

Change: a probe belongs to one suspicion. It is not opened, and its result is ignored, once another one has begun.

--- a/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashMonitor.java
@@ -68,7 +68,7 @@
     /** Entries of the incarnations that may have crashed. */
     private final Map<String, ServerEntry> mSuspectedServers = new HashMap<>();
 
-    /** Times of the first probes of these incarnations. */
+    /** Times of the first probes for the present suspicions of these incarnations. */
     private final Map<String, Long> mProbedAt = new HashMap<>();
 
     private ImmutableMap<RequestFingerprint, Quarantine> mQuarantines = ImmutableMap.of();
@@ -198,35 +198,53 @@
             long probeAt = last == null ? now : Math.max(now, last + FIRST_PROBE_INTERVAL_NANOS);
             mProbedAt.put(server.incarnationId(), probeAt);
             mThread.schedule(
-                    () -> probe(server, CrashDetector.MIN_REFUSALS),
+                    () -> probe(server, probeAt, CrashDetector.MIN_REFUSALS),
                     probeAt - now,
                     TimeUnit.NANOSECONDS);
         }
     }
 
-    private void probe(ServerEntry server, int attempts) {
-        mProbe.open(
-                server.address(),
-                result -> mThread.execute(() -> onProbed(server, attempts, result)));
+    /**
+     * Probes the address of a server, unless a later suspicion has probes of its own.
+     *
+     * @param firstProbeAt time of the first probe for the same suspicion
+     */
+    private void probe(ServerEntry server, long firstProbeAt, int attempts) {
+        if (isCurrent(server, firstProbeAt)) {
+            mProbe.open(
+                    server.address(),
+                    result ->
+                            mThread.execute(
+                                    () -> onProbed(server, firstProbeAt, attempts, result)));
+        }
     }
 
-    private void onProbed(ServerEntry server, int attempts, ConnectProbe.Result result) {
+    private boolean isCurrent(ServerEntry server, long firstProbeAt) {
+        Long current = mProbedAt.get(server.incarnationId());
+        return current != null && current == firstProbeAt;
+    }
+
+    private void onProbed(
+            ServerEntry server, long firstProbeAt, int attempts, ConnectProbe.Result result) {
+        if (!isCurrent(server, firstProbeAt)) {
+            return;
+        }
         String incarnationId = server.incarnationId();
         if (result == ConnectProbe.Result.ACCEPTED) {
             if (mDetector.onAccepted(incarnationId, mClock.getAsLong())) {
-                probeLater(server, CrashDetector.MIN_REFUSALS);
+                probeLater(server, firstProbeAt, CrashDetector.MIN_REFUSALS);
             }
         } else if (result == ConnectProbe.Result.REFUSED && isListedAsRunning(incarnationId)) {
             mDetector.onRefused(incarnationId, mClock.getAsLong()).ifPresent(this::onCrash);
             if (attempts > 1) {
-                probeLater(server, attempts - 1);
+                probeLater(server, firstProbeAt, attempts - 1);
             }
         }
     }
 
-    private void probeLater(ServerEntry server, int attempts) {
+    private void probeLater(ServerEntry server, long firstProbeAt, int attempts) {
         mThread.schedule(
-                () -> probe(server, attempts),
+                () -> probe(server, firstProbeAt, attempts),
                 CrashDetector.PROBE_INTERVAL_NANOS,
                 TimeUnit.NANOSECONDS);
     }
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -123,10 +123,14 @@
         advance(1_000);
     }
 
-    private void answer(String caller) {
+    private static UpstreamResponse response() {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         head.headers().set(SIGNATURE, "s");
-        mMonitor.onResponse(exchange(caller), upstream(3), new UpstreamResponse(head, new byte[0]));
+        return new UpstreamResponse(head, new byte[0]);
+    }
+
+    private void answer(String caller) {
+        mMonitor.onResponse(exchange(caller), upstream(3), response());
         advance(1_000);
     }
 
@@ -188,6 +192,27 @@
         assertThat(crashes("c")).isEqualTo(1);
     }
 
+    /**
+     * Probes for a suspicion that an answer has refuted counted for the next one, so that refusals
+     * within 0.15 s were taken for a crash.
+     */
+    @Test
+    void onBroken_probesOfRefutedSuspicionGoOn_refusalsDoNotAddUp() {
+        mProbeResult = ConnectProbe.Result.ACCEPTED;
+        mMonitor.onBroken(exchange("c"), upstream(0), CLOSED);
+        mThread.advance(60 * MILLI);
+        mMonitor.onResponse(exchange("d"), upstream(0), response());
+        mThread.advance(10 * MILLI);
+        mMonitor.onBroken(exchange("c"), upstream(0), CLOSED);
+        mThread.advance(70 * MILLI);
+        mProbeResult = ConnectProbe.Result.REFUSED;
+        mThread.advance(200 * MILLI);
+        mProbeResult = ConnectProbe.Result.ACCEPTED;
+        mThread.advance(1_000 * MILLI);
+
+        assertThat(crashes("c")).isEqualTo(0);
+    }
+
     /**
      * A server over its limit of connections breaks many requests; a probe for each would add to
      * its load.
