Limit the memory for the bodies of requests

Cause: HttpObjectAggregator copies the pieces of a body into one direct buffer whenever there are more than 1,024. After 48 MiB that does not fit beside the pieces ("Cannot reserve bytes of direct buffer memory (allocated:, limit:)"), and the JVM collects garbage and sleeps on the event loop before it throws. Nothing limited the bodies of all callers together, and a forwarded body was copied to direct memory in one piece.

Change: BodyBudget, a third of the heap for the bodies of all callers, of which those over 64 KiB leave an eighth to others. Memory is reserved before a body is read; what has no room gets 503 with Retry-After (NO_BODY_MEMORY, 205) and is discarded as it arrives. A body is kept once, on the heap, until its request has ended and nothing is left to forward, and is forwarded in slices of 64 KiB.

--- a/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
+++ b/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
@@ -30,6 +30,8 @@
     /** The request is quarantined because it crashed the servers that ran it. */
     QUARANTINED(
             204, 503, Outcome.NOT_RUN, "Servers crashed under this request; it is quarantined."),
+    /** The memory for the bodies of requests has no room for this one. */
+    NO_BODY_MEMORY(205, 503, Outcome.NOT_RUN, "The memory for request bodies is full."),
     /** No connection could be opened. */
     CONNECT_FAILED(301, 502, Outcome.NOT_RUN, "No connection to the backend server."),
     /** The backend server rejected the request without executing it. */
--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -1,6 +1,6 @@
 package org.geraniumusher.entry;
 
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -20,6 +20,7 @@
 import io.netty.util.concurrent.Future;
 
 import org.geraniumusher.entry.DecisionLog.Part;
+import org.geraniumusher.http.BodyRejectedException;
 import org.geraniumusher.http.LingeringClose;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
@@ -39,6 +40,9 @@
  * its request, also if the caller sent none.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** Delay after which a caller may send a request again whose body had no room. */
+    private static final double BODY_RETRY_AFTER_SECONDS = 1;
+
     private final Dispatcher mDispatcher;
     private final HeaderNames mHeaders;
     private final RequestIds mRequestIds;
@@ -132,25 +136,45 @@
         PendingResponse pending = new PendingResponse(context, id, HttpUtil.isKeepAlive(request));
         mPending.add(pending);
         if (request.decoderResult().isFailure()) {
-            pending.mKeepAlive = false;
-            boolean tooLarge =
-                    request.decoderResult().cause() instanceof TooLongHttpContentException;
-            pending.fail(tooLarge ? ResultCode.BODY_TOO_LARGE : ResultCode.BAD_REQUEST, 0);
+            reject(request, pending);
             return;
         }
+        pending.mBody = request.content().retain();
         pending.mExchange =
                 new Exchange(
                         new Exchange.Request(
                                 request.method(),
                                 request.uri(),
                                 request.headers(),
-                                ByteBufUtil.getBytes(request.content())),
+                                request.content()),
                         id,
                         mClock.getAsLong(),
                         pending);
         mDispatcher.dispatch(pending.mExchange);
     }
 
+    private void reject(FullHttpRequest request, PendingResponse pending) {
+        Throwable cause = request.decoderResult().cause();
+        if (cause instanceof BodyRejectedException) {
+            // The rest of the body is discarded, after which the connection can be used again. A
+            // caller that waits for 100 (Continue) may leave the body out, which looks the same.
+            pending.mKeepAlive &= !HttpUtil.is100ContinueExpected(request);
+            mMetrics.onBodyRejected();
+            mLog.write(
+                    Part.REQUEST,
+                    "Request rejected, its body has no room",
+                    "id",
+                    pending.mId,
+                    "reason",
+                    cause.getMessage());
+            pending.fail(ResultCode.NO_BODY_MEMORY, BODY_RETRY_AFTER_SECONDS);
+            return;
+        }
+        pending.mKeepAlive = false;
+        boolean tooLarge = cause instanceof TooLongHttpContentException;
+        pending.fail(tooLarge ? ResultCode.BODY_TOO_LARGE : ResultCode.BAD_REQUEST, 0);
+    }
+
     /** Returns the ID that the caller sent, or a new one if it sent none or an empty one. */
     private String idOf(FullHttpRequest request) {
         String id = request.headers().get(mHeaders.requestId(), "");
@@ -262,6 +286,7 @@
             } else if (pending.mExchange != null) {
                 mDispatcher.abandon(pending.mExchange);
             }
+            pending.releaseBody();
         }
         mPending.clear();
     }
@@ -274,6 +299,9 @@
         private Exchange mExchange;
         private FullHttpResponse mResponse;
 
+        /** Keeps the body of the request in memory until the request has ended. */
+        private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+
         PendingResponse(ChannelHandlerContext context, String id, boolean keepAlive) {
             mContext = context;
             mId = id;
@@ -321,7 +349,13 @@
 
         private void complete(FullHttpResponse response) {
             mResponse = response;
+            releaseBody();
             writeReadyResponses(mContext);
         }
+
+        private void releaseBody() {
+            mBody.release();
+            mBody = Unpooled.EMPTY_BUFFER;
+        }
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -1,5 +1,7 @@
 package org.geraniumusher.entry;
 
+import com.google.common.primitives.Ints;
+
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -11,6 +13,7 @@
 import org.geraniumusher.http.StrictRequestDecoder;
 import org.geraniumusher.http.TcpListener;
 import org.geraniumusher.model.Address;
+import org.geraniumusher.traffic.BodyBudget;
 import org.geraniumusher.traffic.RouterConfig;
 import org.geraniumusher.traffic.TrafficLimits;
 
@@ -30,6 +33,9 @@
      */
     private static final long STOPPING_IDLE_NANOS = 1_000_000_000L;
 
+    /** Part of the heap, as a divisor, for the bodies of requests. */
+    private static final int BODY_HEAP_DIVISOR = 3;
+
     private final Dispatcher mDispatcher;
     private final Directory mDirectory;
     private final WireFormat mWire;
@@ -40,6 +46,8 @@
     private final TcpListener mListener;
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final BodyBudget mBodies =
+            new BodyBudget(Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR);
     private boolean mStopping;
     private boolean mClosingIdle;
 
@@ -52,6 +60,8 @@
         mClock = context.clock();
         mMetrics = context.metrics();
         mLog = context.log();
+        mMetrics.registerGauge(
+                "requests.body_bytes", () -> Ints.saturatedCast(mBodies.reservedBytes()));
         Address address = context.settings().callerAddress();
         mListener =
                 TcpListener.bind(group, address.host(), address.port(), true, this::initPipeline);
@@ -67,7 +77,7 @@
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(MAX_INITIAL_LINE_BYTES, limits.maxHeaderBytes()))
                 .addLast(new HttpResponseEncoder())
-                .addLast(new RequestAggregator(limits.maxBodyBytes()))
+                .addLast(new RequestAggregator(limits.maxBodyBytes(), mBodies))
                 .addLast(
                         new CallerConnection(
                                 mDispatcher,
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -103,6 +103,11 @@
         }
     }
 
+    /** Counts a request that was rejected because the memory for bodies had no room for its own. */
+    void onBodyRejected() {
+        mRegistry.counter("requests.body_rejected").inc();
+    }
+
     /** Counts an idle connection that was closed because the server sent bytes on it. */
     void onUnsolicitedBytes() {
         mRegistry.counter("connections.unsolicited").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -3,6 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkState;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
@@ -60,8 +63,29 @@
         void fail(ResultCode code, double retryAfterSeconds);
     }
 
-    /** A request as received from the caller. The body must not be modified. */
-    record Request(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {}
+    /**
+     * A request as received from the caller. The body must not be modified.
+     *
+     * @param content the body as a buffer, which may be forwarded until the request has ended
+     * @param body its bytes, which can be read also after that
+     */
+    record Request(
+            HttpMethod method, String uri, HttpHeaders headers, ByteBuf content, byte[] body) {
+        /** Creates a request whose content is on the heap. */
+        Request(HttpMethod method, String uri, HttpHeaders headers, ByteBuf content) {
+            this(method, uri, headers, content, bytesOf(content));
+        }
+
+        Request(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+            this(method, uri, headers, Unpooled.wrappedBuffer(body), body);
+        }
+
+        private static byte[] bytesOf(ByteBuf content) {
+            // Copies only if the array holds other bytes as well.
+            return ByteBufUtil.getBytes(
+                    content, content.readerIndex(), content.readableBytes(), false);
+        }
+    }
 
     /** One attempt to get a response from a backend server. */
     record Attempt(Upstream upstream, UpstreamConnection connection, long sentAtNanos) {}
--- a/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
@@ -1,6 +1,5 @@
 package org.geraniumusher.entry;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -19,6 +18,7 @@
     /**
      * Returns the request of a caller as it is sent to {@code server}: without hop-by-hop headers,
      * with its ID, the time left until the deadline and the ID of the server that may execute it.
+     * It keeps the body in memory until it is released.
      */
     static FullHttpRequest build(
             Exchange exchange, ServerEntry server, HeaderNames names, long nowNanos) {
@@ -28,7 +28,7 @@
                         HttpVersion.HTTP_1_1,
                         request.method(),
                         request.uri(),
-                        Unpooled.wrappedBuffer(request.body()));
+                        request.content().retainedDuplicate());
         HttpHeaders headers = forwarded.headers();
         headers.set(request.headers());
         HopByHopHeaders.remove(headers);
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 import org.geraniumusher.http.KeepAliveProbes;
+import org.geraniumusher.http.LongBodyWriter;
 import org.geraniumusher.http.ReceiveLimiter;
 import org.geraniumusher.model.Address;
 
@@ -171,6 +172,7 @@
                                 channel.pipeline()
                                         .addLast(mWriteMonitor)
                                         .addLast(mLimiter)
+                                        .addLast(new LongBodyWriter())
                                         .addLast(new HttpClientCodec())
                                         .addLast(UpstreamConnection.this);
                             }
