Reject requests at once whose key has its next owner too late

Callers saw: a request for a key of a lost server waited for half of its goal and was then rejected, although the coordinator knew by 1 s after the first failed grant that the key would have no owner by then.

Cause: only the coordinator knows when the holds on a range end, and it told nobody.

Change: the coordinator names the ranges that no other server can be granted before a time (NextOwner): the end of the hold of an owner or a former holder whose grants have failed for 1 s, the end of grants without an answer, and the first write of a coordinator that waits for a lost history. It sends them in the optional field next_owners of POST /granted, each second and at each change. A daemon keeps them on its own clock, earlier by drift and transit, for the fence that was named and for 3 s (NextOwnerTimes). A request that finds no owner, and that would stop waiting before that time, is rejected at once with that time and the usual random addition in Retry-After. Where no time is known, requests wait as before. Counter requests.next_owner_too_late.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/HoldBounds.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/HoldBounds.java
@@ -106,6 +106,14 @@
         return (long) ((endNanos - latestHoldEnd(sentNanos, 0)) / CLOCK_DRIFT_FACTOR);
     }
 
+    /**
+     * Returns a time on the clock of a daemon that is not later than {@code endNanos} on that of
+     * the daemon that sent it, where {@code nowNanos} is its arrival.
+     */
+    static long earliest(long endNanos, long nowNanos) {
+        return nowNanos + (long) ((endNanos - nowNanos) / CLOCK_DRIFT_FACTOR) - MAX_TRANSIT_NANOS;
+    }
+
     /** Returns the longest time for which a server holds a range after a grant arrived. */
     static long maxHoldFromArrival(long holdNanos) {
         return (long) (holdNanos * CLOCK_DRIFT_FACTOR);
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -189,10 +189,30 @@
 
     /** Reports whether the grants to the owner failed until its hold ran out. */
     boolean isOwnerLost(long nowNanos) {
-        return !mGrantInFlight
-                && mFailingSince != NEVER
-                && nowNanos - mFailingSince >= MIN_FAILURE_NANOS
-                && nowNanos >= mHoldEnd;
+        return !mGrantInFlight && hasFailedLong(mFailingSince, nowNanos) && nowNanos >= mHoldEnd;
+    }
+
+    /**
+     * Returns a time before which no other incarnation can be granted the range as long as those
+     * that are silent stay so. It is in the past if nothing is known.
+     *
+     * @param terminated incarnations that hold nothing any more
+     */
+    long nextOwnerNotBefore(Set<String> terminated, long nowNanos) {
+        if (!mHolders.isEmpty()) {
+            return mHolders.entrySet().stream()
+                    .filter(e -> !terminated.contains(e.getKey()))
+                    .mapToLong(e -> e.getValue().notEndedBefore(nowNanos))
+                    .max()
+                    .orElse(nowNanos);
+        }
+        boolean isOwnerSilent =
+                hasFailedLong(mFailingSince, nowNanos) && !terminated.contains(mAssignment.owner());
+        return isOwnerSilent ? mHoldEnd : nowNanos;
+    }
+
+    private static boolean hasFailedLong(long failingSince, long nowNanos) {
+        return failingSince != NEVER && nowNanos - failingSince >= MIN_FAILURE_NANOS;
     }
 
     /** Processes an answer of an owner that was lost, which is granted the range again. */
@@ -299,9 +319,9 @@
      */
     Optional<Hold> holdOf(String incarnationId) {
         if (mAssignment.owner().equals(incarnationId)) {
-            return Optional.of(new Hold(holdEnd(), lateGrantUntil()));
+            return Optional.of(new Hold(holdEnd(), lateGrantUntil(), mFailingSince));
         }
-        return Optional.ofNullable(mHolders.get(incarnationId)).map(h -> h.mHold);
+        return Optional.ofNullable(mHolders.get(incarnationId)).map(FormerHolder::hold);
     }
 
     /** Returns the other incarnations that may still hold keys of the range. */
@@ -347,6 +367,7 @@
         if (holder != null) {
             holder.mReleaseInFlight = false;
             holder.mReleased = true;
+            holder.mFailingSince = NEVER;
             mHandover = handover;
         }
     }
@@ -364,16 +385,19 @@
      *
      * @param end time by which the hold has run out in any case
      * @param lateGrantUntil time until which a grant without an answer may still take effect
+     * @param failingSince when the first grant failed since the last answer, or NEVER
      */
-    record Hold(long end, long lateGrantUntil) {
+    record Hold(long end, long lateGrantUntil, long failingSince) {
         /** Returns a hold whose last grant may be one without an answer. */
         static Hold withLateGrants(long end) {
-            return new Hold(end, end);
+            return new Hold(end, end, NEVER);
         }
 
         Hold max(Hold other) {
             return new Hold(
-                    Math.max(end, other.end), Math.max(lateGrantUntil, other.lateGrantUntil));
+                    Math.max(end, other.end),
+                    Math.max(lateGrantUntil, other.lateGrantUntil),
+                    Math.max(failingSince, other.failingSince));
         }
     }
 
@@ -387,16 +411,34 @@
         private boolean mReleased;
         private long mNextReleaseAt = Long.MIN_VALUE;
 
+        /**
+         * When the first grant failed since the last answer, or NEVER. A release without an answer
+         * proves nothing, as a server answers it when its work on the range is done.
+         */
+        private long mFailingSince;
+
         FormerHolder(Hold hold) {
             mHold = hold;
+            mFailingSince = hold.failingSince();
+        }
+
+        Hold hold() {
+            return new Hold(mHold.end, mHold.lateGrantUntil, mFailingSince);
         }
 
         FormerHolder withoutReleaseInFlight() {
-            FormerHolder copy = new FormerHolder(mHold);
+            FormerHolder copy = new FormerHolder(hold());
             copy.mReleased = mReleased;
             return copy;
         }
 
+        /** Returns a time before which the hold does not end as long as the holder is silent. */
+        long notEndedBefore(long nowNanos) {
+            return hasFailedLong(mFailingSince, nowNanos)
+                    ? mHold.end
+                    : Math.min(mHold.end, mHold.lateGrantUntil);
+        }
+
         /** Returns why the hold has ended by {@code nowNanos}, or empty if it may last. */
         Optional<HoldEnd> endAt(long nowNanos) {
             if (mReleased && nowNanos >= mHold.lateGrantUntil) {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -503,6 +503,13 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the ranges without an owner whose next one is known to come later. */
+    public ImmutableList<NextOwner> nextOwners(long nowNanos) {
+        return !mLeases.isEmpty() || mTable == null
+                ? NextOwner.ofLeases(mLeases.values(), mTerminated, nowNanos)
+                : NextOwner.ofTable(mTable, mServers.keySet(), mNextWriteAt, nowNanos);
+    }
+
     /** Records that the owner accepted a grant. */
     public void onGranted(Assignment assignment, long nowNanos) {
         mReachability.onAnswered(assignment.owner());
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeCoordinatorTest.java
@@ -82,6 +82,58 @@
         mCoordinator.onWritten(new StoreVersion(0, 10), now);
     }
 
+    /** Requests for keys that move waited in vain for the holds of a former coordinator. */
+    @Test
+    void nextOwners_formerCoordinatorMayHaveGrantedHolds_namesTheirEnd() {
+        startMove(0, 0);
+
+        NextOwner named = mCoordinator.nextOwners(0).get(0);
+        assertThat(named.firstKey()).isEqualTo(0);
+        assertThat(named.fence()).isEqualTo(10);
+        assertThat(named.notBefore()).isAtLeast(5_000 * MILLI);
+        mCoordinator.tick(0);
+        releaseAll("a");
+        assertThat(mCoordinator.nextOwners(0)).contains(named);
+
+        mCoordinator.tick(named.notBefore() - 1);
+        assertThat(mCalls.grants()).isEmpty();
+        mCoordinator.tick(named.notBefore());
+        assertThat(mCalls.grantedOwners()).contains("b");
+    }
+
+    /** The table is older than a restore, so nothing is granted before the first write. */
+    @Test
+    void nextOwners_firstWriteWaitsForLostTables_namesItForRangesWithoutOwner() {
+        setServers("a", "c");
+        mCoordinator.onNewEpoch(1);
+        mCoordinator.start(
+                Optional.of(
+                        RangeTable.of(
+                                VERSION,
+                                ImmutableList.of(
+                                        new Assignment(
+                                                new KeyRange(0, 9), "a", 3, ImmutableList.of()),
+                                        new Assignment(
+                                                new KeyRange(10, 19),
+                                                "gone",
+                                                4,
+                                                ImmutableList.of()),
+                                        new Assignment(
+                                                new KeyRange(20, KeyRange.MAX_KEY),
+                                                "c",
+                                                5,
+                                                ImmutableList.of("a"))))),
+                new FormerCoordinators(0, 0),
+                0);
+
+        long firstWriteAt = mCoordinator.nextWriteAt();
+        assertThat(firstWriteAt).isGreaterThan(5_000 * MILLI);
+        assertThat(mCoordinator.nextOwners(0))
+                .containsExactly(
+                        new NextOwner(10, 4, firstWriteAt), new NextOwner(20, 5, firstWriteAt));
+        assertThat(mCoordinator.nextOwners(firstWriteAt)).isEmpty();
+    }
+
     /**
      * After the start of a large service every fourth server has hot keys. With at most three
      * concurrent moves the load of 190 servers took 12 s to balance, and a tenth of the requests
--- a/decisions/src/test/java/org/geraniumusher/keyrange/ServerLossTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/ServerLossTest.java
@@ -229,6 +229,147 @@
         assertThat(listener.mLostNanos).isAtMost(HOLD - 800 * MILLI);
     }
 
+    private void runUntilNextOwnersAreNamed() {
+        long end = mNow + 4_000 * MILLI;
+        while (mCoordinator.nextOwners(mNow).isEmpty()) {
+            assertThat(mNow).isLessThan(end);
+            run(TICK);
+        }
+    }
+
+    private void assertKeysMoveNotBeforeNamedTime() {
+        runUntilNextOwnersAreNamed();
+        List<NextOwner> named = mCoordinator.nextOwners(mNow);
+        // The first grant that fails, and a second of failures.
+        assertThat(named.get(0).notBefore() - mNow).isAtLeast(2_000 * MILLI);
+        Assignment lost =
+                mCoordinator.table().orElseThrow().assignments().stream()
+                        .filter(a -> a.range().first() == named.get(0).firstKey())
+                        .findFirst()
+                        .orElseThrow();
+        assertThat(named.get(0).fence()).isEqualTo(lost.fence());
+
+        mServers.mAccepted.clear();
+        while (mServers.mAccepted.stream().noneMatch(g -> g.range().overlaps(lost.range()))) {
+            assertThat(mNow).isLessThan(named.get(0).notBefore() + 1_500 * MILLI);
+            run(TICK);
+        }
+        assertThat(mNow).isAtLeast(named.get(0).notBefore());
+        run(TICK);
+        assertThat(mCoordinator.nextOwners(mNow)).isEmpty();
+    }
+
+    /** Requests for the keys waited in vain, and came back at once since nothing said when to. */
+    @Test
+    void nextOwners_grantsAreRefused_namesTimeThatIsNotTooLate() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+
+        assertKeysMoveNotBeforeNamedTime();
+    }
+
+    @Test
+    void nextOwners_grantsGetNoAnswer_namesTimeThatIsNotTooLate() {
+        start("a", "b");
+        mServers.mSilent.add("a");
+
+        assertKeysMoveNotBeforeNamedTime();
+    }
+
+    /** The table names the next owner at once, which waits for the hold. */
+    @Test
+    void nextOwners_entryOfSilentServerIsGone_namesTimeThatIsNotTooLate() {
+        start("a", "b");
+        mServers.mSilent.add("a");
+        run(1_700 * MILLI);
+        mCoordinator.onServers(ImmutableList.of(new RangeServer("b", 6, true)));
+
+        assertKeysMoveNotBeforeNamedTime();
+    }
+
+    /** A server may answer a release late, when its work on the range is done. */
+    @Test
+    void nextOwners_releaseOfServerWhoseGrantsSucceededGetsNoAnswer_namesNothing() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+        mCoordinator.onServers(
+                ImmutableList.of(new RangeServer("a", 6, false), new RangeServer("b", 6, true)));
+
+        run(2_000 * MILLI);
+
+        assertThat(owners()).containsExactly("b");
+        assertThat(mCoordinator.nextOwners(mNow)).isEmpty();
+    }
+
+    /** What was known of the owner must be known of the former holder as well. */
+    @Test
+    void nextOwners_entryGoesWhenTimeIsNamed_namesItOn() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+        runUntilNextOwnersAreNamed();
+        NextOwner named = mCoordinator.nextOwners(mNow).get(0);
+
+        mCoordinator.onServers(ImmutableList.of(new RangeServer("b", 6, true)));
+        run(2 * TICK);
+
+        assertThat(owners()).containsExactly("b");
+        assertThat(mCoordinator.nextOwners(mNow)).isNotEmpty();
+        mCoordinator
+                .nextOwners(mNow)
+                .forEach(o -> assertThat(o.notBefore()).isEqualTo(named.notBefore()));
+    }
+
+    /** A single failure must not have requests rejected: the owner may answer the next grant. */
+    @Test
+    void nextOwners_grantsFailShortly_namesNothing() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+        run(1_100 * MILLI);
+        mServers.mRefusing.clear();
+
+        for (int i = 0; i < 50; i++) {
+            assertThat(mCoordinator.nextOwners(mNow)).isEmpty();
+            run(TICK);
+        }
+    }
+
+    @Test
+    void nextOwners_ownerAnswersAgain_namesNothing() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+        runUntilNextOwnersAreNamed();
+        mServers.mRefusing.clear();
+
+        run(500 * MILLI);
+
+        assertThat(mCoordinator.nextOwners(mNow)).isEmpty();
+    }
+
+    @Test
+    void nextOwners_ownerIsProvedTerminated_namesNothing() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+        runUntilNextOwnersAreNamed();
+
+        mCoordinator.onTerminated("a");
+
+        assertThat(mCoordinator.nextOwners(mNow)).isEmpty();
+    }
+
+    /** The former holder of a planned move releases the range at any moment. */
+    @Test
+    void nextOwners_rangesMoveFromServerThatAnswers_namesNothing() {
+        start("a", "b");
+        mCoordinator.onServers(
+                ImmutableList.of(new RangeServer("a", 6, false), new RangeServer("b", 6, true)));
+
+        for (int i = 0; i < 50; i++) {
+            assertThat(mCoordinator.nextOwners(mNow)).isEmpty();
+            run(TICK);
+        }
+        assertThat(owners()).containsExactly("b");
+    }
+
     /**
      * A grant that was refused is not named as a hold when the range moves. A grant that reaches
      * the server while the move is being written would be unknown to the next owner.
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -304,15 +304,21 @@
     }
 
     /**
-     * Fails a request that has waited too long, or will have when a server takes requests again, or
-     * that finds the queue full; returns whether it did. The caller then learns when to come back.
+     * Fails a request that has waited too long, or will have when a server takes requests again or
+     * its key has its next owner, or that finds the queue full; returns whether it did. The caller
+     * then learns when to come back.
      */
     private boolean failIfUnavailable(Exchange exchange, long now) {
-        long availableAt = mUpstreams.availableAt(exchange, now);
+        long nextOwnerAt = nextOwnerNotBefore(exchange, now);
+        long availableAt = Math.max(nextOwnerAt, mUpstreams.availableAt(exchange, now));
         boolean unavailable =
                 WaitLimits.hasWaitedTooLong(exchange, availableAt)
                         || mWaiting.size() >= MAX_WAITING_REQUESTS;
         if (unavailable) {
+            if (!WaitLimits.hasWaitedTooLong(exchange, now)
+                    && WaitLimits.hasWaitedTooLong(exchange, nextOwnerAt)) {
+                mMetrics.onNextOwnerTooLate();
+            }
             double pauseSeconds = (availableAt - now) / 1e9;
             fail(
                     exchange,
@@ -322,6 +328,16 @@
         return unavailable;
     }
 
+    /**
+     * Returns the time before which the key of a request that finds no owner has none, or {@code
+     * now} if it is not known.
+     */
+    private long nextOwnerNotBefore(Exchange exchange, long now) {
+        return exchange.waitReason() == ResultCode.NO_OWNER
+                ? mDirectory.tables().nextOwnerNotBefore(exchange.service(), exchange.key(), now)
+                : now;
+    }
+
     /**
      * Returns the owner of the key if it can take the request now. Sets the wait reason, which
      * applies if the result is empty.
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -108,6 +108,11 @@
         mRegistry.counter("requests.body_rejected").inc();
     }
 
+    /** Counts a request that was rejected at once, since its key has its next owner too late. */
+    void onNextOwnerTooLate() {
+        mRegistry.counter("requests.next_owner_too_late").inc();
+    }
+
     /** Counts an idle connection that was closed because the server sent bytes on it. */
     void onUnsolicitedBytes() {
         mRegistry.counter("connections.unsolicited").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -9,6 +9,7 @@
 import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.KeyLoad;
 import org.geraniumusher.keyrange.KeyRange;
+import org.geraniumusher.keyrange.NextOwner;
 import org.geraniumusher.keyrange.RangeCoordinator;
 import org.geraniumusher.keyrange.RangeServer;
 import org.geraniumusher.keyrange.RangeTable;
@@ -71,6 +72,9 @@
 
                     @Override
                     public void publishGranted(String service, List<Assignment> granted) {}
+
+                    @Override
+                    public void publishNextOwners(String service, List<NextOwner> nextOwners) {}
                 };
 
         /**
@@ -82,6 +86,9 @@
 
         /** Publishes granted ranges that the table in the store still shows as moving. */
         void publishGranted(String service, List<Assignment> granted);
+
+        /** Publishes all ranges of the service whose next owner is known to come later. */
+        void publishNextOwners(String service, List<NextOwner> nextOwners);
     }
 
     private final String mService;
@@ -126,6 +133,8 @@
     private CoordinatorElection.FormerCoordinators mFormerCoordinators;
     private ImmutableList<Assignment> mLastGranted = ImmutableList.of();
     private long mGrantsPublishedAt;
+    private ImmutableList<NextOwner> mLastNextOwners = ImmutableList.of();
+    private long mNextOwnersPublishedAt;
     private Optional<RangeTable> mPublishedTable = Optional.empty();
     private long mServersChangedAt;
     private ImmutableList<String> mLastIncarnationIds = ImmutableList.of();
@@ -215,6 +224,21 @@
         }
         tickIfAuthorized(now);
         publishGrantsWhileMoving(now);
+        publishNextOwners(now);
+    }
+
+    /**
+     * Publishes when ranges without an owner have one again, and repeats it while there are any.
+     */
+    private void publishNextOwners(long now) {
+        ImmutableList<NextOwner> nextOwners = mCoordinator.nextOwners(now);
+        boolean republishDue =
+                !nextOwners.isEmpty() && now - mNextOwnersPublishedAt >= REPUBLISH_INTERVAL_NANOS;
+        if (republishDue || !nextOwners.equals(mLastNextOwners)) {
+            mNextOwnersPublishedAt = now;
+            mPublisher.publishNextOwners(mService, nextOwners);
+        }
+        mLastNextOwners = nextOwners;
     }
 
     /**
--- a/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
@@ -9,6 +9,8 @@
 import org.geraniumusher.entry.StoreResult.Page;
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.FormerHolders;
+import org.geraniumusher.keyrange.NextOwner;
+import org.geraniumusher.keyrange.NextOwnerTimes;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.StoreVersion;
 
@@ -48,6 +50,7 @@
     /** Grants, by service, of ranges that the table still shows as moving. */
     private final SetMultimap<String, Grant> mGrants = HashMultimap.create();
 
+    private final Map<String, NextOwnerTimes> mNextOwners = new HashMap<>();
     private boolean mLoaded;
 
     /** A grant of the range that starts at {@code firstKey} and is assigned with {@code fence}. */
@@ -158,6 +161,28 @@
         }
     }
 
+    /** Replaces what the coordinator knows about the next owners of the ranges of a service. */
+    void setNextOwners(String service, List<NextOwner> nextOwners) {
+        mNextOwners
+                .computeIfAbsent(service, s -> NextOwnerTimes.create())
+                .replace(nextOwners, mClock.getAsLong());
+    }
+
+    /**
+     * Returns the time before which a key that has no owner has no next one, or {@code nowNanos} if
+     * it is not known.
+     */
+    long nextOwnerNotBefore(String service, int key, long nowNanos) {
+        RangeTable table = mTables.get(service);
+        NextOwnerTimes times = mNextOwners.get(service);
+        if (table == null || times == null) {
+            return nowNanos;
+        }
+        Assignment assignment = table.find(key);
+        boolean isGranted = assignment.isMoving() && mayServe(service, assignment);
+        return isGranted ? nowNanos : times.notBefore(assignment, nowNanos).orElse(nowNanos);
+    }
+
     /** Reports whether the owner of an assignment is known to be granted its range. */
     boolean mayServe(String service, Assignment assignment) {
         return !assignment.isMoving()
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -239,6 +239,13 @@
         if (owner != null && mDirectory.isOutOfService(owner.entry())) {
             states.add("out of service");
         }
+        long now = mClock.getAsLong();
+        long nextOwnerNanos =
+                mDirectory.tables().nextOwnerNotBefore(exchange.service(), exchange.key(), now)
+                        - now;
+        if (nextOwnerNanos > 0) {
+            states.add("next owner in " + nextOwnerNanos / NANOS_PER_MILLI + " ms or later");
+        }
         return states.isEmpty() ? "" : " (" + String.join(", ", states) + ")";
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -13,14 +13,18 @@
 import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.keyrange.Assignment;
+import org.geraniumusher.keyrange.NextOwner;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.StoreVersion;
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -34,9 +38,12 @@
     /** Path at which a daemon serves all tables that it knows. */
     static final String TABLES_PATH = "/tables";
 
-    /** Path to which the coordinator posts grants that no table shows yet. */
+    /** Path to which the coordinator posts grants that no table shows yet, and next owners. */
     static final String GRANTED_PATH = "/granted";
 
+    /** Optional field: first key, fence and milliseconds until the next owner of each range. */
+    private static final String NEXT_OWNERS = "next_owners";
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
@@ -46,6 +53,7 @@
     private final Supplier<List<Address>> mPeerAddresses;
     private final HttpClient mClient;
     private final EventThread mThread;
+    private final LongSupplier mClock;
     private final DecisionLog mLog;
 
     TableExchange(DaemonContext context, Supplier<List<Address>> peerAddresses, HttpClient client) {
@@ -53,6 +61,7 @@
         mEpoch = context.store().epoch();
         mSelf = context.settings().peerAddress();
         mThread = context.thread();
+        mClock = context.clock();
         mLog = context.log();
         mPeerAddresses = checkNotNull(peerAddresses);
         mClient = checkNotNull(client);
@@ -88,6 +97,22 @@
         sendToPeers(GRANTED_PATH, body);
     }
 
+    @Override
+    public void publishNextOwners(String service, List<NextOwner> nextOwners) {
+        long now = mClock.getAsLong();
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("service", service);
+        ArrayNode encoded = body.putArray(NEXT_OWNERS);
+        for (NextOwner o : nextOwners) {
+            encoded.addArray()
+                    .add(o.firstKey())
+                    .add(o.fence())
+                    .add(TimeUnit.NANOSECONDS.toMillis(o.notBefore() - now));
+        }
+        mTables.setNextOwners(service, nextOwners);
+        sendToPeers(GRANTED_PATH, body);
+    }
+
     private void sendToPeers(String path, ObjectNode body) {
         HttpCall call = DeflatedJson.encode(HttpCall.of("POST", path, body.toString()));
         for (Address peer : mPeerAddresses.get()) {
@@ -116,12 +141,28 @@
         }
     }
 
-    /** Adds grants that the coordinator has not yet written into a table. */
+    /**
+     * Adds grants that the coordinator has not yet written into a table, and replaces the times of
+     * next owners if the call has any.
+     */
     void onGrants(JsonNode body) {
         String service = body.path("service").asText();
         for (JsonNode grant : body.path("granted")) {
             mTables.addGrant(service, grant.path(0).asInt(), grant.path(1).asLong());
         }
+        if (body.path(NEXT_OWNERS).isArray()) {
+            mTables.setNextOwners(service, decodeNextOwners(body.path(NEXT_OWNERS)));
+        }
+    }
+
+    private List<NextOwner> decodeNextOwners(JsonNode encoded) {
+        long now = mClock.getAsLong();
+        List<NextOwner> nextOwners = new ArrayList<>();
+        for (JsonNode o : encoded) {
+            long waitNanos = TimeUnit.MILLISECONDS.toNanos(o.path(2).asLong());
+            nextOwners.add(new NextOwner(o.path(0).asInt(), o.path(1).asLong(), now + waitNanos));
+        }
+        return nextOwners;
     }
 
     /** Requests all tables that another daemon knows. A failed call is not repeated here. */
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -9,6 +9,7 @@
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.keyrange.NextOwner;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
@@ -52,6 +53,11 @@
                 public void publishGranted(String service, List<Assignment> granted) {
                     mPublishedGrants.addAll(granted);
                 }
+
+                @Override
+                public void publishNextOwners(String service, List<NextOwner> nextOwners) {
+                    mDirectory.tables().setNextOwners(service, nextOwners);
+                }
             };
 
     @AfterEach
--- a/entry/src/test/java/org/geraniumusher/entry/RangeTableCacheTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeTableCacheTest.java
@@ -6,6 +6,7 @@
 
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.KeyRange;
+import org.geraniumusher.keyrange.NextOwner;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
@@ -61,6 +62,22 @@
         assertThat(mayServe()).isTrue();
     }
 
+    /** A request must not be rejected for what was known before the grant, or of another table. */
+    @Test
+    void nextOwnerNotBefore_rangeIsGrantedOrHasAnotherFence_isNotKnown() {
+        long later = 5_000_000_000L;
+        assertThat(mTables.nextOwnerNotBefore(SERVICE, 7, 0)).isEqualTo(0);
+        mTables.updateIfNewer(SERVICE, table(5, "b", "a"), true);
+        mTables.setNextOwners(SERVICE, List.of(new NextOwner(0, 5, later)));
+        assertThat(mTables.nextOwnerNotBefore(SERVICE, 7, 0)).isGreaterThan(later / 2);
+
+        mTables.addGrant(SERVICE, 0, 5);
+        assertThat(mTables.nextOwnerNotBefore(SERVICE, 7, 0)).isEqualTo(0);
+
+        mTables.updateIfNewer(SERVICE, table(6, "c", "b"), true);
+        assertThat(mTables.nextOwnerNotBefore(SERVICE, 7, 0)).isEqualTo(0);
+    }
+
     /** The message with the grant may arrive before the one with the table. */
     @Test
     void mayServe_grantArrivesBeforeTable_isKept() {
