Read from refused control calls too that a server is leaving

Cause: PlatformServerControl read Server-Leaving only in answers with status 200. A server that refused its grants was not known to be leaving at a coordinator that sent it no requests: it counted as lost, and got keys again once it answered.

Change: the results Fenced and Refused carry the mark, and the driver asks each result for it. A 421 to a control call comes from another server, so its header is not read. The daemon makes no health checks.

--- a/entry/src/main/java/org/geraniumusher/entry/GrantResult.java
+++ b/entry/src/main/java/org/geraniumusher/entry/GrantResult.java
@@ -4,6 +4,11 @@
 
 /** The result of a grant or release. Implementations are immutable. */
 public sealed interface GrantResult {
+    /** Returns whether the server said in its answer that it is leaving. */
+    default boolean leaving() {
+        return false;
+    }
+
     /**
      * The server carried out the call.
      *
@@ -12,10 +17,17 @@
      */
     record Done(Optional<String> handover, boolean leaving) implements GrantResult {}
 
-    /** The server rejected the call because it has seen a higher fence. */
-    record Fenced() implements GrantResult {}
+    /**
+     * The server rejected the call because it has seen a higher fence.
+     *
+     * @param leaving whether the server said that it is leaving
+     */
+    record Fenced(boolean leaving) implements GrantResult {}
 
-    /** A different server answered at the address. */
+    /**
+     * A different server answered at the address. What it says of itself is not about the server
+     * that was called.
+     */
     record OtherServer() implements GrantResult {}
 
     /**
@@ -31,8 +43,9 @@
      * The server refused the call for another reason.
      *
      * @param status status code of the HTTP response
+     * @param leaving whether the server said that it is leaving
      */
-    record Refused(int status) implements GrantResult {}
+    record Refused(int status, boolean leaving) implements GrantResult {}
 
     /**
      * There was no answer. The call may still be carried out.
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -571,7 +571,7 @@
     /** Records what the answer to a call tells of a server. */
     private void recordServerState(ServerEntry server, GrantResult result) {
         detectTermination(server, result);
-        if (result instanceof GrantResult.Done done && done.leaving()) {
+        if (result.leaving()) {
             mDirectory.markLeaving(server.incarnationId());
         }
     }
