Keep the pause of a server whose entry goes and comes back

Cause: the pause was part of the upstream, which is removed with the entry of the server. The same incarnation got a new upstream without a pause when its entry was written again, and with it requests.

A new upstream takes the pause of its incarnation. The log has the rest of the pause as a new begin, and servers.pauses counts it once.

Measured before: ReturningServerTest.server_returnsDuringItsPause_getsNoRequests failed with and without keys, with one request each to the paused server, after whose rejection it was paused anew.

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -60,15 +60,17 @@
     private double mFailureRate;
     private long mColdUntilNanos = Long.MIN_VALUE / 2;
     private long mSuspectUntilNanos = Long.MIN_VALUE / 2;
-    private final ServerPause mPause = new ServerPause();
+    private final ServerPause mPause;
     private int mUnansweredInRow;
     private final double mInitialColdTokens;
     private double mColdTokens;
     private long mColdTokensAtNanos;
 
-    private ServerLoad(int slots, ServiceTimes serviceTimes, double initialColdTokens) {
+    private ServerLoad(
+            int slots, ServiceTimes serviceTimes, double initialColdTokens, ServerPause pause) {
         mSlots = slots;
         mInitialColdTokens = initialColdTokens;
+        mPause = pause;
         mServiceTimes = serviceTimes;
     }
 
@@ -84,13 +86,24 @@
      */
     public static ServerLoad create(
             int slots, ServiceTimes serviceTimes, double initialColdTokens) {
+        return create(slots, serviceTimes, initialColdTokens, new ServerPause());
+    }
+
+    /**
+     * Creates the load of a server that is assumed to be idle and has a pause from before.
+     *
+     * @see #create(int, ServiceTimes, double)
+     */
+    public static ServerLoad create(
+            int slots, ServiceTimes serviceTimes, double initialColdTokens, ServerPause pause) {
         checkArgument(slots > 0, "slots is not positive: %s", slots);
         checkNotNull(serviceTimes);
+        checkNotNull(pause);
         checkArgument(
                 initialColdTokens >= 0 && initialColdTokens <= 1,
                 "initialColdTokens is not between 0 and 1: %s",
                 initialColdTokens);
-        return new ServerLoad(slots, serviceTimes, initialColdTokens);
+        return new ServerLoad(slots, serviceTimes, initialColdTokens, pause);
     }
 
     /** Records that a request is sent to the server. */
--- a/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
@@ -45,7 +45,7 @@
         mLog = checkNotNull(log);
         mMetrics = checkNotNull(metrics);
         mPauses = new ServerPauses(thread, log, metrics);
-        upstreams.setRemovalListener(mPauses::onRemoved);
+        upstreams.setListener(mPauses);
     }
 
     /** Processes a response, whose request must still count as in flight. */
--- a/entry/src/main/java/org/geraniumusher/entry/ServerPauses.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerPauses.java
@@ -13,9 +13,10 @@
  * Counts the pauses that servers ask for, and logs the begin and the end of each. Confined to the
  * event loop.
  *
- * <p>Invariant: a pause ends with its incarnation, and each that began is logged once as ended.
+ * <p>Invariant: each pause whose begin was logged is logged once as ended. One of an incarnation
+ * that is removed is logged as ended, and as begun again if the incarnation is listed again.
  */
-final class ServerPauses {
+final class ServerPauses implements UpstreamSet.Listener {
     /**
      * Least lengthening that is logged. Requests in transit when a pause begins are rejected with a
      * slightly later end each.
@@ -36,8 +37,9 @@
         private long mLoggedUntilNanos;
         private ScheduledFuture<?> mEnd;
 
-        Pause(long beganAtNanos) {
+        Pause(long beganAtNanos, long untilNanos) {
             mBeganAtNanos = beganAtNanos;
+            mLoggedUntilNanos = untilNanos;
         }
     }
 
@@ -51,27 +53,33 @@
     void onPaused(Upstream upstream, long nowNanos) {
         long until = upstream.load().pausedUntil(nowNanos);
         Pause pause = mPauses.get(upstream.entry().incarnationId());
-        boolean begins = pause == null;
-        if (begins) {
-            pause = new Pause(nowNanos);
-            mPauses.put(upstream.entry().incarnationId(), pause);
+        if (pause == null) {
             mMetrics.onPause();
-            scheduleEnd(upstream, pause, until - nowNanos);
-        }
-        if (begins || until - pause.mLoggedUntilNanos >= MIN_LOGGED_EXTENSION_NANOS) {
+            begin(upstream, nowNanos);
+        } else if (until - pause.mLoggedUntilNanos >= MIN_LOGGED_EXTENSION_NANOS) {
             pause.mLoggedUntilNanos = until;
-            mLog.write(
-                    Part.SERVER,
-                    begins
-                            ? "Server wants no requests for some time"
-                            : "Server wants no requests for longer",
-                    "server",
-                    upstream.entry().incarnationId(),
-                    "seconds",
-                    (until - nowNanos) / NANOS_PER_SECOND);
+            logUntil("Server wants no requests for longer", upstream, until - nowNanos);
         }
     }
 
+    private void begin(Upstream upstream, long nowNanos) {
+        long until = upstream.load().pausedUntil(nowNanos);
+        Pause pause = new Pause(nowNanos, until);
+        mPauses.put(upstream.entry().incarnationId(), pause);
+        scheduleEnd(upstream, pause, until - nowNanos);
+        logUntil("Server wants no requests for some time", upstream, until - nowNanos);
+    }
+
+    private void logUntil(String event, Upstream upstream, long leftNanos) {
+        mLog.write(
+                Part.SERVER,
+                event,
+                "server",
+                upstream.entry().incarnationId(),
+                "seconds",
+                leftNanos / NANOS_PER_SECOND);
+    }
+
     private void scheduleEnd(Upstream upstream, Pause pause, long delayNanos) {
         pause.mEnd =
                 mThread.schedule(
@@ -89,8 +97,19 @@
         }
     }
 
-    /** Ends the pause of an incarnation, if it has one, because the daemon has forgotten it. */
-    void onRemoved(Upstream upstream) {
+    /** Logs the rest of the pause that an incarnation had when it was removed. */
+    @Override
+    public void onAdded(Upstream upstream) {
+        long now = upstream.nowNanos();
+        if (upstream.load().isPaused(now)
+                && !mPauses.containsKey(upstream.entry().incarnationId())) {
+            begin(upstream, now);
+        }
+    }
+
+    /** Logs the end of the pause of an incarnation, if it has one. */
+    @Override
+    public void onRemoved(Upstream upstream) {
         Pause pause = mPauses.remove(upstream.entry().incarnationId());
         if (pause != null) {
             pause.mEnd.cancel(false);
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 
 import org.geraniumusher.dispatch.ServerLoad;
-import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.operator.Leaving;
 import org.geraniumusher.traffic.ServerEntry;
 
@@ -47,8 +46,7 @@
      * @param clock monotonic clock in nanoseconds
      * @param buffers buffers for the bodies of responses, which all upstreams share
      * @param requestIdHeader name of the header that carries the request ID
-     * @param serviceTimes service times of all servers of the service
-     * @param initialColdTokens initial tokens of a cold server; see {@link ServerLoad#create}
+     * @param load load of this incarnation, without requests in flight
      */
     Upstream(
             ServerEntry entry,
@@ -57,15 +55,14 @@
             ResponseBuffers buffers,
             String requestIdHeader,
             Listener listener,
-            ServiceTimes serviceTimes,
-            double initialColdTokens) {
+            ServerLoad load) {
         mEntry = entry;
         mGroup = group;
         mClock = clock;
         mBuffers = buffers;
         mListener = listener;
         mRequestIdHeader = requestIdHeader;
-        mLoad = ServerLoad.create(entry.slots(), serviceTimes, initialColdTokens);
+        mLoad = load;
         updateColdTime(entry);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoopGroup;
 
+import org.geraniumusher.dispatch.PauseHistory;
+import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.operator.Leaving;
@@ -17,7 +19,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -43,7 +44,27 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, List<Upstream>> mByService = new HashMap<>();
     private final Map<String, ServiceTimes> mServiceTimes = new HashMap<>();
-    private Consumer<Upstream> mRemovalListener = upstream -> {};
+    private final PauseHistory mPauseHistory = new PauseHistory();
+    private Listener mListener = Listener.NONE;
+
+    /** Is notified of the upstreams that come and go. */
+    interface Listener {
+        /** A listener that does nothing. */
+        Listener NONE =
+                new Listener() {
+                    @Override
+                    public void onAdded(Upstream upstream) {}
+
+                    @Override
+                    public void onRemoved(Upstream upstream) {}
+                };
+
+        /** Called when a server is listed for the first time, or again after its removal. */
+        void onAdded(Upstream upstream);
+
+        /** Called when an upstream is removed. */
+        void onRemoved(Upstream upstream);
+    }
 
     UpstreamSet(
             Directory directory,
@@ -62,9 +83,8 @@
         mRandom = random;
     }
 
-    /** Sets the listener that gets each upstream that is removed. */
-    void setRemovalListener(Consumer<Upstream> listener) {
-        mRemovalListener = listener;
+    void setListener(Listener listener) {
+        mListener = listener;
     }
 
     /** Registers gauges of the servers in each state and of the buffered responses. */
@@ -122,7 +142,8 @@
         }
         boolean remove = upstream.isLeaving() && !isOwner(incarnationId);
         if (remove) {
-            mRemovalListener.accept(upstream);
+            mPauseHistory.onRemoved(incarnationId, upstream.load().pause(), nowNanos);
+            mListener.onRemoved(upstream);
         }
         return remove;
     }
@@ -161,16 +182,26 @@
                 entry.dataCentre(),
                 "leaving",
                 entry.leaving());
-        return new Upstream(
-                entry,
-                mGroup,
-                mClock,
-                mBuffers,
-                mRequestIdHeader,
-                new StrayResponses(entry.incarnationId()),
+        Upstream upstream =
+                new Upstream(
+                        entry,
+                        mGroup,
+                        mClock,
+                        mBuffers,
+                        mRequestIdHeader,
+                        new StrayResponses(entry.incarnationId()),
+                        createLoad(entry));
+        mListener.onAdded(upstream);
+        return upstream;
+    }
+
+    private ServerLoad createLoad(ServerEntry entry) {
+        return ServerLoad.create(
+                entry.slots(),
                 mServiceTimes.computeIfAbsent(
                         entry.service(), s -> ServiceTimes.create(INITIAL_SERVICE_NANOS)),
-                mRandom.nextDouble());
+                mRandom.nextDouble(),
+                mPauseHistory.onListed(entry.incarnationId()));
     }
 
     /** Counts and logs what a server sends to no request. */
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.quarantine.Quarantine;
 import org.geraniumusher.traffic.ServerEntry;
@@ -114,8 +115,7 @@
                 new ResponseBuffers(),
                 "id",
                 null,
-                ServiceTimes.create(1),
-                0);
+                ServerLoad.create(6, ServiceTimes.create(1), 0));
     }
 
     private void breakAt(int server, String caller) {
--- a/entry/src/test/java/org/geraniumusher/entry/ServerPausesTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/ServerPausesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.dispatch.ServerPause;
 import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.traffic.ServerEntry;
@@ -28,8 +29,7 @@
                     new ResponseBuffers(),
                     "request-id",
                     null,
-                    ServiceTimes.create(SECOND),
-                    0);
+                    ServerLoad.create(6, ServiceTimes.create(SECOND), 0));
 
     @AfterEach
     void close() {
@@ -112,6 +112,31 @@
         assertThat(events.get(1)).contains("\"cause\":\"server is gone\",\"seconds\":\"1.0\"");
     }
 
+    /** The list of the log must tell why the server gets no requests after it has come back. */
+    @Test
+    void onAdded_pauseFromBeforeTheRemoval_beginAndEndAreLoggedAgainAndCountOnce() {
+        pause(10 * SECOND);
+        mThread.advance(SECOND);
+        mPauses.onRemoved(mUpstream);
+        mThread.advance(SECOND);
+        mPauses.onAdded(mUpstream);
+        mThread.advance(20 * SECOND);
+
+        assertThat(pauses()).isEqualTo(1);
+        List<String> events = closeAndReadEvents();
+        assertThat(events).hasSize(4);
+        assertThat(events.get(2)).contains("\"Server wants no requests for some time\"");
+        assertThat(events.get(2)).contains("\"seconds\":\"8.0\"");
+        assertThat(events.get(3)).contains("\"cause\":\"over\",\"seconds\":\"8.0\"");
+    }
+
+    @Test
+    void onAdded_serverIsNotPaused_nothingIsLogged() {
+        mPauses.onAdded(mUpstream);
+
+        assertThat(closeAndReadEvents()).isEmpty();
+    }
+
     /** Another pause after the end is one of its own. */
     @Test
     void pause_afterTheEnd_beginsAgain() {
