Remember that a listed server is leaving however many leave later

Cause: Directory remembered the latest 4,096 leaving incarnations, whether listed or not. In a long run of a daemon, later ones pushed out that of a server which still runs; if its entry says "ready", it was used again.

Change: LeavingIncarnations forgets only incarnations that are not listed; at least the latest 4,096 of these are kept.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -43,9 +43,6 @@
      */
     private static final long LOST_DRAIN_NANOS = 15_000_000_000L;
 
-    /** Number of leaving incarnations that are remembered, more than a restore can bring back. */
-    private static final int MAX_LEAVING_INCARNATIONS = 4_096;
-
     /** Longest part of an entry in a log line; enough to see what is wrong with it. */
     private static final int MAX_LOGGED_CHARS = 400;
 
@@ -74,14 +71,8 @@
 
     private final DrainHistory mDrainHistory = new DrainHistory();
 
-    /** Incarnations that are leaving and from what this daemon knew it first, the oldest first. */
-    private final Map<String, Leaving> mLeavingIncarnations =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Leaving> eldest) {
-                    return size() > MAX_LEAVING_INCARNATIONS;
-                }
-            };
+    private final LeavingIncarnations mLeaving =
+            new LeavingIncarnations(incarnationId -> mServers.containsKey(incarnationId));
 
     /**
      * Caches whether servers are evacuated or drained, by incarnation ID. Cleared when servers,
@@ -269,7 +260,7 @@
     }
 
     private void markLeaving(String incarnationId, Leaving cause) {
-        if (mLeavingIncarnations.putIfAbsent(incarnationId, cause) == null) {
+        if (mLeaving.add(incarnationId, cause)) {
             decodeServers();
             mListeners.run();
         }
@@ -277,9 +268,7 @@
 
     /** Returns the listed servers of keyed services that said that they are leaving. */
     ImmutableList<String> saidLeaving() {
-        return mLeavingIncarnations.entrySet().stream()
-                .filter(e -> e.getValue().isOwnWord())
-                .map(Map.Entry::getKey)
+        return mLeaving.byOwnWord()
                 .filter(id -> mServers.containsKey(id) && isKeyed(mServers.get(id)))
                 .collect(ImmutableList.toImmutableList());
     }
@@ -293,7 +282,7 @@
 
     /** Returns from what this daemon knew first that an incarnation is leaving. */
     Leaving leaving(String incarnationId) {
-        return mLeavingIncarnations.getOrDefault(incarnationId, Leaving.ENTRY);
+        return mLeaving.cause(incarnationId).orElse(Leaving.ENTRY);
     }
 
     /** Returns the number of entries of servers that are listed and not usable. */
@@ -486,9 +475,9 @@
      */
     private ServerEntry keepLeaving(ServerEntry entry) {
         if (entry.leaving()) {
-            mLeavingIncarnations.putIfAbsent(entry.incarnationId(), Leaving.ENTRY);
+            mLeaving.add(entry.incarnationId(), Leaving.ENTRY);
         }
-        return mLeavingIncarnations.containsKey(entry.incarnationId()) ? entry.asLeaving() : entry;
+        return mLeaving.contains(entry.incarnationId()) ? entry.asLeaving() : entry;
     }
 
     /** Decodes the entry of a server. Logs the reason and returns empty if it is not usable. */
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -282,6 +282,44 @@
         assertThat(mDirectory.quarantines()).containsExactly(old.fingerprint(), old);
     }
 
+    /** The copy of a peer that has not heard it still says that the server is ready. */
+    @Test
+    void servers_peerCopyHasReadyEntryOfServerThatSaidItIsLeaving_isLeaving() {
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        mDirectory.start();
+        mDirectory.markLeaving("a@1");
+        mStore.setDown(true);
+        mStore.failWatches();
+        KindMirror mirror = mDirectory.mirror(StoreKind.SERVERS);
+        StoreVersion own = mirror.version();
+
+        mirror.adoptPeerCopy(
+                new StoreVersion(own.epoch(), own.revision() + 1), true, mirror.objects());
+
+        assertThat(mirror.version().revision()).isEqualTo(own.revision() + 1);
+        assertThat(mDirectory.servers().get("a@1").leaving()).isTrue();
+    }
+
+    /**
+     * The mark ends only with its incarnation. The memory for marks is bounded, and others that
+     * left later pushed out that of a server which still runs.
+     */
+    @Test
+    void servers_manyOthersLeftLater_listedOneIsStillLeaving() {
+        mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
+        mDirectory.start();
+        mDirectory.markLeaving("a@1");
+        for (int i = 0; i < 3 * LeavingIncarnations.MAX_UNLISTED; i++) {
+            mDirectory.markLeaving("b@" + i);
+        }
+        mStore.put(StoreKind.SERVERS, "c", FakeWireFormat.serverSpec(2, false));
+        mStore.dropHistory();
+
+        assertThat(mDirectory.servers().keySet()).containsExactly("a@1", "c@1");
+        assertThat(mDirectory.servers().get("a@1").leaving()).isTrue();
+        assertThat(mDirectory.servers().get("c@1").leaving()).isFalse();
+    }
+
     /** Starts with a server that is missing in the copy of a peer, while the store is away. */
     private void copyFromPeerWithoutServer(boolean settled) {
         mStore.put(StoreKind.SERVERS, "a", FakeWireFormat.serverSpec(1, false));
