Take the mark of a leaving server from late answers too

Cause: Server-Leaving was read only while the upstream was not leaving. An upstream whose entry was removed counts as leaving, so a later answer to an earlier request was not remembered, and the same incarnation was used again when its entry came back.

Change: the mark is passed on unless the directory has it already.

Measured before: LateNoticeTest.onResponse_removedServerSaysThatItIsLeaving_isLeavingWhenItsEntryIsBack failed. After: LateNoticeTest 3, DirectoryTest 19, LeavingReportTest 5 and the two cases of ServerNoticesTest on leaving servers pass. The case of a late pause passed before too, since the pause is kept.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -280,6 +280,11 @@
                 .orElse(false);
     }
 
+    /** Returns whether an incarnation, listed or not, is remembered as leaving. */
+    boolean isLeaving(String incarnationId) {
+        return mLeaving.contains(incarnationId);
+    }
+
     /** Returns from what this daemon knew first that an incarnation is leaving. */
     Leaving leaving(String incarnationId) {
         return mLeaving.cause(incarnationId).orElse(Leaving.ENTRY);
--- a/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
@@ -54,15 +54,25 @@
         if (load != null) {
             mWire.decodeLoad(load).ifPresent(report -> upstream.load().onReport(report, nowNanos));
         }
-        if (response.header(mWire.headers().serverLeaving()) != null && !upstream.isLeaving()) {
+        if (response.header(mWire.headers().serverLeaving()) != null) {
+            onSaidLeaving(upstream);
+        }
+        if (response.status() == SERVICE_UNAVAILABLE) {
+            pause(upstream, response, nowNanos);
+        }
+    }
+
+    private void onSaidLeaving(Upstream upstream) {
+        if (!upstream.isLeaving()) {
             mMetrics.onSaidLeaving();
             mUpstreams.markLeaving(upstream, Leaving.SAID);
+        }
+        // An upstream whose entry was removed is leaving too, but its entry may come back.
+        String incarnationId = upstream.entry().incarnationId();
+        if (!mDirectory.isLeaving(incarnationId)) {
             // The listeners of the directory send waiting requests, which must not happen within
             // the processing of a response.
-            mThread.execute(() -> mDirectory.markLeaving(upstream.entry().incarnationId()));
-        }
-        if (response.status() == SERVICE_UNAVAILABLE) {
-            pause(upstream, response, nowNanos);
+            mThread.execute(() -> mDirectory.markLeaving(incarnationId));
         }
     }
 
