Move the keys of a leaving server also while its entry is missing

Cause: after an outage or a restore, a server whose entry is missing keeps its keys until it can't register again, by the entry that the coordinator knew. That entry does not show what the server has said since.

Change: the driver asks the directory whether the incarnation is leaving, listed or not.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -342,12 +342,14 @@
         List<RangeServer> servers = new ArrayList<>();
         for (ServerEntry entry : mKnownServers.values()) {
             boolean isListed = listedServers.containsKey(entry.incarnationId());
-            boolean inService = isListed && !entry.leaving() && !mDirectory.isOutOfService(entry);
+            // Also of a server whose entry is missing, which the entry that is known does not show.
+            boolean leaving = entry.leaving() || mDirectory.isLeaving(entry.incarnationId());
+            boolean inService = isListed && !leaving && !mDirectory.isOutOfService(entry);
             // An entry may have expired during a store outage, or been lost in a restore, while its
             // server still runs. Until the server has had time to register again, it keeps its
             // keys.
             if (isListed || mayReregister && mMayReregister.contains(entry.incarnationId())) {
-                boolean acceptsRanges = inService || !isListed && !entry.leaving();
+                boolean acceptsRanges = inService || !isListed && !leaving;
                 servers.add(
                         new RangeServer(
                                 entry.incarnationId(), capacity(entry, now), acceptsRanges));
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -371,6 +371,26 @@
         assertThat(owners()).contains("a@1");
     }
 
+    /**
+     * A server whose entry was lost keeps its keys until it can't register again. One that says in
+     * an answer that it is leaving must not keep them for that time.
+     */
+    @Test
+    void onNewEpoch_serverWithLostEntrySaysThatItIsLeaving_keysMoveAtOnce() {
+        FakeStore.Backup backup = mStore.backup();
+        RangeCoordinatorDriver driver = startDriver();
+        restore(driver, backup);
+        mStore.put(StoreKind.SERVERS, "b", FakeWireFormat.serverSpec(B_PORT, false));
+        mDirectory.mirror(StoreKind.SERVERS).start();
+        runConfirmed(driver, 1);
+        assertThat(owners()).contains("a@1");
+
+        mDirectory.markLeaving("a@1");
+        runConfirmed(driver, 1);
+
+        assertThat(owners()).containsExactly("b@1");
+    }
+
     /** A table that cannot be decoded stopped all writes of the term. */
     @Test
     void onWriteResult_conflictingTableIsInvalid_writesAgain() {
