Resign as the coordinator when a peer reaches more servers

Cause: a server counts as lost when the grants of the coordinator fail until its hold has run out. Nothing told a loss of the server from a cut of the coordinator.

Change: when at least half of the listed servers fail, and two or more, the coordinator asks up to five peers how many of all servers they can connect to, and counts the same for itself (CoordinatorReach, ReachInquiry; POST /reach). If a peer reaches clearly more, the coordinator ends its drivers and its authority, vacates its record as a stop does, and asks that peer to stand (POST /nominate). The next coordinator waits for former holds as after a stop. Without a better peer the servers are lost as before.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorElection.java
@@ -24,6 +24,9 @@
  * <p>A suspension of the machine ends the authority until a write is accepted that was sent since,
  * which is due at once: another daemon may have taken over meanwhile.
  *
+ * <p>A resignation ends the authority before the record is vacated. The daemon regains it only with
+ * a write that it sends later.
+ *
  * <p>All times are in nanoseconds of one monotonic clock of this daemon, which may stand still
  * while the machine is suspended. Waits only get longer by that. Not thread-safe.
  */
@@ -55,6 +58,7 @@
     private long mAuthorityUntil;
     private boolean mHasAuthority;
     private long mResumedAt = Long.MIN_VALUE;
+    private long mStandsAgainAt = Long.MIN_VALUE;
     private FormerCoordinators mFormerCoordinators = new FormerCoordinators(0, 0);
 
     private CoordinatorElection(String daemon, long incarnation, long startedAtNanos) {
@@ -166,6 +170,22 @@
         }
     }
 
+    /**
+     * Ends the authority of this daemon, which does not stand for election until {@code
+     * standsAgainAtNanos}. No write of the record may be in flight, as its answer would give the
+     * authority back.
+     */
+    public void resign(long standsAgainAtNanos) {
+        mHasAuthority = false;
+        mMayContinue = false;
+        mStandsAgainAt = standsAgainAtNanos;
+    }
+
+    /** Reports whether this daemon has resigned and does not stand for election now. */
+    public boolean isAbstaining(long nowNanos) {
+        return nowNanos < mStandsAgainAt;
+    }
+
     /**
      * Records when the last suspension of the machine was detected. Earlier times than in a former
      * call have no effect.
@@ -204,7 +224,7 @@
 
     /** Reports whether this daemon should write itself into the record now. */
     public boolean shouldWrite(long nowNanos) {
-        if (!mRecordRead) {
+        if (!mRecordRead || isAbstaining(nowNanos)) {
             return false;
         }
         if (mHasAuthority && isOwn()) {
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -23,6 +23,9 @@
     /** Time for which grants fail before an owner without a hold counts as lost. */
     private static final long MIN_FAILURE_NANOS = 1_000_000_000L;
 
+    /** Time within which a server that answers at all usually answers a grant. */
+    private static final long GRANT_ANSWER_NANOS = 100_000_000L;
+
     /** A time that stands for none. */
     static final long NEVER = Long.MAX_VALUE;
 
@@ -124,9 +127,12 @@
         return mGrantInFlight;
     }
 
-    /** Returns when the grant in flight was sent. */
-    long grantSentAt() {
-        return mGrantSentAt;
+    /**
+     * Reports whether the answer to a grant is likely to come soon. A move that is planned before
+     * it has to wait until the hold of that grant has run out, as its answer is not known then.
+     */
+    boolean isAnswerExpected(long nowNanos) {
+        return mGrantInFlight && nowNanos - mGrantSentAt < GRANT_ANSWER_NANOS;
     }
 
     /** Reports whether this or a former coordinator may have given the owner a hold. */
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 
 import org.geraniumusher.model.StoreVersion;
 
@@ -41,9 +42,6 @@
      */
     public static final long GRANT_TIME_LIMIT_NANOS = 500_000_000L;
 
-    /** Time within which a server that answers at all usually answers a grant. */
-    private static final long GRANT_ANSWER_NANOS = 100_000_000L;
-
     /** Time for which renewals wait for a write that changes their assignments. */
     private static final long RENEWAL_DEFERRAL_NANOS = 300_000_000L;
 
@@ -99,6 +97,7 @@
     /** When {@link #mPendingAssignments} were planned. */
     private long mPendingSince;
 
+    private boolean mLossesHeldBack;
     private boolean mWriteInFlight;
     private long mNextWriteAt;
     private long mNextLoadMoveAt;
@@ -251,6 +250,16 @@
         servers.forEach(s -> mServers.put(s.incarnationId(), s));
     }
 
+    /** Returns the servers that the planner considers and whose last grant failed. */
+    public ImmutableSet<String> failingServers() {
+        return mReachability.failingOf(mServers.keySet());
+    }
+
+    /** Sets whether no server is taken for lost and no range moves for its load for now. */
+    public void setLossesHeldBack(boolean heldBack) {
+        mLossesHeldBack = heldBack;
+    }
+
     /** Records that an incarnation of a server is proved to have terminated. */
     public void onTerminated(String incarnationId) {
         mTerminated.add(incarnationId);
@@ -286,7 +295,9 @@
                 .forEach(id -> onOwnerReturned(id, nowNanos));
         for (Lease lease : mLeases.values()) {
             Assignment assignment = lease.assignment();
-            if (lease.isOwnerLost(nowNanos) && !mReachability.isLost(assignment.owner())) {
+            if (!mLossesHeldBack
+                    && lease.isOwnerLost(nowNanos)
+                    && !mReachability.isLost(assignment.owner())) {
                 mReachability.onLost(assignment, nowNanos);
                 mHoldListener.onOwnerLost(assignment);
             }
@@ -492,10 +503,7 @@
                                                 && a.range().equals(assignment.range()));
     }
 
-    /**
-     * Returns the assignments whose owner is granted the range although the table still lists
-     * previous holders.
-     */
+    /** Returns the granted assignments of which the table still lists previous holders. */
     public ImmutableList<Assignment> grantedWhileMoving() {
         return mLeases.values().stream()
                 .filter(l -> l.isGranted() && l.assignment().isMoving())
@@ -585,7 +593,7 @@
         for (Assignment assignment : mTable.assignments()) {
             next.addAll(replan(assignment, planner, nowNanos));
         }
-        if (!mNeedsNewFences && nowNanos >= mNextLoadMoveAt) {
+        if (!mNeedsNewFences && !mLossesHeldBack && nowNanos >= mNextLoadMoveAt) {
             mNextLoadMoveAt = nowNanos + LOAD_MOVE_INTERVAL_NANOS;
             moveForLoad(next, planner);
         }
@@ -596,7 +604,7 @@
         Lease lease = findLease(assignment).orElse(null);
         if (!canOwnRanges(assignment.owner())
                 && !mustSeeNewFence(assignment, lease, nowNanos)
-                && !isAnswerExpected(lease, nowNanos)) {
+                && (lease == null || !lease.isAnswerExpected(nowNanos))) {
             List<Assignment> parts =
                     planner.reassign(assignment, possibleHolders(assignment, lease));
             if (!parts.isEmpty()) {
@@ -615,16 +623,6 @@
         return List.of(moveCompleted ? assignment.withPrevious(ImmutableList.of()) : assignment);
     }
 
-    /**
-     * Reports whether the answer to a grant is likely to come soon. A move that is planned before
-     * it has to wait until the hold of that grant has run out, as its answer is not known then.
-     */
-    private static boolean isAnswerExpected(Lease lease, long nowNanos) {
-        return lease != null
-                && lease.isGrantInFlight()
-                && nowNanos - lease.grantSentAt() < GRANT_ANSWER_NANOS;
-    }
-
     /**
      * Reports whether an owner that is to lose the range is granted it with a fence of this term
      * first, because it then refuses the late grants of former coordinators, so that its release
--- a/decisions/src/main/java/org/geraniumusher/keyrange/ServerReachability.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/ServerReachability.java
@@ -1,6 +1,9 @@
 package org.geraniumusher.keyrange;
 
+import com.google.common.collect.ImmutableSet;
+
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -118,6 +121,13 @@
         return state != null && state.mLost;
     }
 
+    /** Returns those of the servers whose last grant failed or which are lost. */
+    ImmutableSet<String> failingOf(Collection<String> incarnationIds) {
+        return incarnationIds.stream()
+                .filter(id -> isLost(id) || mStates.containsKey(id) && mStates.get(id).mFailing)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns a server, which accepts no ranges if it may not be given any now. */
     RangeServer restrict(RangeServer server, long nowNanos) {
         State state = mStates.get(server.incarnationId());
--- a/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/CoordinatorElectionTest.java
@@ -271,6 +271,35 @@
         assertThat(mElection.shouldWrite(SECOND + CoordinatorElection.TAKEOVER_NANOS)).isTrue();
     }
 
+    /** Another daemon acts as soon as it sees the vacant record. */
+    @Test
+    void resign_hasAuthority_endsItAndStandsAgainAfterThePause() {
+        mElection.onRead(Optional.empty(), 0);
+        mElection.onWritten(record("a", 7, 5), 0, 0);
+
+        mElection.resign(6 * SECOND);
+        assertThat(mElection.hasAuthority(SECOND)).isFalse();
+        assertThat(mElection.isAbstaining(5 * SECOND)).isTrue();
+        mElection.onRead(Optional.of(record("", 7, 6)), SECOND);
+        assertThat(mElection.shouldWrite(5 * SECOND)).isFalse();
+
+        // Nobody else was elected.
+        assertThat(mElection.shouldWrite(6 * SECOND)).isTrue();
+    }
+
+    /** The grants of the term before the resignation may still be held in the next one. */
+    @Test
+    void resign_electedAgain_formerGrantsWereSentUntilNow() {
+        mElection.onRead(Optional.empty(), 0);
+        mElection.onWritten(record("a", 7, 5), 0, 0);
+        mElection.resign(6 * SECOND);
+        mElection.onRead(Optional.of(record("", 7, 6)), SECOND);
+        mElection.onWritten(record("a", 7, 7), 6 * SECOND, 7 * SECOND);
+
+        assertThat(mElection.hasAuthority(7 * SECOND)).isTrue();
+        assertThat(mElection.formerCoordinators().grantsSentBy()).isEqualTo(7 * SECOND);
+    }
+
     /** A late answer to a write must not restore authority after another daemon took over. */
     @Test
     void hasAuthority_answerToOldWriteIsLate_isFalse() {
--- a/decisions/src/test/java/org/geraniumusher/keyrange/ServerLossTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/ServerLossTest.java
@@ -210,6 +210,22 @@
         assertThat(recovered).containsExactlyElementsIn(before.assignments());
     }
 
+    /** While it is open who is cut off, keys must not move, and must recover once it is known. */
+    @Test
+    void tick_lossesAreHeldBack_keysMoveOnlyAfterwards() {
+        start("a", "b");
+        mServers.mRefusing.add("a");
+        mCoordinator.setLossesHeldBack(true);
+        run(10_000 * MILLI);
+        assertThat(owners()).containsExactly("a", "b");
+        assertThat(mCoordinator.failingServers()).containsExactly("a");
+
+        mCoordinator.setLossesHeldBack(false);
+        run(3 * TICK);
+        assertThat(owners()).containsExactly("b");
+        assertThat(mCoordinator.failingServers()).containsExactly("a");
+    }
+
     /** The time without an owner must be told when the next one has accepted the range. */
     @Test
     void tick_ownerIsLost_listenerHearsOfLossAndRecovery() {
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -5,21 +5,28 @@
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.CoordinatorElection;
+import org.geraniumusher.keyrange.CoordinatorReach;
 import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.model.Address;
 import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.traffic.Drain;
 import org.geraniumusher.traffic.ServiceRule;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Takes part in the election of the coordinator and runs a {@link RangeCoordinatorDriver} for each
- * keyed service while this daemon has the authority to coordinate. Confined to the event loop.
+ * keyed service while this daemon has the authority to coordinate. Resigns for a while if a peer
+ * reaches more servers. Confined to the event loop.
  */
 final class CoordinatorService {
     private static final String RECORD_NAME = "coordinator";
@@ -39,6 +46,36 @@
     /** Interval between attempts to write the record, or to read it after a restore. */
     private static final long RETRY_INTERVAL_NANOS = 300_000_000L;
 
+    /** Age of the last answer of the store with which this daemon could still be elected. */
+    private static final long MAX_RECORD_AGE_NANOS = 3_000_000_000L;
+
+    /** Asks peers which servers they reach. */
+    interface PeerReach {
+        /** Reaches no peers and never has an outcome. */
+        PeerReach NONE =
+                new PeerReach() {
+                    @Override
+                    public void ask(
+                            Collection<String> incarnationIds, Consumer<Outcome> onOutcome) {}
+
+                    @Override
+                    public void nominate(Address peer) {}
+                };
+
+        /**
+         * How many of the servers daemons reach.
+         *
+         * @param bestPeer the peer that reaches most servers, empty if none reaches any
+         */
+        record Outcome(int reachedHere, int reachedByPeer, Optional<Address> bestPeer) {}
+
+        /** Counts the servers that this daemon and peers reach; the outcome comes later. */
+        void ask(Collection<String> incarnationIds, Consumer<Outcome> onOutcome);
+
+        /** Asks a peer to stand for election at once. */
+        void nominate(Address peer);
+    }
+
     private final DaemonContext mContext;
     private final EntrySettings mSettings;
     private final long mIncarnation;
@@ -48,14 +85,26 @@
     private final SuspensionClock mClock;
     private final DecisionLog mLog;
     private final CoordinatorElection mElection;
+    private final CoordinatorReach mReach = new CoordinatorReach();
 
     /** The drivers of the current term, by service; empty while the record names another daemon. */
     private final Map<String, RangeCoordinatorDriver> mDrivers = new HashMap<>();
 
     private Runnable mActingListener = () -> {};
     private RangeCoordinatorDriver.Publisher mPublisher = RangeCoordinatorDriver.Publisher.NONE;
+    private PeerReach mPeerReach = PeerReach.NONE;
+
+    /** The peer that reached most servers in the last inquiry. */
+    private Optional<Address> mBestPeer = Optional.empty();
+
     private boolean mStoreCallInFlight;
 
+    /** Whether this daemon was asked to stand for election, until it has read the record. */
+    private boolean mNominated;
+
+    /** When the record was last read from the store. */
+    private long mRecordReadAt;
+
     /** Incremented to invalidate the call in flight. */
     private long mCallGeneration;
 
@@ -91,6 +140,11 @@
         mPublisher = publisher;
     }
 
+    /** Sets how peers are asked which servers they reach. */
+    void setPeerReach(PeerReach peerReach) {
+        mPeerReach = peerReach;
+    }
+
     /** Sets a listener that runs on each tick while this daemon is the coordinator. */
     void setActingListener(Runnable listener) {
         mActingListener = listener;
@@ -142,6 +196,7 @@
             return;
         }
         try {
+            resignIfCutOff(now);
             callStoreIfDue(now);
             tickDrivers(now);
         } finally {
@@ -204,6 +259,7 @@
                     mElection.record().map(CoordinatorRecord::daemon).orElse(""));
         }
         if (!acting) {
+            mReach.onTermEnded();
             return;
         }
         mDirectory
@@ -215,9 +271,120 @@
                                         .forEach(s -> driver(s.name())));
         restoreDrains(now);
         mActingListener.run();
+        compareReachIfDue(now);
         List.copyOf(mDrivers.values()).forEach(d -> d.tick(mElection));
     }
 
+    /** Asks peers which servers they reach if many fail, and holds back losses meanwhile. */
+    private void compareReachIfDue(long now) {
+        Set<String> servers = new HashSet<>();
+        Set<String> failing = new HashSet<>();
+        for (RangeCoordinatorDriver driver : mDrivers.values()) {
+            servers.addAll(driver.servers());
+            failing.addAll(driver.failingServers());
+        }
+        if (mReach.beginInquiryIfDue(servers.size(), failing, now)) {
+            long inquiry = mReach.inquiry();
+            mLog.write(
+                    Part.OWNERSHIP,
+                    "Many servers fail, asking peers which ones they reach",
+                    "servers",
+                    servers.size(),
+                    "failing",
+                    failing.size());
+            mPeerReach.ask(servers, outcome -> onReachCompared(inquiry, servers.size(), outcome));
+        }
+        boolean heldBack = mReach.holdsBackLosses(now);
+        mDrivers.values().forEach(d -> d.setLossesHeldBack(heldBack));
+    }
+
+    private void onReachCompared(long inquiry, int serverCount, PeerReach.Outcome outcome) {
+        long now = now();
+        mReach.onInquiryEnded(inquiry, outcome.reachedHere(), outcome.reachedByPeer(), now);
+        mBestPeer = outcome.bestPeer();
+        mLog.write(
+                Part.OWNERSHIP,
+                "Compared the reach of daemons",
+                "servers",
+                serverCount,
+                "reached",
+                outcome.reachedHere(),
+                "reached_by_peer",
+                outcome.reachedByPeer(),
+                "peer",
+                outcome.bestPeer().map(Address::toString).orElse(""),
+                "resigning",
+                mReach.shouldResign(now));
+        if (!mResigned) {
+            resignIfCutOff(now);
+        }
+    }
+
+    /**
+     * Resigns for a while if a peer reaches more servers. Waits for a call of the store in flight,
+     * whose answer might be a renewal.
+     */
+    private void resignIfCutOff(long now) {
+        if (mReach.shouldResign(now)
+                && !mStoreCallInFlight
+                && mElection.isOwn()
+                && mElection.hasAuthority(now)
+                && !mElection.isStoreUnavailable(now)) {
+            mReach.onResigned(now);
+            endDrivers();
+            mElection.resign(now + CoordinatorReach.ABSTENTION_NANOS);
+            tickDrivers(now);
+            vacateRecordForPeer();
+        }
+    }
+
+    private void vacateRecordForPeer() {
+        mStoreCallInFlight = true;
+        long generation = mCallGeneration;
+        vacateRecord()
+                .thenAccept(
+                        result ->
+                                mThread.execute(
+                                        () -> runIfCurrent(generation, () -> onVacated(result))));
+    }
+
+    private void onVacated(StoreResult result) {
+        mStoreCallInFlight = false;
+        long now = now();
+        if (result instanceof StoreResult.Written written) {
+            mElection.onRead(Optional.of(decode(written.object())), now);
+            mBestPeer.ifPresent(mPeerReach::nominate);
+        } else if (result instanceof StoreResult.Conflict conflict) {
+            mElection.onConflict(decode(conflict.object()), now);
+            if (mElection.isOwn() && !mResigned) {
+                // A renewal whose answer was lost has changed the record.
+                vacateRecordForPeer();
+            }
+        } else {
+            // Nobody else may be able to take over either.
+            mElection.resign(now);
+        }
+    }
+
+    /** Reports whether this daemon could be elected if the record were vacant. */
+    boolean canStand() {
+        long now = now();
+        return !mResigned
+                && !mElection.isAbstaining(now)
+                && mElection.isRecordRead()
+                && now - mRecordReadAt <= MAX_RECORD_AGE_NANOS;
+    }
+
+    /** Reads the record at once, to stand for election if it is vacant. */
+    void onNominated() {
+        if (!mResigned && !mActing) {
+            mNominated = true;
+            long now = now();
+            mNextPollAt = now;
+            callStoreIfDue(now);
+        }
+    }
+
     /**
      * Writes the drains that a restore of the store lost again, and removes the ended ones that it
      * brought back. Repeated until the directory has seen the results.
@@ -301,8 +468,10 @@
                             .findFirst()
                             .map(CoordinatorService::decode),
                     now());
+            mRecordReadAt = now();
             discardDriversUnlessOwn();
-            if (mElection.mayContinue()) {
+            if (mElection.mayContinue() || mNominated) {
+                mNominated = false;
                 callStoreIfDue(now());
             }
         }
@@ -412,21 +581,23 @@
         }
     }
 
-    private void vacateRecord() {
+    private CompletableFuture<StoreResult> vacateRecord() {
         mLog.write(Part.OWNERSHIP, "Resigning as the coordinator");
         // Only a record of the epoch in which the term was confirmed lets others skip the wait.
         StoreVersion confirmed = mElection.record().orElseThrow().version();
-        mStore.replace(
+        CompletableFuture<StoreResult> call =
+                mStore.replace(
                         StoreKind.COORDINATORS,
                         RECORD_NAME,
                         encode("", confirmed.epoch()),
-                        confirmed.revision())
-                .thenAccept(
-                        result ->
-                                mLog.write(
-                                        Part.OWNERSHIP,
-                                        "Resignation write completed",
-                                        "result",
-                                        result.getClass().getSimpleName()));
+                        confirmed.revision());
+        call.thenAccept(
+                result ->
+                        mLog.write(
+                                Part.OWNERSHIP,
+                                "Resignation write completed",
+                                "result",
+                                result.getClass().getSimpleName()));
+        return call;
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -75,6 +75,7 @@
     private final CrashReporter mCrashReporter;
     private final ProbationTrials mProbationTrials;
     private final LeavingReporter mLeavingReporter;
+    private final ReachInquiry mReachInquiry;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -125,6 +126,14 @@
         mKnownAddresses.addAll(mSettings.seedAddresses());
         mTableExchange = new TableExchange(context, this::peerAddresses, client);
         coordinator.setPublisher(mTableExchange);
+        mReachInquiry =
+                new ReachInquiry(
+                        context,
+                        coordinator,
+                        ConnectProbe.create(group),
+                        this::peerAddresses,
+                        client);
+        coordinator.setPeerReach(mReachInquiry);
         // A restore may have lost the entry of this daemon; the next tick writes it again.
         mStore.epoch().addListener(() -> mRegistered = false);
         mServer =
@@ -353,6 +362,12 @@
                 responder.reply(mProbationTrials.answer(MAPPER.readTree(call.body())));
             } else if (call.method().equals("POST") && call.path().equals(LeavingReporter.PATH)) {
                 responder.reply(mLeavingReporter.reply(call));
+            } else if (call.method().equals("POST") && call.path().equals(ReachInquiry.PATH)) {
+                mReachInquiry.reply(call, responder);
+            } else if (call.method().equals("POST")
+                    && call.path().equals(ReachInquiry.NOMINATION_PATH)) {
+                mCoordinator.onNominated();
+                responder.reply(HttpReply.of(200, "{}"));
             } else if (call.path().equals(RelayEndpoint.PATH)) {
                 mRelayEndpoint.answer(call, responder);
             } else if (call.path().equals(FleetStatus.PATH)) {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.Assignment;
@@ -265,6 +266,21 @@
         }
     }
 
+    /** Returns the servers of the service that may own ranges. */
+    ImmutableList<String> servers() {
+        return mLastIncarnationIds;
+    }
+
+    /** Returns those of {@link #servers} whose last grant failed. */
+    ImmutableSet<String> failingServers() {
+        return mCoordinator.failingServers();
+    }
+
+    /** Sets whether servers that fail are not taken for lost for now. */
+    void setLossesHeldBack(boolean heldBack) {
+        mCoordinator.setLossesHeldBack(heldBack);
+    }
+
     private void readTableIfDue(long now) {
         if (mTableReadInFlight
                 || mLastIncarnationIds.isEmpty()
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -19,7 +19,7 @@
 
 /**
  * Decodes server entries, by default of {@link #SERVICE}, and configurations that have no routes
- * and name services in an array; rejects objects.
+ * and name services and keyed services in an array each; rejects objects.
  */
 final class FakeWireFormat implements WireFormat {
     static final String SERVICE = "keyed";
@@ -67,6 +67,9 @@
         for (JsonNode name : spec.path("services")) {
             services.put(name.asText(), new ServiceRule(name.asText(), false, "", 0, 0, 0));
         }
+        for (JsonNode name : spec.path("keyed_services")) {
+            services.put(name.asText(), new ServiceRule(name.asText(), true, "", 0, 0, 0));
+        }
         return RouterConfig.of(
                 spec.path("version").asLong(),
                 ImmutableList.of(),
