Read the current record when asked to stand for election

Cause: the daemon that a resigning coordinator asks to stand read the record with allow_stale. The store may then show a state that is seconds old, in which the record still names the daemon that has resigned, and the nomination had no effect. The answer to a read that was in flight when the nomination came used it up too.

Change: the first read after a nomination is a current one, and a nomination is used up when that read is sent.

--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -99,7 +99,7 @@
 
     private boolean mStoreCallInFlight;
 
-    /** Whether this daemon was asked to stand for election, until it has read the record. */
+    /** Whether this daemon was asked to stand for election, until it reads the record. */
     private boolean mNominated;
 
     /** When the record was last read from the store. */
@@ -441,13 +441,17 @@
         mStoreCallInFlight = true;
         mNextPollAt = now + (mElection.mayContinue() ? RETRY_INTERVAL_NANOS : POLL_INTERVAL_NANOS);
         long generation = mCallGeneration;
-        mStore.listAll(StoreKind.COORDINATORS, mElection.record().isPresent())
+        boolean nominated = mNominated;
+        mNominated = false;
+        // A stale read would show the record of the daemon that has resigned, for seconds.
+        mStore.listAll(StoreKind.COORDINATORS, mElection.record().isPresent() && !nominated)
                 .thenAccept(
                         result ->
                                 mThread.execute(
                                         () ->
                                                 runIfCurrent(
-                                                        generation, () -> onRecordRead(result))));
+                                                        generation,
+                                                        () -> onRecordRead(result, nominated))));
     }
 
     private void runIfCurrent(long generation, Runnable task) {
@@ -456,7 +460,7 @@
         }
     }
 
-    private void onRecordRead(StoreResult result) {
+    private void onRecordRead(StoreResult result, boolean nominated) {
         mStoreCallInFlight = false;
         if (result instanceof StoreResult.Page page) {
             if (!mElection.isRecordRead()) {
@@ -470,8 +474,8 @@
                     now());
             mRecordReadAt = now();
             discardDriversUnlessOwn();
-            if (mElection.mayContinue() || mNominated) {
-                mNominated = false;
+            // A nomination may also have come since the read was sent, which then shows nothing.
+            if (mElection.mayContinue() || nominated || mNominated) {
                 callStoreIfDue(now());
             }
         }
--- a/entry/src/test/java/org/geraniumusher/entry/CoordinatorResignationTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CoordinatorResignationTest.java
@@ -165,4 +165,51 @@
         assertThat(mCoordinator.isActing()).isTrue();
         assertThat(recordedDaemon()).startsWith("d/");
     }
+
+    /** A stale read shows the record of the daemon that has resigned, for seconds. */
+    @Test
+    void onNominated_staleReadsLag_isElectedAtOnce() {
+        mStore.put(StoreKind.COORDINATORS, "coordinator", record("e/127.0.0.2"));
+        mCoordinator = new CoordinatorService(mFixture.createContext("d"));
+        mCoordinator.start();
+        mThread.advance(1_000 * MILLI);
+        assertThat(mCoordinator.isActing()).isFalse();
+        mStore.freezeStaleLists();
+        mStore.put(StoreKind.COORDINATORS, "coordinator", record(""));
+
+        mCoordinator.onNominated();
+        mThread.advance(100 * MILLI);
+
+        assertThat(recordedDaemon()).startsWith("d/");
+        assertThat(mCoordinator.isActing()).isTrue();
+    }
+
+    /** The answer to a read that was sent before the nomination shows nothing about it. */
+    @Test
+    void onNominated_earlierReadIsInFlight_readsAgainAndIsElectedAtOnce() {
+        mStore.put(StoreKind.COORDINATORS, "coordinator", record("e/127.0.0.2"));
+        mCoordinator = new CoordinatorService(mFixture.createContext("d"));
+        mCoordinator.start();
+        mThread.advance(900 * MILLI);
+        mStore.holdAnswers();
+        mThread.advance(1_000 * MILLI);
+        mStore.freezeStaleLists();
+        mStore.put(StoreKind.COORDINATORS, "coordinator", record(""));
+
+        mCoordinator.onNominated();
+        mStore.releaseAnswers();
+        mThread.advance(100 * MILLI);
+
+        assertThat(recordedDaemon()).startsWith("d/");
+        assertThat(mCoordinator.isActing()).isTrue();
+    }
+
+    private static ObjectNode record(String daemon) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("daemon", daemon)
+                .put("incarnation", 1)
+                .put("epoch", 1)
+                .put("peer", PEER.toString());
+    }
 }
--- a/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeStore.java
@@ -36,6 +36,9 @@
     private final StoreEpoch mEpoch;
     private long mStoreEpoch = 1;
 
+    /** What stale lists show, or null if they show the current state. */
+    private Backup mStaleState;
+
     FakeStore(DecisionLog log) {
         mEpoch = StoreEpoch.create(log);
     }
@@ -64,6 +67,11 @@
         mStoreEpoch++;
     }
 
+    /** From now on, lists that may be stale show the present state. */
+    void freezeStaleLists() {
+        mStaleState = backup();
+    }
+
     /** From now on, executes calls at once but holds their answers. */
     void holdAnswers() {
         mHoldAnswers = true;
@@ -143,7 +151,11 @@
 
     @Override
     public CompletableFuture<StoreResult> list(StoreKind kind, String after, boolean allowStale) {
-        List<StoreObject> rest = List.copyOf(objects(kind).tailMap(after, false).values());
+        TreeMap<String, StoreObject> objects =
+                allowStale && mStaleState != null
+                        ? mStaleState.objectsByKind().getOrDefault(kind, new TreeMap<>())
+                        : objects(kind);
+        List<StoreObject> rest = List.copyOf(objects.tailMap(after, false).values());
         boolean more = rest.size() > mPageSize;
         List<StoreObject> page = more ? rest.subList(0, mPageSize) : rest;
         CompletableFuture<StoreResult> result =
