--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorReach.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorReach.java
@@ -59,9 +59,11 @@
     private Phase mPhase = Phase.IDLE;
     private long mPhaseEndsAt;
     private long mInquiry;
-    private long mNextInquiryAt = Long.MIN_VALUE;
-    private long mNextInquiryIfMoreFailAt = Long.MIN_VALUE;
+    private long mInquiryBegunAt = Long.MIN_VALUE / 2;
+
+    /** The servers that failed when the last inquiry began. */
     private ImmutableSet<String> mFailing = ImmutableSet.of();
+
     private long mNextResignationAt = Long.MIN_VALUE;
     private long mPauseNanos;
 
@@ -74,9 +76,8 @@
     public boolean beginInquiryIfDue(int serverCount, Set<String> failing, long nowNanos) {
         endPhaseIfOver(nowNanos);
         boolean isSuspicious = failing.size() >= MIN_FAILING && 2 * failing.size() >= serverCount;
-        boolean isDue =
-                nowNanos >= mNextInquiryAt
-                        || nowNanos >= mNextInquiryIfMoreFailAt && !mFailing.containsAll(failing);
+        long interval = mFailing.containsAll(failing) ? REPEAT_NANOS : MIN_INTERVAL_NANOS;
+        boolean isDue = nowNanos - mInquiryBegunAt >= interval;
         if (mPhase != Phase.IDLE || !isSuspicious || !isDue || nowNanos < mNextResignationAt) {
             return false;
         }
@@ -84,8 +85,7 @@
         mFailing = ImmutableSet.copyOf(failing);
         mPhase = Phase.ASKING;
         mPhaseEndsAt = nowNanos + INQUIRY_LIMIT_NANOS;
-        mNextInquiryAt = nowNanos + REPEAT_NANOS;
-        mNextInquiryIfMoreFailAt = nowNanos + MIN_INTERVAL_NANOS;
+        mInquiryBegunAt = nowNanos;
         return true;
     }
 
