Ask for the present coordinator in one place

Four callers each left out a record of a coordinator that has resigned, and two wrote the ID of its run by themselves. CoordinatorServiceTest, CoordinatorResignationTest, LeavingReportTest and QuarantinePathTest pass.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorRecord.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/CoordinatorRecord.java
@@ -21,6 +21,11 @@
         checkNotNull(version);
     }
 
+    /** Returns an ID of the run of the daemon, which differs after each start. */
+    public String incarnationId() {
+        return daemon + "/" + incarnation;
+    }
+
     /** Reports whether there is no coordinator. */
     public boolean isVacant() {
         return daemon.isEmpty();
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -160,6 +160,11 @@
         return mElection.record();
     }
 
+    /** Returns the same, but empty too if the last coordinator resigned and has no successor. */
+    Optional<CoordinatorRecord> presentCoordinator() {
+        return coordinator().filter(c -> !c.isVacant());
+    }
+
     /** Reports whether this daemon had authority at the last tick and has not resigned. */
     boolean isActing() {
         return mActing;
--- a/entry/src/main/java/org/geraniumusher/entry/CrashReporter.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CrashReporter.java
@@ -224,12 +224,11 @@
             }
             return;
         }
-        Optional<CoordinatorRecord> coordinator =
-                mCoordinator.coordinator().filter(c -> !c.isVacant());
+        Optional<CoordinatorRecord> coordinator = mCoordinator.presentCoordinator();
         if (coordinator.isEmpty()) {
             return;
         }
-        String identity = coordinator.get().daemon() + "/" + coordinator.get().incarnation();
+        String identity = coordinator.get().incarnationId();
         Batch batch = nextBatch(identity);
         if (batch.isEmpty()) {
             return;
--- a/entry/src/main/java/org/geraniumusher/entry/LeavingReporter.java
+++ b/entry/src/main/java/org/geraniumusher/entry/LeavingReporter.java
@@ -66,15 +66,14 @@
     void send() {
         ImmutableList<String> leaving = mContext.directory().saidLeaving();
         mAcknowledgedBy.keySet().retainAll(leaving);
-        Optional<CoordinatorRecord> coordinator =
-                mCoordinator.coordinator().filter(c -> !c.isVacant());
+        Optional<CoordinatorRecord> coordinator = mCoordinator.presentCoordinator();
         if (leaving.isEmpty()
                 || mCallInFlight
                 || mCoordinator.isActing()
                 || coordinator.isEmpty()) {
             return;
         }
-        String identity = coordinator.get().daemon() + "/" + coordinator.get().incarnation();
+        String identity = coordinator.get().incarnationId();
         Report report =
                 new Report(
                         leaving.stream()
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -325,11 +325,11 @@
             reports.forEach(mCoordinator::onReport);
             return;
         }
-        CoordinatorRecord coordinator = mCoordinator.coordinator().orElse(null);
-        if (reports.isEmpty() || coordinator == null || coordinator.isVacant()) {
+        Optional<CoordinatorRecord> coordinator = mCoordinator.presentCoordinator();
+        if (reports.isEmpty() || coordinator.isEmpty()) {
             return;
         }
-        Address address = Address.of(coordinator.peerAddress());
+        Address address = Address.of(coordinator.get().peerAddress());
         String body = KeyedRequestStats.encode(reports).toString();
         mClient.call(address, HttpCall.of("POST", "/work", body), CALL_TIMEOUT)
                 .exceptionally(
@@ -338,7 +338,7 @@
                                     Part.PEER,
                                     "Report to the coordinator failed",
                                     "coordinator",
-                                    coordinator.daemon(),
+                                    coordinator.get().daemon(),
                                     "cause",
                                     error.getMessage());
                             return null;
--- a/entry/src/main/java/org/geraniumusher/entry/ProbationTrials.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ProbationTrials.java
@@ -116,8 +116,7 @@
         }
         mPermissions.put(fingerprint, new Permission(Decision.WAIT, now + CALL_TIMEOUT.toNanos()));
         mCoordinator
-                .coordinator()
-                .filter(c -> !c.isVacant())
+                .presentCoordinator()
                 .ifPresentOrElse(
                         c -> call(Address.of(c.peerAddress()), fingerprint),
                         () -> onAnswer(fingerprint, OptionalLong.empty()));
