Look up the calls of peers in a table

Each new call lengthened a chain of conditions in PeerService. A call is now a line in a table by method and path. The paths and answers are as before, except that /granted, /relay, /status, /tables and /objects/ are answered for the one method only with which daemons call them. RelayTest, DaemonLossTest, OperatorEndpointTest, PagedListTest, RefusedDaemonTest, NextOwnerPathTest and LeavingReportTest pass (31 cases).

--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -43,6 +43,13 @@
  */
 final class PeerService implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Path to which daemons post the requests of keyed services. */
+    private static final String WORK_PATH = "/work";
+
+    /** Prefix of the paths of copies; the kind of the objects follows. */
+    private static final String OBJECTS_PATH = "/objects/";
+
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
     private static final long TICK_INTERVAL_MILLIS = 500;
     private static final long REPORT_INTERVAL_NANOS = 500_000_000L;
@@ -80,6 +87,7 @@
     private final LongSupplier mClock;
     private final DecisionLog mLog;
     private final HttpClient mClient;
+    private final ImmutableMap<String, PeerCall> mCalls;
     private final HttpServer mServer;
     private final Random mRandom;
 
@@ -92,6 +100,21 @@
     private boolean mRegistered;
     private boolean mRegistering;
 
+    /** Answers one kind of call of peers, at once or later. */
+    private interface PeerCall {
+        void answer(HttpCall call, Responder responder) throws IOException;
+    }
+
+    /** Processes a call whose answer says no more than that it was accepted. */
+    private interface Notice {
+        void process(HttpCall call) throws IOException;
+    }
+
+    /** Returns the answer to a call. */
+    private interface Query {
+        HttpReply reply(HttpCall call) throws IOException;
+    }
+
     PeerService(
             DaemonContext context,
             WireFormat wire,
@@ -136,6 +159,7 @@
         coordinator.setPeerReach(mReachInquiry);
         // A restore may have lost the entry of this daemon; the next tick writes it again.
         mStore.epoch().addListener(() -> mRegistered = false);
+        mCalls = createCalls();
         mServer =
                 HttpServer.create(
                         group,
@@ -278,7 +302,7 @@
         HttpCall call =
                 HttpCall.of(
                         "GET",
-                        "/objects/"
+                        OBJECTS_PATH
                                 + mirror.kind()
                                 + "?newer_than="
                                 + mirror.version().revision()
@@ -331,7 +355,7 @@
         }
         Address address = Address.of(coordinator.get().peerAddress());
         String body = KeyedRequestStats.encode(reports).toString();
-        mClient.call(address, HttpCall.of("POST", "/work", body), CALL_TIMEOUT)
+        mClient.call(address, HttpCall.of("POST", WORK_PATH, body), CALL_TIMEOUT)
                 .exceptionally(
                         error -> {
                             mLog.write(
@@ -345,43 +369,55 @@
                         });
     }
 
+    /** Returns what answers the calls of peers, by method and path. */
+    private ImmutableMap<String, PeerCall> createCalls() {
+        return ImmutableMap.<String, PeerCall>builder()
+                .put("POST " + WORK_PATH, notice(this::onWorkReport))
+                .put(
+                        "POST " + TableExchange.TABLE_PATH,
+                        notice(call -> mTableExchange.onTableChanges(DeflatedJson.decode(call))))
+                .put(
+                        "POST " + TableExchange.GRANTED_PATH,
+                        notice(call -> mTableExchange.onGrants(DeflatedJson.decode(call))))
+                .put(
+                        "POST " + ReachInquiry.NOMINATION_PATH,
+                        notice(call -> mCoordinator.onNominated()))
+                .put("POST " + CrashReporter.PATH, query(this::crashReportReply))
+                .put(
+                        "POST " + ProbationTrials.PATH,
+                        query(call -> mProbationTrials.answer(MAPPER.readTree(call.body()))))
+                .put("POST " + LeavingReporter.PATH, query(mLeavingReporter::reply))
+                .put("POST " + ReachInquiry.PATH, mReachInquiry::reply)
+                .put("GET " + RelayEndpoint.PATH, mRelayEndpoint::answer)
+                .put("GET " + FleetStatus.PATH, query(call -> mFleet.statusReply()))
+                .put(
+                        "GET " + TableExchange.TABLES_PATH,
+                        query(call -> mTableExchange.tablesReply()))
+                .put("GET " + OBJECTS_PATH, query(this::copyReply))
+                .buildOrThrow();
+    }
+
+    /** Returns a call that is processed and then answered without content. */
+    private static PeerCall notice(Notice notice) {
+        return (call, responder) -> {
+            notice.process(call);
+            responder.reply(HttpReply.of(200, "{}"));
+        };
+    }
+
+    private static PeerCall query(Query query) {
+        return (call, responder) -> responder.reply(query.reply(call));
+    }
+
     private void handle(HttpCall call, Responder responder) {
+        String path = call.path().startsWith(OBJECTS_PATH) ? OBJECTS_PATH : call.path();
+        PeerCall peerCall = mCalls.get(call.method() + " " + path);
+        if (peerCall == null) {
+            responder.reply(HttpReply.of(404, "{}"));
+            return;
+        }
         try {
-            if (call.method().equals("POST") && call.path().equals("/work")) {
-                KeyedRequestStats.decode(MAPPER.readTree(call.body()))
-                        .forEach(mCoordinator::onReport);
-                responder.reply(HttpReply.of(200, "{}"));
-            } else if (call.method().equals("POST")
-                    && call.path().equals(TableExchange.TABLE_PATH)) {
-                mTableExchange.onTableChanges(DeflatedJson.decode(call));
-                responder.reply(HttpReply.of(200, "{}"));
-            } else if (call.method().equals("POST") && call.path().equals(CrashReporter.PATH)) {
-                boolean accepted = mCrashReporter.onReport(DeflatedJson.decode(call));
-                responder.reply(HttpReply.of(accepted ? 200 : 503, "{}"));
-            } else if (call.method().equals("POST") && call.path().equals(ProbationTrials.PATH)) {
-                responder.reply(mProbationTrials.answer(MAPPER.readTree(call.body())));
-            } else if (call.method().equals("POST") && call.path().equals(LeavingReporter.PATH)) {
-                responder.reply(mLeavingReporter.reply(call));
-            } else if (call.method().equals("POST") && call.path().equals(ReachInquiry.PATH)) {
-                mReachInquiry.reply(call, responder);
-            } else if (call.method().equals("POST")
-                    && call.path().equals(ReachInquiry.NOMINATION_PATH)) {
-                mCoordinator.onNominated();
-                responder.reply(HttpReply.of(200, "{}"));
-            } else if (call.path().equals(RelayEndpoint.PATH)) {
-                mRelayEndpoint.answer(call, responder);
-            } else if (call.path().equals(FleetStatus.PATH)) {
-                responder.reply(mFleet.statusReply());
-            } else if (call.path().equals(TableExchange.GRANTED_PATH)) {
-                mTableExchange.onGrants(DeflatedJson.decode(call));
-                responder.reply(HttpReply.of(200, "{}"));
-            } else if (call.path().equals(TableExchange.TABLES_PATH)) {
-                responder.reply(mTableExchange.tablesReply());
-            } else if (call.path().startsWith("/objects/")) {
-                responder.reply(copyReply(call));
-            } else {
-                responder.reply(HttpReply.of(404, "{}"));
-            }
+            peerCall.answer(call, responder);
         } catch (IOException | RuntimeException e) {
             mLog.write(
                     Part.PEER, "Cannot decode a call from a peer", "uri", call.uri(), "reason", e);
@@ -389,8 +425,17 @@
         }
     }
 
+    private void onWorkReport(HttpCall call) throws IOException {
+        KeyedRequestStats.decode(MAPPER.readTree(call.body())).forEach(mCoordinator::onReport);
+    }
+
+    private HttpReply crashReportReply(HttpCall call) {
+        boolean accepted = mCrashReporter.onReport(DeflatedJson.decode(call));
+        return HttpReply.of(accepted ? 200 : 503, "{}");
+    }
+
     private HttpReply copyReply(HttpCall call) throws JsonProcessingException {
-        StoreKind kind = StoreKind.valueOf(call.path().substring("/objects/".length()));
+        StoreKind kind = StoreKind.valueOf(call.path().substring(OBJECTS_PATH.length()));
         KindMirror mirror = mDirectory.mirror(kind);
         StoreVersion known =
                 new StoreVersion(
