Log and count stalls of the event loop

No log line or metric told a daemon that stalls from one that writes late.

Each pass of the event loop is measured, from the return of a poll to the start of the next; one of 250 ms or longer is logged and counted. EventLoopMonitorTest covers a long pass, a long poll and the handler of a real event loop.

--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -86,7 +86,8 @@
         mClock = clock;
         mMetrics = new EntryMetrics(settings.name(), incarnation, clock, clocks.wallMillis());
         mLog = log;
-        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopMonitor monitor = new EventLoopMonitor(clocks.monotonicNanos(), log);
+        mGroup = new MultiThreadIoEventLoopGroup(1, monitor.monitoring(NioIoHandler.newFactory()));
         mLoop = mGroup.next();
         Adapter adapter = adapterFactory.apply(mGroup);
         EventThread thread = new EventLoopThread(mLoop, log);
@@ -97,7 +98,7 @@
                 new RelayedStore(
                         store, settings, adapter.wire(), client, thread, clock, log, mMetrics);
         mDirectory = new Directory(relayedStore, adapter.wire(), thread, clock, log);
-        registerGauges(clock, store.epoch());
+        registerGauges(clock, store.epoch(), monitor);
         DaemonContext context =
                 new DaemonContext(
                         settings,
@@ -180,7 +181,9 @@
                 crashMonitor);
     }
 
-    private void registerGauges(SuspensionClock clock, StoreEpoch epoch) {
+    private void registerGauges(SuspensionClock clock, StoreEpoch epoch, EventLoopMonitor monitor) {
+        mMetrics.registerGauge("event_loop.stalls", monitor::stalls);
+        mMetrics.registerGauge("event_loop.longest_pass_ms", monitor::longestPassMillis);
         mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
         mMetrics.registerGauge("clock.suspensions", clock::suspensions);
         mMetrics.registerGauge("store.epoch", () -> (int) epoch.current());
