Do not dispatch requests whose callers have left before they were read

Callers saw nothing: they had left.

Cause: a daemon without processor time finds a request and the close by its caller in the socket together. It read the request, sent it at once over an idle connection, and read the close in a later pass of the event loop. Requests that needed a new connection were cancelled in time, since opening it takes another pass.

Change: a channel of a caller is read until nothing is left, and its requests are dispatched in a task after that, unless the channel is closed by then. It costs one read more for each request.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -29,15 +29,18 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.Queue;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
  * Handles one connection of a caller, which may pipeline requests. Confined to the event loop.
  *
- * <p>Invariant: responses are written in the order of the requests. After a response that closes
+ * <p>Invariants: responses are written in the order of the requests. After a response that closes
  * the connection, no request is handled and no response is written. Each response carries the ID of
- * its request, also if the caller sent none.
+ * its request, also if the caller sent none. A request is dispatched only when all that the socket
+ * held was read, and not if that includes the close by the caller; for this the channel has to read
+ * {@linkplain CallerEndpoint until nothing is left}.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
     /** Delay after which a caller may send a request again whose body had no room. */
@@ -51,6 +54,10 @@
     private final EntryMetrics mMetrics;
     private final DecisionLog mLog;
     private final Deque<PendingResponse> mPending = new ArrayDeque<>();
+
+    /** Requests that were read and not dispatched yet. */
+    private final Queue<Exchange> mUndispatched = new ArrayDeque<>();
+
     private long mIdleSinceNanos;
     private boolean mClosing;
 
@@ -150,7 +157,7 @@
                         id,
                         mClock.getAsLong(),
                         pending);
-        mDispatcher.dispatch(pending.mExchange);
+        mUndispatched.add(pending.mExchange);
     }
 
     private void reject(FullHttpRequest request, PendingResponse pending) {
@@ -185,9 +192,23 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         // A request that is still being received also counts as activity.
         mIdleSinceNanos = mClock.getAsLong();
+        if (!mUndispatched.isEmpty()) {
+            // The channel handles a close that it has read only after this method.
+            context.executor().execute(() -> dispatchRead(context.channel()));
+        }
         context.fireChannelReadComplete();
     }
 
+    /** Dispatches the requests that were read, unless the caller has closed the connection. */
+    private void dispatchRead(Channel channel) {
+        while (channel.isActive() && !mUndispatched.isEmpty()) {
+            Exchange exchange = mUndispatched.remove();
+            if (!exchange.isEnded()) {
+                mDispatcher.dispatch(exchange);
+            }
+        }
+    }
+
     /** Closes the connection, which must be idle or stalled. */
     void close(Channel channel, CloseCause cause) {
         mCloseCause = cause;
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -2,7 +2,9 @@
 
 import com.google.common.primitives.Ints;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -33,6 +35,9 @@
      */
     private static final long STOPPING_IDLE_NANOS = 1_000_000_000L;
 
+    /** Limit of the reads of a connection in a row, so that no caller holds up the others. */
+    private static final int MAX_READS_IN_PASS = 16;
+
     /** Part of the heap, as a divisor, for the bodies of requests. */
     private static final int BODY_HEAP_DIVISOR = 3;
 
@@ -44,6 +49,13 @@
     private final EntryMetrics mMetrics;
     private final DecisionLog mLog;
     private final TcpListener mListener;
+
+    /** Makes channels read until nothing is left, so that a close behind a request is seen. */
+    private final RecvByteBufAllocator mReadUntilEmpty =
+            new AdaptiveRecvByteBufAllocator()
+                    .respectMaybeMoreData(false)
+                    .maxMessagesPerRead(MAX_READS_IN_PASS);
+
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final BodyBudget mBodies =
@@ -74,6 +86,7 @@
     private void initPipeline(SocketChannel channel) {
         TrafficLimits limits = limits();
         mConnections.add(channel);
+        channel.config().setRecvByteBufAllocator(mReadUntilEmpty);
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(MAX_INITIAL_LINE_BYTES, limits.maxHeaderBytes()))
                 .addLast(new HttpResponseEncoder())
