Decide again when a connection can carry the request

Servers ran requests whose callers had left (GONE), and a server that began to leave while its connection was opened still got the request (DRAIN). Neither is seen by callers.

Cause: caller, deadline and server were checked when the server was chosen. The request was written after the connect (up to 0.4 s) and the wait for its acceptance (up to 20 ms), or after a stall, and nothing was asked again. An order whose caller had left was always left to its server, also when no byte of it had been sent. Its Deadline-Ms was that of the choice.

Change: an OutgoingRequest is asked whether it may still be sent, and built, when it is written. One that may not be is queued again, or ended if its caller has left or its deadline passed, and its connection serves others. The selection of servers moves from Dispatcher to ServerSelector.

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -151,6 +151,11 @@
         mFailureRate += REQUEST_SMOOTHING * (1 - mFailureRate);
     }
 
+    /** Records that a request that counted as sent never was, which says nothing of the server. */
+    public void onWithdrawn() {
+        mInFlight--;
+    }
+
     /** Records that a request got no answer, which makes the server suspect for a while. */
     public void onNoAnswer(long nowNanos) {
         mInFlight--;
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -3,18 +3,14 @@
 import com.google.common.primitives.Ints;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 
-import org.geraniumusher.dispatch.ServerLoad;
-import org.geraniumusher.dispatch.ServerPicker;
-import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.KeyRange;
-import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.traffic.RouteRule;
 import org.geraniumusher.traffic.RouterConfig;
-import org.geraniumusher.traffic.ServerEntry;
 import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.ArrayList;
@@ -51,15 +47,6 @@
     /** Maximum number of sends of one request, including those that were not executed. */
     private static final int MAX_SENDS = 6;
 
-    /**
-     * Fraction of the drain time during which a leaving server may still get requests. The rest is
-     * a margin for requests in transit.
-     */
-    private static final double DRAIN_FRACTION_USED = 0.7;
-
-    /** Allowance for the transit of a request to a server and of a change from the store. */
-    private static final long TRANSIT_NANOS = 200_000_000;
-
     /**
      * Time after the deadline for which an attempt that must not be repeated is left to its server,
      * which knows the deadline and stops there.
@@ -72,12 +59,6 @@
             Comparator.comparingInt((Exchange e) -> e.route().priority())
                     .thenComparingLong(Exchange::goalAtNanos);
 
-    /**
-     * Fraction of the cold rate that this daemon uses. It leaves a margin, because the daemons
-     * share this rate and none knows how much the others use.
-     */
-    private static final double COLD_RATE_FRACTION_USED = 0.9;
-
     /** Short, because other daemons can take the request at once. */
     private static final double STOPPING_RETRY_AFTER_SECONDS = 0.02;
 
@@ -87,7 +68,6 @@
     /** Applies to a route whose service does not exist, until the next configuration adds it. */
     private static final double NO_SERVICE_RETRY_AFTER_SECONDS = 1;
 
-    private final EntrySettings mSettings;
     private final Directory mDirectory;
     private final WireFormat mWire;
     private final EventThread mThread;
@@ -97,6 +77,7 @@
     private final CrashMonitor mCrashMonitor;
     private final Random mRandom;
     private final UpstreamSet mUpstreams;
+    private final ServerSelector mSelector;
     private final ServerNotices mServerNotices;
     private final RequestLog mRequestLog;
     private final RetryBudgets mRetryBudgets;
@@ -109,7 +90,6 @@
     /** Assumed until {@link #setDaemonCount} is called. */
     private int mDaemonCount = 10;
 
-    private long mMaxEntryLagNanos;
     private Consumer<String> mUnreachableListener = incarnationId -> {};
 
     Dispatcher(
@@ -123,7 +103,6 @@
             EntryMetrics metrics,
             KeyedRequestStats keyedRequestStats,
             CrashMonitor crashMonitor) {
-        mSettings = settings;
         mDirectory = directory;
         mWire = wire;
         mThread = thread;
@@ -135,6 +114,8 @@
         mUpstreams =
                 new UpstreamSet(
                         directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
+        mSelector = new ServerSelector(settings, directory, mUpstreams, mRandom);
+        mSelector.setDaemonCount(mDaemonCount);
         mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread, log, metrics);
         mRetryBudgets = new RetryBudgets(settings);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
@@ -150,11 +131,12 @@
      */
     void setDaemonCount(int count) {
         mDaemonCount = Math.max(1, count);
+        mSelector.setDaemonCount(mDaemonCount);
     }
 
     /** Sets the maximum delay with which this daemon learns of changes of server entries. */
     void setMaxEntryLagNanos(long nanos) {
-        mMaxEntryLagNanos = nanos;
+        mSelector.setMaxEntryLagNanos(nanos);
     }
 
     /**
@@ -284,7 +266,7 @@
         Optional<Upstream> target =
                 now < exchange.earliestSendNanos()
                         ? Optional.empty()
-                        : exchange.hasKey() ? findOwner(exchange, now) : pickServer(exchange, now);
+                        : mSelector.select(exchange, now);
         ProbationTrials.Decision trial =
                 target.isPresent()
                         ? mCrashMonitor.decideTrial(exchange)
@@ -338,92 +320,6 @@
                 : now;
     }
 
-    /**
-     * Returns the owner of the key if it can take the request now. Sets the wait reason, which
-     * applies if the result is empty.
-     */
-    private Optional<Upstream> findOwner(Exchange exchange, long now) {
-        Optional<RangeTable> table = mDirectory.table(exchange.service());
-        exchange.setWaitReason(ResultCode.NO_OWNER);
-        if (table.isEmpty()) {
-            return Optional.empty();
-        }
-        Assignment assignment = table.get().find(exchange.key());
-        Upstream upstream = mUpstreams.get(assignment.owner());
-        if (!mDirectory.tables().mayServe(exchange.service(), assignment) || upstream == null) {
-            return Optional.empty();
-        }
-        boolean outOfService =
-                upstream.isLeaving()
-                                && now - upstream.leavingSinceNanos() > maxUseAfterLeavingNanos()
-                        || mDirectory.isOutOfService(upstream.entry());
-        if (outOfService || upstream.load().isSuspect(now)) {
-            return Optional.empty();
-        }
-        exchange.setWaitReason(ResultCode.OVERLOADED);
-        return tryAdmit(exchange, upstream, now) ? Optional.of(upstream) : Optional.empty();
-    }
-
-    /** Returns how long a server may get requests after this daemon has learnt that it leaves. */
-    private long maxUseAfterLeavingNanos() {
-        long drainNanos = mSettings.drainNanos();
-        long nanos =
-                Math.min(
-                        (long) (drainNanos * DRAIN_FRACTION_USED),
-                        drainNanos - mMaxEntryLagNanos - TRANSIT_NANOS);
-        return Math.max(0, nanos);
-    }
-
-    /** Reports whether the server can take the request now; takes a token of a cold server. */
-    private boolean tryAdmit(Exchange exchange, Upstream upstream, long now) {
-        ServerLoad load = upstream.load();
-        boolean inTime = now + load.expectedResponseNanos(now) <= exchange.goalAtNanos();
-        boolean free = load.expectedLoad(now) < upstream.entry().slots();
-        return (inTime || free) && load.tryAdmit(coldRequestsPerSecond(exchange.service()), now);
-    }
-
-    /** Returns the number of requests per second that this daemon may send to a cold server. */
-    private double coldRequestsPerSecond(String service) {
-        double rate =
-                mDirectory
-                        .configuration()
-                        .map(c -> c.services().get(service))
-                        .map(ServiceRule::coldRequestsPerSecond)
-                        .orElse(0.0);
-        return rate <= 0 ? Double.MAX_VALUE : rate * COLD_RATE_FRACTION_USED / mDaemonCount;
-    }
-
-    /**
-     * Returns a server for a request without a key if one can take it now. Sets the wait reason,
-     * which applies if the result is empty.
-     */
-    private Optional<Upstream> pickServer(Exchange exchange, long now) {
-        List<ServerPicker.Candidate> candidates = new ArrayList<>();
-        for (Upstream upstream : mUpstreams.ofService(exchange.service())) {
-            ServerEntry entry = upstream.entry();
-            if (!upstream.isLeaving() && !mDirectory.isOutOfService(entry)) {
-                boolean local = entry.dataCentre().equals(mSettings.dataCentre());
-                boolean tried = exchange.triedIncarnations().contains(entry.incarnationId());
-                candidates.add(
-                        new ServerPicker.Candidate(
-                                entry.incarnationId(),
-                                upstream.load(),
-                                entry.slots(),
-                                local,
-                                tried));
-            }
-        }
-        exchange.setWaitReason(
-                candidates.isEmpty() ? ResultCode.NO_BACKEND_SERVER : ResultCode.OVERLOADED);
-        return ServerPicker.pick(
-                        candidates,
-                        exchange.goalAtNanos() - now,
-                        coldRequestsPerSecond(exchange.service()),
-                        now,
-                        mRandom)
-                .map(c -> mUpstreams.get(c.incarnationId()));
-    }
-
     private void send(Exchange exchange, Upstream upstream, long now) {
         exchange.recordSend(upstream.entry().incarnationId());
         upstream.load().onSent();
@@ -444,21 +340,46 @@
                         Dispatcher.this.onNotAccepted(exchange, upstream, cause);
                     }
 
+                    @Override
+                    public void onWithdrawn() {
+                        Dispatcher.this.onWithdrawn(exchange, upstream);
+                    }
+
                     @Override
                     public void onNoResponse(ResponseFailure failure) {
                         Dispatcher.this.onBroken(exchange, upstream, now, failure);
                     }
                 };
         UpstreamConnection connection =
-                upstream.send(
-                        ForwardedRequests.build(exchange, upstream.entry(), mWire.headers(), now),
-                        listener,
-                        exchange::mayUse);
+                upstream.send(outgoingRequest(exchange, upstream), listener, exchange::mayUse);
         if (!exchange.isEnded()) {
             exchange.beginAttempt(new Exchange.Attempt(upstream, connection, now));
         }
     }
 
+    private OutgoingRequest outgoingRequest(Exchange exchange, Upstream upstream) {
+        return new OutgoingRequest() {
+            @Override
+            public String id() {
+                return exchange.id();
+            }
+
+            @Override
+            public boolean maySend() {
+                long now = mClock.getAsLong();
+                return !exchange.isEnded()
+                        && now < exchange.deadlineAtNanos()
+                        && mSelector.mayUse(exchange, upstream, now);
+            }
+
+            @Override
+            public FullHttpRequest build() {
+                return ForwardedRequests.build(
+                        exchange, upstream.entry(), mWire.headers(), mClock.getAsLong());
+            }
+        };
+    }
+
     private void onResponse(
             Exchange exchange, Upstream upstream, long sentAtNanos, UpstreamResponse response) {
         long now = mClock.getAsLong();
@@ -552,6 +473,22 @@
         resendUnsent(exchange);
     }
 
+    /**
+     * Queues the request again, as it was not sent: the server began to leave while its connection
+     * was opened. Does nothing if its caller left, and ends it if its deadline passed.
+     */
+    private void onWithdrawn(Exchange exchange, Upstream upstream) {
+        exchange.endAttempt();
+        upstream.load().onWithdrawn();
+        mMetrics.onWithdrawn();
+        mRequestLog.logWithdrawn(exchange, upstream);
+        if (mClock.getAsLong() < exchange.deadlineAtNanos()) {
+            resendUnsent(exchange);
+        } else {
+            onDeadline(exchange);
+        }
+    }
+
     private void onBroken(
             Exchange exchange, Upstream upstream, long sentAtNanos, ResponseFailure failure) {
         long now = mClock.getAsLong();
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -108,6 +108,11 @@
         mRegistry.counter("requests.body_rejected").inc();
     }
 
+    /** Counts a request that was not sent to the server chosen for it, as it no longer might be. */
+    void onWithdrawn() {
+        mRegistry.counter("requests.withdrawn").inc();
+    }
+
     /** Counts a request that was rejected at once, since its key has its next owner too late. */
     void onNextOwnerTooLate() {
         mRegistry.counter("requests.next_owner_too_late").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -184,6 +184,23 @@
                 exchange.attempt().map(a -> a.upstream().entry().incarnationId()).orElse(""));
     }
 
+    /** Logs that a request was not sent when the connection to its server could carry it. */
+    void logWithdrawn(Exchange exchange, Upstream upstream) {
+        mLog.write(
+                Part.REQUEST,
+                "Request was no longer to be sent when the connection was open",
+                "id",
+                exchange.id(),
+                "server",
+                upstream.entry().incarnationId(),
+                "leaving",
+                upstream.leaving(),
+                "ended",
+                exchange.isEnded(),
+                "waited_ms",
+                (mClock.getAsLong() - exchange.arrivedAtNanos()) / NANOS_PER_MILLI);
+    }
+
     /** Logs that the deadline header of the caller is not a number and is ignored. */
     void logInvalidDeadline(Exchange exchange, String value) {
         mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -1,7 +1,6 @@
 package org.geraniumusher.entry;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.FullHttpRequest;
 
 import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.operator.Leaving;
@@ -125,7 +124,7 @@
      * @return the connection, by which the request can be cancelled
      */
     UpstreamConnection send(
-            FullHttpRequest request,
+            OutgoingRequest request,
             UpstreamConnection.Listener listener,
             Predicate<UpstreamConnection> mayCarry) {
         closeExpired(mClock.getAsLong());
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -33,7 +32,8 @@
  * loop.
  *
  * <p>The first request waits until a server that is over its limit of connections would have reset
- * the connection: a request that was sent on it might have been executed.
+ * the connection: a request that was sent on it might have been executed. It is sent only if it
+ * still {@linkplain OutgoingRequest#maySend may} be by then.
  *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
  * the request in flight, which each request has. A response with another ID, an empty one or none
@@ -83,6 +83,9 @@
          */
         void onNotAccepted(String cause);
 
+        /** Called if the request was no longer to be sent when the connection could carry it. */
+        void onWithdrawn();
+
         /** Called if there is no usable response; the server may have executed the request. */
         void onNoResponse(ResponseFailure failure);
     }
@@ -131,7 +134,7 @@
     private long mConnectStartedAt;
 
     /** The first request while it waits for the server to accept the connection, or null. */
-    private FullHttpRequest mUnsentRequest;
+    private OutgoingRequest mUnsentRequest;
 
     /** The write of the last request, or null before the first. */
     private ChannelFuture mRequestWrite;
@@ -154,9 +157,9 @@
 
     /** Opens the connection and sends its first request. */
     void connectAndSend(
-            EventLoopGroup group, Address address, FullHttpRequest request, Listener listener) {
+            EventLoopGroup group, Address address, OutgoingRequest request, Listener listener) {
         mListener = listener;
-        mRequestId = requestIdOf(request);
+        mRequestId = idOf(request);
         mLimiter.onRequest();
         mConnectStartedAt = mClock.getAsLong();
         KeepAliveProbes.enable(new Bootstrap())
@@ -181,20 +184,18 @@
                 .addListener((ChannelFuture connected) -> onConnected(connected, request));
     }
 
-    private String requestIdOf(FullHttpRequest request) {
-        String id = request.headers().get(mRequestIdHeader, "");
+    private static String idOf(OutgoingRequest request) {
+        String id = request.id();
         checkArgument(!id.isBlank(), "request has no ID");
         return id;
     }
 
-    private void onConnected(ChannelFuture connected, FullHttpRequest request) {
+    private void onConnected(ChannelFuture connected, OutgoingRequest request) {
         if (!connected.isSuccess()) {
-            request.release();
             // The callback can run within connectAndSend(), whose caller has yet to record the
             // attempt, so the listener is called in a later task.
             mChannel.eventLoop().execute(() -> onConnectFailed(connected.cause()));
         } else if (mListener == null) {
-            request.release();
             mChannel.close();
         } else {
             mUnsentRequest = request;
@@ -213,20 +214,28 @@
     }
 
     private void sendFirst() {
-        FullHttpRequest request = mUnsentRequest;
-        if (request != null) {
-            mUnsentRequest = null;
+        OutgoingRequest request = mUnsentRequest;
+        mUnsentRequest = null;
+        if (request != null && request.maySend()) {
             write(request);
+        } else if (request != null) {
+            withdraw();
         }
     }
 
+    /** Leaves the connection to other requests, as the one for which it was opened is not sent. */
+    private void withdraw() {
+        Listener listener = mListener;
+        mListener = null;
+        mLimiter.onResponseEnd();
+        mPool.onIdle(this);
+        listener.onWithdrawn();
+    }
+
     /** Drops the first request if it waits; returns whether it did. */
     private boolean dropUnsent() {
         boolean unsent = mUnsentRequest != null;
-        if (unsent) {
-            mUnsentRequest.release();
-            mUnsentRequest = null;
-        }
+        mUnsentRequest = null;
         return unsent;
     }
 
@@ -240,16 +249,16 @@
     }
 
     /** Sends another request; the connection must be idle and {@linkplain #isUsable usable}. */
-    void send(FullHttpRequest request, Listener listener) {
+    void send(OutgoingRequest request, Listener listener) {
         mListener = listener;
-        mRequestId = requestIdOf(request);
+        mRequestId = idOf(request);
         mLimiter.onRequest();
         write(request);
     }
 
-    private void write(FullHttpRequest request) {
+    private void write(OutgoingRequest request) {
         mWriteMonitor.onRequest();
-        mRequestWrite = mChannel.writeAndFlush(request);
+        mRequestWrite = mChannel.writeAndFlush(request.build());
     }
 
     /** Cancels the request in flight by closing the connection, on which the server drops it. */
--- a/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
@@ -87,6 +87,11 @@
                 result.complete("not accepted");
             }
 
+            @Override
+            public void onWithdrawn() {
+                result.complete("withdrawn");
+            }
+
             @Override
             public void onNoResponse(ResponseFailure failure) {
                 result.complete("no response");
@@ -94,25 +99,39 @@
         };
     }
 
-    private static FullHttpRequest order(int bodyBytes) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.POST,
-                        "/x",
-                        Unpooled.wrappedBuffer(new byte[bodyBytes]));
-        request.headers().set("Request-Id", "q").set("Content-Length", bodyBytes);
-        return request;
+    /** An order that is sent, or withdrawn when its connection is open. */
+    private record Order(int bodyBytes, boolean maySend) implements OutgoingRequest {
+        @Override
+        public String id() {
+            return "q";
+        }
+
+        @Override
+        public FullHttpRequest build() {
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1,
+                            HttpMethod.POST,
+                            "/x",
+                            Unpooled.wrappedBuffer(new byte[bodyBytes]));
+            request.headers().set("Request-Id", "q").set("Content-Length", bodyBytes);
+            return request;
+        }
+    }
+
+    private static OutgoingRequest order(int bodyBytes) {
+        return new Order(bodyBytes, true);
     }
 
     private UpstreamConnection connect(LongSupplier clock, int bodyBytes) {
+        return connect(clock, order(bodyBytes));
+    }
+
+    private UpstreamConnection connect(LongSupplier clock, OutgoingRequest order) {
         UpstreamConnection connection =
                 new UpstreamConnection(mPool, clock, new ResponseBuffers(), "Request-Id");
         Address address = Address.of("127.0.0.1:" + mServer.getLocalPort());
-        mGroup.execute(
-                () ->
-                        connection.connectAndSend(
-                                mGroup, address, order(bodyBytes), reportTo(mResult)));
+        mGroup.execute(() -> connection.connectAndSend(mGroup, address, order, reportTo(mResult)));
         return connection;
     }
 
@@ -213,4 +232,32 @@
 
         assertThat(result()).isEqualTo("no response");
     }
+
+    /** A request used to be sent although its caller or its server had left in the meantime. */
+    @Test
+    void connectAndSend_requestMayNotBeSentAnyMore_isWithdrawn() throws Exception {
+        CompletableFuture<String> second = new CompletableFuture<>();
+        UpstreamConnection connection = connect(System::nanoTime, new Order(2, false));
+        Socket socket = accept();
+
+        assertThat(result()).isEqualTo("withdrawn");
+
+        mIdle.get(10, TimeUnit.SECONDS);
+        mGroup.execute(() -> connection.send(order(2), reportTo(second)));
+        String head = readHead(socket);
+        socket.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(second.get(10, TimeUnit.SECONDS)).isEqualTo("response");
+        // The connection carried one request in all, and its body is behind this head.
+        assertThat(head).startsWith("POST /x ");
+        assertThat(socket.getInputStream().readNBytes(2)).hasLength(2);
+        assertThat(socket.getInputStream().available()).isEqualTo(0);
+    }
+
+    private static String readHead(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) socket.getInputStream().read());
+        }
+        return head.toString();
+    }
 }
