Send notices to peers one at a time

Cause: each change of a table, of grants and of next owners opened a connection to each peer whose kept ones were in use. Without descriptors a daemon accepts no callers and opens no connection to servers, feeders and store.

Change: PeerNotices has one call in flight to each peer. Newer grants and next owners replace those that wait; changes of tables wait in order, 16 at most, and a daemon that misses one fetches the table as before.

--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -108,6 +108,11 @@
         mRegistry.counter("requests.body_rejected").inc();
     }
 
+    /** Counts a notice that was not sent, since the peer has not answered those before. */
+    void onNoticeDropped() {
+        mRegistry.counter("notices.dropped").inc();
+    }
+
     /** Counts a request that was not sent to the server chosen for it, as it no longer might be. */
     void onWithdrawn() {
         mRegistry.counter("requests.withdrawn").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -52,6 +52,7 @@
     private final Address mSelf;
     private final Supplier<List<Address>> mPeerAddresses;
     private final HttpClient mClient;
+    private final PeerNotices mNotices;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -65,6 +66,7 @@
         mLog = context.log();
         mPeerAddresses = checkNotNull(peerAddresses);
         mClient = checkNotNull(client);
+        mNotices = new PeerNotices(client, context.thread(), context.metrics());
     }
 
     /** Updates the table of this daemon and sends the changed assignments to all others. */
@@ -82,7 +84,7 @@
         body.put("base_epoch", base.epoch());
         body.put("revision", next.version().revision());
         body.put("sender", mSelf.toString());
-        sendToPeers(TABLE_PATH, body);
+        mNotices.send(mPeerAddresses.get(), notice(TABLE_PATH, body));
     }
 
     @Override
@@ -94,7 +96,7 @@
             grants.addArray().add(a.range().first()).add(a.fence());
         }
         granted.forEach(a -> mTables.addGrant(service, a.range().first(), a.fence()));
-        sendToPeers(GRANTED_PATH, body);
+        sendLatest("granted " + service, body);
     }
 
     @Override
@@ -110,15 +112,17 @@
                     .add(TimeUnit.NANOSECONDS.toMillis(o.notBefore() - now));
         }
         mTables.setNextOwners(service, nextOwners);
-        sendToPeers(GRANTED_PATH, body);
+        sendLatest("next owners " + service, body);
     }
 
-    private void sendToPeers(String path, ObjectNode body) {
-        HttpCall call = DeflatedJson.encode(HttpCall.of("POST", path, body.toString()));
-        for (Address peer : mPeerAddresses.get()) {
-            // Failures are ignored: a daemon that misses a call reads the table in its next poll.
-            mClient.call(peer, call, CALL_TIMEOUT);
-        }
+    // A daemon that misses a notice learns of it from the next one or reads the table in its next
+    // poll.
+    private void sendLatest(String topic, ObjectNode body) {
+        mNotices.sendLatest(mPeerAddresses.get(), topic, notice(GRANTED_PATH, body));
+    }
+
+    private static HttpCall notice(String path, ObjectNode body) {
+        return DeflatedJson.encode(HttpCall.of("POST", path, body.toString()));
     }
 
     /**
