Accept callers again soon after a failed accept

Cause: after a failed accept, as without a free file descriptor, Netty's acceptor stops accepting for a second, and nothing was logged. Callers that have connected are not read meanwhile, and leave after a second.

The daemon logs it and counts it (connections.accept_failed).

Without the handler the failure reaches the end of the pipeline, where the acceptor is; that a full table of descriptors is reported so was read, not run.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -76,7 +76,24 @@
                 "requests.body_bytes", () -> Ints.saturatedCast(mBodies.reservedBytes()));
         Address address = context.settings().callerAddress();
         mListener =
-                TcpListener.bind(group, address.host(), address.port(), true, this::initPipeline);
+                TcpListener.bind(
+                        group,
+                        address.host(),
+                        address.port(),
+                        true,
+                        this::initPipeline,
+                        this::onAcceptFailure);
+    }
+
+    private void onAcceptFailure(Throwable cause) {
+        mMetrics.onAcceptFailure();
+        mLog.write(
+                DecisionLog.Part.REQUEST,
+                "Cannot accept a connection of a caller",
+                "cause",
+                cause,
+                "connections",
+                mConnections.size());
     }
 
     private TrafficLimits limits() {
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -113,6 +113,11 @@
         mRegistry.counter("notices.dropped").inc();
     }
 
+    /** Counts a connection of a caller that could not be accepted. */
+    void onAcceptFailure() {
+        mRegistry.counter("connections.accept_failed").inc();
+    }
+
     /** Counts a request that was not sent to the server chosen for it, as it no longer might be. */
     void onWithdrawn() {
         mRegistry.counter("requests.withdrawn").inc();
--- a/entry/src/main/java/org/geraniumusher/http/TcpListener.java
+++ b/entry/src/main/java/org/geraniumusher/http/TcpListener.java
@@ -51,6 +51,23 @@
             int port,
             boolean autoRead,
             Consumer<SocketChannel> initializer) {
+        return bind(group, host, port, autoRead, initializer, failure -> {});
+    }
+
+    /**
+     * Binds a host and a port as {@link #bind(EventLoopGroup, String, int, boolean, Consumer)}
+     * does.
+     *
+     * @param onAcceptFailure receives, on the event loop of the listening socket, why a connection
+     *     could not be accepted; accepting goes on after a short pause
+     */
+    public static TcpListener bind(
+            EventLoopGroup group,
+            String host,
+            int port,
+            boolean autoRead,
+            Consumer<SocketChannel> initializer,
+            Consumer<Throwable> onAcceptFailure) {
         checkNotNull(initializer);
         // With stayClosed set, a connection that is accepted during close() is closed when added.
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
@@ -58,6 +75,7 @@
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
+                        .handler(new AcceptFailureHandler(onAcceptFailure))
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .childOption(ChannelOption.TCP_NODELAY, true)
