Count the time of a removed server from when its entry was missed

Requests could reach a server for up to 2.3 s longer than its drain time allows (DRAIN), from a daemon that had been cut off from the store or had failed to reach it.

Cause: a server whose entry is missing counts as leaving only once it can no longer register again, 2.3 s after the store is reachable. The time for which an owner that leaves may still get requests, 0.9 to 2.1 s, began then.

Change: an upstream keeps since when its entry has been missing, and leaves from then on.

--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
@@ -30,6 +31,9 @@
     private Leaving mLeaving = Leaving.NO;
     private long mLeavingSinceNanos = Long.MAX_VALUE;
 
+    /** Time since which the server has not been listed, if it is not. */
+    private OptionalLong mMissingSinceNanos = OptionalLong.empty();
+
     /** Is notified of what the server sends to no request. */
     interface Listener {
         /** Called when the server sends bytes on an idle connection. */
@@ -83,6 +87,15 @@
             updateColdTime(entry);
         }
         mEntry = entry;
+        mMissingSinceNanos = OptionalLong.empty();
+    }
+
+    /** Records that the server is not listed. Returns the time since which it has not been. */
+    long markMissing(long nowNanos) {
+        if (mMissingSinceNanos.isEmpty()) {
+            mMissingSinceNanos = OptionalLong.of(nowNanos);
+        }
+        return mMissingSinceNanos.getAsLong();
     }
 
     private void updateColdTime(ServerEntry entry) {
@@ -93,10 +106,10 @@
     }
 
     /** Records that the server is leaving, unless that is known, and closes idle connections. */
-    void markLeaving(Leaving cause, long nowNanos) {
+    void markLeaving(Leaving cause, long sinceNanos) {
         if (!isLeaving()) {
             mLeaving = cause;
-            mLeavingSinceNanos = nowNanos;
+            mLeavingSinceNanos = sinceNanos;
             closeIdle();
         }
     }
@@ -111,7 +124,7 @@
 
     /**
      * Returns the time, in nanoseconds of the clock, since which this daemon has known that the
-     * server is leaving, or {@link Long#MAX_VALUE} if the server isn't leaving.
+     * server is leaving, or has missed its entry. {@link Long#MAX_VALUE} if it isn't leaving.
      */
     long leavingSinceNanos() {
         return mLeavingSinceNanos;
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -137,8 +137,9 @@
         if (mDirectory.servers().containsKey(incarnationId)) {
             return false;
         }
+        long missingSince = upstream.markMissing(nowNanos);
         if (!mDirectory.mayMissingServersReregister(nowNanos)) {
-            markLeaving(upstream, Leaving.ENTRY_REMOVED);
+            markLeaving(upstream, Leaving.ENTRY_REMOVED, missingSince);
         }
         boolean remove = upstream.isLeaving() && !isOwner(incarnationId);
         if (remove) {
@@ -150,8 +151,12 @@
 
     /** Records and logs that a server is leaving, unless that is known already. */
     void markLeaving(Upstream upstream, Leaving cause) {
+        markLeaving(upstream, cause, mClock.getAsLong());
+    }
+
+    private void markLeaving(Upstream upstream, Leaving cause, long sinceNanos) {
         if (!upstream.isLeaving()) {
-            upstream.markLeaving(cause, mClock.getAsLong());
+            upstream.markLeaving(cause, sinceNanos);
             mLog.write(
                     Part.SERVER,
                     "Server is leaving",
