--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -182,6 +182,7 @@
     }
 
     private void registerGauges(SuspensionClock clock, StoreEpoch epoch, EventLoopMonitor monitor) {
+        mMetrics.registerGauge("process.open_files", OpenFiles::count);
         mMetrics.registerGauge("event_loop.stalls", monitor::stalls);
         mMetrics.registerGauge("event_loop.longest_pass_ms", monitor::longestPassMillis);
         mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
