--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -115,8 +115,10 @@
         sendLatest("next owners " + service, body);
     }
 
-    // A daemon that misses a notice learns of it from the next one or reads the table in its next
-    // poll.
+    /**
+     * Sends the present state of a topic to the other daemons. One that misses it learns of it from
+     * the next notice or reads the table in its next poll.
+     */
     private void sendLatest(String topic, ObjectNode body) {
         mNotices.sendLatest(mPeerAddresses.get(), topic, notice(GRANTED_PATH, body));
     }
