Tell peers the time until a next owner as of the sending

Callers could be rejected, and told to come back later than needed, for up to 0.7 s less the margin of 0.3 s and 3%.

Cause: lets a notice wait for the call before it, 0.7 s at most. The time until a next owner was encoded when the notice was made, so it was too late by the wait.

Evidence: TableExchangeTest lets a notice wait for 0.6 s: 5,000 ms were told before, 4,400 ms now.

Change: a notice that waits is encoded when it is sent. Found in the last read-through.

--- a/entry/src/main/java/org/geraniumusher/entry/PeerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerNotices.java
@@ -12,6 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * Sends notices to peers, whose answers do not matter, in order. Confined to the event loop.
@@ -33,13 +35,14 @@
     private final Map<Address, Deque<Notice>> mUnsentByPeer = new HashMap<>();
 
     /**
-     * A call to a peer.
+     * A notice to a peer.
      *
-     * @param topic what the notice is about; an empty one stands for nothing
+     * @param topic what an unsent notice is superseded for, or empty if it never is
+     * @param call returns the call as it is to be sent at that time
      */
-    private record Notice(String topic, HttpCall call) {
+    private record Notice(Optional<String> topic, Supplier<HttpCall> call) {
         boolean supersedes(Notice earlier) {
-            return !topic.isEmpty() && topic.equals(earlier.topic);
+            return topic.isPresent() && topic.equals(earlier.topic);
         }
     }
 
@@ -51,24 +54,28 @@
 
     /** Sends a notice to each peer after those before. Failures are ignored. */
     void send(List<Address> peers, HttpCall call) {
-        send(peers, "", call);
+        checkNotNull(call);
+        send(peers, new Notice(Optional.empty(), () -> call));
     }
 
     /**
      * Sends a notice to each peer after those before, in place of the ones with the same topic that
      * were not sent yet. Failures are ignored.
+     *
+     * @param call returns the call as of the time at which it is called
      */
-    void sendLatest(List<Address> peers, String topic, HttpCall call) {
-        send(peers, checkNotNull(topic), call);
+    void sendLatest(List<Address> peers, String topic, Supplier<HttpCall> call) {
+        send(peers, new Notice(Optional.of(topic), checkNotNull(call)));
     }
 
-    private void send(List<Address> peers, String topic, HttpCall call) {
-        Notice notice = new Notice(topic, checkNotNull(call));
+    private void send(List<Address> peers, Notice notice) {
+        // Encoded once for all peers without a call in flight.
+        HttpCall present = notice.call().get();
         for (Address peer : peers) {
             Deque<Notice> unsent = mUnsentByPeer.get(peer);
             if (unsent == null) {
                 mUnsentByPeer.put(peer, new ArrayDeque<>());
-                call(peer, notice);
+                call(peer, present);
             } else {
                 enqueue(unsent, notice);
             }
@@ -84,8 +91,8 @@
         }
     }
 
-    private void call(Address peer, Notice notice) {
-        mClient.call(peer, notice.call(), CALL_TIMEOUT)
+    private void call(Address peer, HttpCall call) {
+        mClient.call(peer, call, CALL_TIMEOUT)
                 .whenComplete((reply, error) -> mThread.execute(() -> onEnd(peer)));
     }
 
@@ -94,7 +101,7 @@
         if (next == null) {
             mUnsentByPeer.remove(peer);
         } else {
-            call(peer, next);
+            call(peer, next.call().get());
         }
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -96,11 +96,17 @@
             grants.addArray().add(a.range().first()).add(a.fence());
         }
         granted.forEach(a -> mTables.addGrant(service, a.range().first(), a.fence()));
-        sendLatest("granted " + service, body);
+        sendLatest("granted " + service, () -> body);
     }
 
     @Override
     public void publishNextOwners(String service, List<NextOwner> nextOwners) {
+        mTables.setNextOwners(service, nextOwners);
+        sendLatest("next owners " + service, () -> encodeNextOwners(service, nextOwners));
+    }
+
+    /** Encodes the time until each next owner as of now, since daemons do not compare clocks. */
+    private ObjectNode encodeNextOwners(String service, List<NextOwner> nextOwners) {
         long now = mClock.getAsLong();
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         body.put("service", service);
@@ -111,16 +117,15 @@
                     .add(o.fence())
                     .add(TimeUnit.NANOSECONDS.toMillis(o.notBefore() - now));
         }
-        mTables.setNextOwners(service, nextOwners);
-        sendLatest("next owners " + service, body);
+        return body;
     }
 
     /**
      * Sends the present state of a topic to the other daemons. One that misses it learns of it from
      * the next notice or reads the table in its next poll.
      */
-    private void sendLatest(String topic, ObjectNode body) {
-        mNotices.sendLatest(mPeerAddresses.get(), topic, notice(GRANTED_PATH, body));
+    private void sendLatest(String topic, Supplier<ObjectNode> body) {
+        mNotices.sendLatest(mPeerAddresses.get(), topic, () -> notice(GRANTED_PATH, body.get()));
     }
 
     private static HttpCall notice(String path, ObjectNode body) {
--- a/entry/src/test/java/org/geraniumusher/entry/TableExchangeTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/TableExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 
 import io.netty.channel.EventLoopGroup;
@@ -30,6 +31,9 @@
 final class TableExchangeTest {
     private static final int CHANGES = 50;
 
+    /** Time until the next owner when the test starts. */
+    private static final long WAIT_MILLIS = 5_000;
+
     private final DaemonContextFixture mFixture = new DaemonContextFixture();
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -46,7 +50,16 @@
     private record Arrival(HttpCall call, Responder responder) {
         /** Returns the first key of the only range in a message of next owners. */
         int firstKey() {
-            return DeflatedJson.decode(call).path("next_owners").path(0).path(0).asInt();
+            return nextOwner().path(0).asInt();
+        }
+
+        /** Returns the time until the next owner of that range. */
+        long waitMillis() {
+            return nextOwner().path(2).asLong();
+        }
+
+        private JsonNode nextOwner() {
+            return DeflatedJson.decode(call).path("next_owners").path(0);
         }
 
         void answer() {
@@ -68,7 +81,9 @@
 
     private void publish(int firstKey) {
         mExchange.publishNextOwners(
-                "keyed", ImmutableList.of(new NextOwner(firstKey, 1, TimeUnit.HOURS.toNanos(1))));
+                "keyed",
+                ImmutableList.of(
+                        new NextOwner(firstKey, 1, TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS))));
     }
 
     private Arrival nextArrival() throws InterruptedException {
@@ -86,7 +101,6 @@
 
         Arrival first = nextArrival();
         assertThat(first.firstKey()).isEqualTo(1);
-        // A call that was sent with the first would be here by the time that a later one is.
         assertThat(mArrivals).isEmpty();
 
         first.answer();
@@ -94,4 +108,21 @@
         assertThat(last.firstKey()).isEqualTo(CHANGES);
         last.answer();
     }
+
+    /**
+     * The time until a next owner is that of the sending. One that had waited at the coordinator
+     * was too late at the peer, which then rejected requests that it could have served.
+     */
+    @Test
+    void publishNextOwners_noticeWaits_tellsTimeThatIsLeftWhenItIsSent() throws Exception {
+        publish(1);
+        publish(2);
+        Arrival first = nextArrival();
+        assertThat(first.waitMillis()).isEqualTo(WAIT_MILLIS);
+
+        mFixture.thread().advance(TimeUnit.MILLISECONDS.toNanos(600));
+        first.answer();
+
+        assertThat(nextArrival().waitMillis()).isEqualTo(WAIT_MILLIS - 600);
+    }
 }
