Mend what the last read-through found

- The number of daemons stood in Dispatcher and in ServerSelector; the selector asks for it.
- Requests whose callers had left before they were dispatched counted as left but not as requests; each request that is read counts.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -158,6 +158,7 @@
                         mClock.getAsLong(),
                         pending);
         mUndispatched.add(pending.mExchange);
+        mMetrics.onRequest();
     }
 
     private void reject(FullHttpRequest request, PendingResponse pending) {
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -114,8 +114,8 @@
         mUpstreams =
                 new UpstreamSet(
                         directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
-        mSelector = new ServerSelector(settings, directory, mUpstreams, mRandom);
-        mSelector.setDaemonCount(mDaemonCount);
+        mSelector =
+                new ServerSelector(settings, directory, mUpstreams, mRandom, () -> mDaemonCount);
         mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread, log, metrics);
         mRetryBudgets = new RetryBudgets(settings);
         mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
@@ -131,7 +131,6 @@
      */
     void setDaemonCount(int count) {
         mDaemonCount = Math.max(1, count);
-        mSelector.setDaemonCount(mDaemonCount);
     }
 
     /** Sets the maximum delay with which this daemon learns of changes of server entries. */
@@ -187,10 +186,9 @@
         return mUpstreams;
     }
 
-    /** Starts to process a request that has arrived; it may end during this call. */
+    /** Starts to process a request that was read; it may end during this call. */
     void dispatch(Exchange exchange) {
         mInProgress.add(exchange);
-        mMetrics.onRequest();
         if (mStopping) {
             fail(exchange, ResultCode.DRAINING, STOPPING_RETRY_AFTER_SECONDS);
             return;
--- a/entry/src/main/java/org/geraniumusher/entry/EventLoopMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EventLoopMonitor.java
@@ -22,7 +22,7 @@
  * for {@link #stalls} and {@link #longestPassMillis}, which any thread may call.
  */
 final class EventLoopMonitor {
-    /** Shortest pass that is logged and counted. A shorter one is lost in the time of a request. */
+    /** Shortest pass that is logged and counted, as callers notice a delay of this size. */
     static final long STALL_NANOS = 250_000_000L;
 
     private final LongSupplier mClock;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerNotices.java
@@ -25,7 +25,7 @@
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
     /** Limit of the notices that wait for a peer; beyond it the oldest are dropped. */
-    private static final int MAX_UNSENT = 16;
+    static final int MAX_UNSENT = 16;
 
     private final HttpClient mClient;
     private final EventThread mThread;
--- a/entry/src/main/java/org/geraniumusher/entry/ServerSelector.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerSelector.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.IntSupplier;
 
 /**
  * Selects the backend server for a request: the owner of its key, or the one with the least
@@ -42,20 +43,25 @@
     private final Directory mDirectory;
     private final UpstreamSet mUpstreams;
     private final Random mRandom;
-    private int mDaemonCount = 1;
+    private final IntSupplier mDaemonCount;
     private long mMaxEntryLagNanos;
 
+    /**
+     * Creates a selector.
+     *
+     * @param daemonCount returns the number of daemons, which share the rate of a cold server
+     */
     ServerSelector(
-            EntrySettings settings, Directory directory, UpstreamSet upstreams, Random random) {
+            EntrySettings settings,
+            Directory directory,
+            UpstreamSet upstreams,
+            Random random,
+            IntSupplier daemonCount) {
         mSettings = checkNotNull(settings);
         mDirectory = checkNotNull(directory);
         mUpstreams = checkNotNull(upstreams);
         mRandom = checkNotNull(random);
-    }
-
-    /** Sets the number of daemons, which share the rate of a cold server. */
-    void setDaemonCount(int count) {
-        mDaemonCount = count;
+        mDaemonCount = checkNotNull(daemonCount);
     }
 
     /** Sets the maximum delay with which this daemon learns of changes of server entries. */
@@ -127,7 +133,9 @@
                         .map(c -> c.services().get(service))
                         .map(ServiceRule::coldRequestsPerSecond)
                         .orElse(0.0);
-        return rate <= 0 ? Double.MAX_VALUE : rate * COLD_RATE_FRACTION_USED / mDaemonCount;
+        return rate <= 0
+                ? Double.MAX_VALUE
+                : rate * COLD_RATE_FRACTION_USED / mDaemonCount.getAsInt();
     }
 
     private Optional<Upstream> pickServer(Exchange exchange, long now) {
--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Random;
 
 /** Creates daemon contexts with a fake store, fake servers and a manual clock. Not thread-safe. */
 final class DaemonContextFixture implements AutoCloseable {
@@ -71,6 +72,18 @@
                 new EntryMetrics("entry-1", 1, mThread::now, () -> 0));
     }
 
+    /** Returns the upstreams of a daemon, which open no connections. */
+    UpstreamSet createUpstreams(DaemonContext context) {
+        return new UpstreamSet(
+                context.directory(),
+                null,
+                mThread::now,
+                context.log(),
+                context.metrics(),
+                "id",
+                new Random(1));
+    }
+
     /** Returns a store that forwards to the fake store until it knows of feeders. */
     RelayedStore createRelayedStore(DaemonContext context, EventLoopGroup group) {
         return new RelayedStore(
--- a/entry/src/test/java/org/geraniumusher/entry/LateNoticeTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/LateNoticeTest.java
@@ -11,8 +11,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import java.util.Random;
-
 /**
  * Guards against requests to a server that comes back after its entry was removed, although it said
  * in between, in the answer to an earlier request, that it wants none.
@@ -26,15 +24,7 @@
     private final FakeStore mStore = mFixture.store();
     private final DaemonContext mContext = mFixture.createContext("d");
     private final Directory mDirectory = mContext.directory();
-    private final UpstreamSet mUpstreams =
-            new UpstreamSet(
-                    mDirectory,
-                    null,
-                    mThread::now,
-                    mContext.log(),
-                    mContext.metrics(),
-                    "id",
-                    new Random(1));
+    private final UpstreamSet mUpstreams = mFixture.createUpstreams(mContext);
     private final ServerNotices mNotices =
             new ServerNotices(
                     mDirectory,
--- a/entry/src/test/java/org/geraniumusher/entry/UpstreamSetTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/UpstreamSetTest.java
@@ -5,8 +5,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import java.util.Random;
-
 /**
  * Guards against requests to a server whose entry was removed beside an outage: the time for which
  * it may still get requests began only when its entry could no longer come back.
@@ -19,15 +17,7 @@
     private final FakeStore mStore = mFixture.store();
     private final DaemonContext mContext = mFixture.createContext("d");
     private final Directory mDirectory = mContext.directory();
-    private final UpstreamSet mUpstreams =
-            new UpstreamSet(
-                    mDirectory,
-                    null,
-                    mThread::now,
-                    mContext.log(),
-                    mContext.metrics(),
-                    "id",
-                    new Random(1));
+    private final UpstreamSet mUpstreams = mFixture.createUpstreams(mContext);
 
     @AfterEach
     void close() {
