--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -82,18 +82,7 @@
                         address.port(),
                         true,
                         this::initPipeline,
-                        this::onAcceptFailure);
-    }
-
-    private void onAcceptFailure(Throwable cause) {
-        mMetrics.onAcceptFailure();
-        mLog.write(
-                DecisionLog.Part.REQUEST,
-                "Cannot accept a connection of a caller",
-                "cause",
-                cause,
-                "connections",
-                mConnections.size());
+                        AcceptFailures.listener(mLog, mMetrics, "callers"));
     }
 
     private TrafficLimits limits() {
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -222,7 +222,8 @@
                 (call, responder) ->
                         responder.reply(
                                 HttpReply.of(
-                                        mDirectory.isComplete() && !mStopping ? 200 : 503, "")));
+                                        mDirectory.isComplete() && !mStopping ? 200 : 503, "")),
+                AcceptFailures.listener(mLog, mMetrics, "readiness"));
         mSettings
                 .metricsAddress()
                 .ifPresent(
@@ -234,7 +235,8 @@
                                                 mLoop.execute(
                                                         () ->
                                                                 mOperatorEndpoint.answer(
-                                                                        call, responder))));
+                                                                        call, responder)),
+                                        AcceptFailures.listener(mLog, mMetrics, "operators")));
     }
 
     private void startOnEventLoop() {
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -113,7 +113,7 @@
         mRegistry.counter("notices.dropped").inc();
     }
 
-    /** Counts a connection of a caller that could not be accepted. */
+    /** Counts a connection that could not be accepted. */
     void onAcceptFailure() {
         mRegistry.counter("connections.accept_failed").inc();
     }
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -164,7 +164,8 @@
                 HttpServer.create(
                         group,
                         mSettings.peerAddress(),
-                        (call, responder) -> mThread.execute(() -> handle(call, responder)));
+                        (call, responder) -> mThread.execute(() -> handle(call, responder)),
+                        AcceptFailures.listener(mLog, context.metrics(), "peers"));
     }
 
     /** Starts the periodic work; must be called once. */
--- a/entry/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -23,6 +23,7 @@
 
 import java.util.Locale;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * HTTP server for control traffic. It passes each request to a handler once the complete body, of
@@ -46,11 +47,15 @@
      * Starts a server on {@code address}. For any free port, which {@link Address} cannot express,
      * use {@link #bind}.
      *
+     * @param onAcceptFailure receives, on the event loop, why a connection could not be accepted
      * @throws IllegalStateException if the address cannot be bound
      */
     public static HttpServer create(
-            EventLoopGroup group, Address address, BiConsumer<HttpCall, Responder> handler) {
-        return bind(group, address.host(), address.port(), handler);
+            EventLoopGroup group,
+            Address address,
+            BiConsumer<HttpCall, Responder> handler,
+            Consumer<Throwable> onAcceptFailure) {
+        return bind(group, address.host(), address.port(), handler, onAcceptFailure);
     }
 
     /**
@@ -61,9 +66,24 @@
      */
     public static HttpServer bind(
             EventLoopGroup group, String host, int port, BiConsumer<HttpCall, Responder> handler) {
+        return bind(group, host, port, handler, failure -> {});
+    }
+
+    private static HttpServer bind(
+            EventLoopGroup group,
+            String host,
+            int port,
+            BiConsumer<HttpCall, Responder> handler,
+            Consumer<Throwable> onAcceptFailure) {
         checkNotNull(handler);
         return new HttpServer(
-                TcpListener.bind(group, host, port, true, channel -> initialize(channel, handler)));
+                TcpListener.bind(
+                        group,
+                        host,
+                        port,
+                        true,
+                        channel -> initialize(channel, handler),
+                        onAcceptFailure));
     }
 
     /** Returns the bound address. */
