Move keys for their load while moves of a former coordinator wait

Cause: moves that were in progress when the coordinator changed wait until the holds of the former one have run out, up to 12.6 s. They counted as concurrent moves and used up the limit of an eighth of the servers, so no range moved for its load meanwhile.

Change: a move counts only if a release can end it. One that waits for a hold without answer, or for a server that is lost or not listed, disturbs no server any more.

Result: TakeoverMovesTest failed before and passes; all tests of decisions pass.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Tracks the grants of one assignment and the holds of its former holders. Times are in
@@ -335,6 +336,19 @@
         return mHolders.keySet();
     }
 
+    /**
+     * Reports whether a holder is waited for whose hold no release can end now.
+     *
+     * @param mayAnswer whether an incarnation may answer a release
+     */
+    boolean isWaitingForHold(Predicate<String> mayAnswer, long nowNanos) {
+        return mHolders.entrySet().stream()
+                .anyMatch(
+                        e ->
+                                !mayAnswer.test(e.getKey())
+                                        || nowNanos < e.getValue().hold().lateGrantUntil());
+    }
+
     /** Removes the holders that cannot hold keys any more, and returns them with the reason. */
     Map<String, HoldEnd> removeEndedHolders(Set<String> terminated, long nowNanos) {
         Map<String, HoldEnd> ended = new HashMap<>();
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -9,7 +9,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +16,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 
 /**
  * Grants the ranges of one service and moves them while this daemon is the coordinator.
@@ -77,7 +75,7 @@
     private final Set<String> mTerminated = new HashSet<>();
     private final Set<String> mReplaced = new HashSet<>();
     private final ServerReachability mReachability = new ServerReachability();
-    private final Map<LeaseKey, Lease> mLeases = new HashMap<>();
+    private final Leases mLeases;
     private RangeTable mTable;
     private final FormerHolders mFormerHolders;
     private boolean mStarted;
@@ -104,14 +102,13 @@
 
     private static final long UNKNOWN_REVISION = -1;
 
-    private record LeaseKey(KeyRange range, long fence) {}
-
     private RangeCoordinator(
             OutgoingCalls calls, long maxHoldNanos, KeyLoad load, FormerHolders formerHolders) {
         mCalls = calls;
         mHoldBounds = new HoldBounds(maxHoldNanos);
         mLoad = load;
         mFormerHolders = formerHolders;
+        mLeases = new Leases(mHoldBounds, formerHolders);
     }
 
     /**
@@ -231,7 +228,7 @@
      * answer.
      */
     public void renewGrants(String incarnationId, long nowNanos) {
-        leasesOf(incarnationId).forEach(l -> l.renewOnNextTick(nowNanos));
+        mLeases.of(incarnationId).forEach(l -> l.renewOnNextTick(nowNanos));
     }
 
     /** Returns the table as last written or read. */
@@ -283,17 +280,17 @@
         if (!mWriteInFlight && !needsStoredTable() && nowNanos >= mNextWriteAt) {
             writeNext(nowNanos);
         }
-        for (Lease lease : mLeases.values()) {
+        for (Lease lease : mLeases.all()) {
             sendDueCalls(lease, nowNanos);
         }
     }
 
     private void updateReachability(long nowNanos) {
-        Predicate<String> ownsRanges = id -> leasesOf(id).findAny().isPresent();
+        Predicate<String> ownsRanges = id -> mLeases.of(id).findAny().isPresent();
         mReachability
                 .takeReturned(ownsRanges, nowNanos)
                 .forEach(id -> onOwnerReturned(id, nowNanos));
-        for (Lease lease : mLeases.values()) {
+        for (Lease lease : mLeases.all()) {
             Assignment assignment = lease.assignment();
             if (!mLossesHeldBack
                     && lease.isOwnerLost(nowNanos)
@@ -308,14 +305,10 @@
     }
 
     private void onOwnerReturned(String incarnationId, long nowNanos) {
-        leasesOf(incarnationId).forEach(l -> l.onOwnerReturned(nowNanos));
+        mLeases.of(incarnationId).forEach(l -> l.onOwnerReturned(nowNanos));
         mHoldListener.onOwnerReturned(incarnationId);
     }
 
-    private Stream<Lease> leasesOf(String incarnationId) {
-        return mLeases.values().stream().filter(l -> l.assignment().owner().equals(incarnationId));
-    }
-
     private void writeNext(long nowNanos) {
         if (mPendingAssignments == null) {
             ImmutableList<Assignment> next = planAssignments(nowNanos);
@@ -385,73 +378,7 @@
         mNeedsNewFences = false;
         mTable = table;
         mStoredRevision = table.version().revision();
-        Map<LeaseKey, Lease> previousLeases = new HashMap<>(mLeases);
-        mLeases.clear();
-        for (Assignment assignment : table.assignments()) {
-            LeaseKey key = new LeaseKey(assignment.range(), assignment.fence());
-            Lease lease = previousLeases.get(key);
-            if (lease == null) {
-                lease = createLease(assignment, previousLeases.values(), nowNanos);
-                if (former.isPresent()
-                        && former.get().ownsPartOf(assignment.owner(), assignment.range())) {
-                    lease.inheritHold(
-                            Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(nowNanos)));
-                }
-            }
-            lease.update(assignment);
-            mLeases.put(key, lease);
-        }
-    }
-
-    private Lease createLease(
-            Assignment assignment, Collection<Lease> previousLeases, long nowNanos) {
-        for (Lease lease : previousLeases) {
-            if (!lease.assignment().range().encloses(assignment.range())) {
-                continue;
-            }
-            if (lease.assignment().fence() == assignment.fence()) {
-                return lease.partOf(assignment, nowNanos);
-            }
-            if (lease.assignment().owner().equals(assignment.owner())) {
-                return lease.withNewFence(assignment, nowNanos);
-            }
-        }
-        Lease created = new Lease(assignment, nowNanos);
-        previousLeases.stream()
-                .filter(l -> l.assignment().range().overlaps(assignment.range()))
-                .mapToLong(Lease::lostSince)
-                .min()
-                .ifPresent(created::setLostSince);
-        previousLeases.stream()
-                .filter(l -> l.assignment().range().overlaps(assignment.range()))
-                .flatMap(l -> l.holdOf(assignment.owner()).stream())
-                .forEach(created::inheritHold);
-        for (String incarnationId : assignment.previous()) {
-            // Without a lease in this term, a former coordinator may have renewed the grant just
-            // now.
-            Lease.Hold hold =
-                    previousLeases.stream()
-                            .filter(l -> l.assignment().range().overlaps(assignment.range()))
-                            .flatMap(l -> l.holdOf(incarnationId).stream())
-                            .reduce(Lease.Hold::max)
-                            .orElse(formerHold(incarnationId, assignment.range(), nowNanos));
-            // The owner need not wait for its own hold, but the next owner must know of it.
-            if (incarnationId.equals(assignment.owner())) {
-                created.inheritHold(hold);
-            } else {
-                created.addHolder(incarnationId, hold);
-            }
-        }
-        return created;
-    }
-
-    /**
-     * Returns the bounds of a hold that only former coordinators may have granted. This coordinator
-     * does not know which of their grants were answered.
-     */
-    private Lease.Hold formerHold(String incarnationId, KeyRange range, long nowNanos) {
-        long lastGrant = mFormerHolders.noGrantsSince(incarnationId, range).orElse(nowNanos);
-        return Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(lastGrant, nowNanos));
+        mLeases.install(table, former, nowNanos);
     }
 
     private void sendDueCalls(Lease lease, long nowNanos) {
@@ -505,7 +432,7 @@
 
     /** Returns the granted assignments of which the table still lists previous holders. */
     public ImmutableList<Assignment> grantedWhileMoving() {
-        return mLeases.values().stream()
+        return mLeases.all().stream()
                 .filter(l -> l.isGranted() && l.assignment().isMoving())
                 .map(Lease::assignment)
                 .collect(ImmutableList.toImmutableList());
@@ -514,14 +441,14 @@
     /** Returns the ranges without an owner whose next one is known to come later. */
     public ImmutableList<NextOwner> nextOwners(long nowNanos) {
         return !mLeases.isEmpty() || mTable == null
-                ? NextOwner.ofLeases(mLeases.values(), mTerminated, nowNanos)
+                ? NextOwner.ofLeases(mLeases.all(), mTerminated, nowNanos)
                 : NextOwner.ofTable(mTable, mServers.keySet(), mNextWriteAt, nowNanos);
     }
 
     /** Records that the owner accepted a grant. */
     public void onGranted(Assignment assignment, long nowNanos) {
         mReachability.onAnswered(assignment.owner());
-        findLease(assignment).ifPresent(l -> onGranted(l, nowNanos));
+        mLeases.find(assignment).ifPresent(l -> onGranted(l, nowNanos));
     }
 
     private void onGranted(Lease lease, long nowNanos) {
@@ -534,19 +461,19 @@
     /** Records that the owner rejected a grant because it has seen a higher fence. */
     public void onGrantFenced(Assignment assignment) {
         mReachability.onAnswered(assignment.owner());
-        findLease(assignment).ifPresent(Lease::onFenced);
+        mLeases.find(assignment).ifPresent(Lease::onFenced);
     }
 
     /** Records that a grant could not be sent, so that its hold never begins. */
     public void onGrantNotSent(Assignment assignment, long nowNanos) {
         mReachability.onGrantFailed(assignment.owner());
-        findLease(assignment).ifPresent(l -> l.onGrantNotSent(nowNanos + RETRY_DELAY_NANOS));
+        mLeases.find(assignment).ifPresent(l -> l.onGrantNotSent(nowNanos + RETRY_DELAY_NANOS));
     }
 
     /** Records that a grant got no answer. */
     public void onGrantUnknown(Assignment assignment, long nowNanos) {
         mReachability.onGrantFailed(assignment.owner());
-        findLease(assignment)
+        mLeases.find(assignment)
                 .ifPresent(
                         l ->
                                 l.onGrantUnknown(
@@ -558,23 +485,15 @@
     public void onReleased(
             String incarnationId, KeyRange range, long fence, Optional<String> handover) {
         mReachability.onAnswered(incarnationId);
-        findLease(range, fence).ifPresent(l -> l.onReleased(incarnationId, handover));
+        mLeases.find(range, fence).ifPresent(l -> l.onReleased(incarnationId, handover));
     }
 
     /** Records that a release got no answer. */
     public void onReleaseUnknown(String incarnationId, KeyRange range, long fence, long nowNanos) {
-        findLease(range, fence)
+        mLeases.find(range, fence)
                 .ifPresent(l -> l.onReleaseUnknown(incarnationId, nowNanos + RETRY_DELAY_NANOS));
     }
 
-    private Optional<Lease> findLease(Assignment assignment) {
-        return findLease(assignment.range(), assignment.fence());
-    }
-
-    private Optional<Lease> findLease(KeyRange range, long fence) {
-        return Optional.ofNullable(mLeases.get(new LeaseKey(range, fence)));
-    }
-
     private ImmutableList<Assignment> planAssignments(long nowNanos) {
         if (mTable == null) {
             return RangePlanner.divideEvenly(mServers.values());
@@ -595,13 +514,13 @@
         }
         if (!mNeedsNewFences && !mLossesHeldBack && nowNanos >= mNextLoadMoveAt) {
             mNextLoadMoveAt = nowNanos + LOAD_MOVE_INTERVAL_NANOS;
-            moveForLoad(next, planner);
+            moveForLoad(next, planner, nowNanos);
         }
         return ImmutableList.copyOf(next);
     }
 
     private List<Assignment> replan(Assignment assignment, RangePlanner planner, long nowNanos) {
-        Lease lease = findLease(assignment).orElse(null);
+        Lease lease = mLeases.find(assignment).orElse(null);
         if (!canOwnRanges(assignment.owner())
                 && !mustSeeNewFence(assignment, lease, nowNanos)
                 && (lease == null || !lease.isAnswerExpected(nowNanos))) {
@@ -629,9 +548,7 @@
      * ends its hold.
      */
     private boolean mustSeeNewFence(Assignment assignment, Lease lease, long nowNanos) {
-        if (!mServers.containsKey(assignment.owner())
-                || !mayRun(assignment.owner())
-                || mReachability.isLost(assignment.owner())) {
+        if (!mayAnswer(assignment.owner())) {
             return false;
         }
         return lease == null
@@ -672,8 +589,12 @@
         return ImmutableList.sortedCopyOf(holders);
     }
 
-    private void moveForLoad(List<Assignment> next, RangePlanner planner) {
-        long movingCount = next.stream().filter(Assignment::isMoving).count();
+    private void moveForLoad(List<Assignment> next, RangePlanner planner, long nowNanos) {
+        long movingCount =
+                next.stream()
+                        .filter(Assignment::isMoving)
+                        .filter(a -> !isWaitingForHold(a, nowNanos))
+                        .count();
         long maxMoving =
                 Math.max(MIN_CONCURRENT_MOVES, (long) (mServers.size() * MAX_MOVING_SHARE));
         while (movingCount < maxMoving) {
@@ -688,10 +609,26 @@
         }
     }
 
+    /**
+     * Reports whether a range moves only when a hold has run out, which can take longer than the
+     * loads stay as they are. Such moves are not counted as concurrent ones.
+     */
+    private boolean isWaitingForHold(Assignment assignment, long nowNanos) {
+        return mLeases.find(assignment)
+                .map(l -> l.isWaitingForHold(this::mayAnswer, nowNanos))
+                .orElse(false);
+    }
+
+    private boolean mayAnswer(String incarnationId) {
+        return mServers.containsKey(incarnationId)
+                && mayRun(incarnationId)
+                && !mReachability.isLost(incarnationId);
+    }
+
     private boolean isMovable(Assignment assignment) {
         return !assignment.isMoving()
                 && assignment.fence() != Assignment.UNSET_FENCE
-                && findLease(assignment)
+                && mLeases.find(assignment)
                         .map(l -> l.isGranted() && !l.isGrantInFlight())
                         .orElse(false);
     }
--- a/decisions/src/test/java/org/geraniumusher/keyrange/TakeoverMovesTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/TakeoverMovesTest.java
@@ -6,7 +6,6 @@
 
 import org.geraniumusher.keyrange.CoordinatorElection.FormerCoordinators;
 import org.geraniumusher.model.StoreVersion;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
@@ -76,7 +75,6 @@
      * overloaded server.
      */
     @Test
-    @Tag("known-red")
     void tick_movesOfFormerCoordinatorWaitForItsHolds_hotKeysMove() {
         startTermWithMoves();
         loadKeysOf(SERVERS - 1);
