Keep notices of tables from filling the link of a coordinator

The grants were behind it and were given up after 0.5 s. So servers counted as failing, the coordinator resigned, and its successor did the same. Class of fault: bulk traffic without a bound delays calls with a short time limit, whose failure causes more of it.

Result: the three tests failed before and pass.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -504,10 +504,11 @@
             mLog.write(Part.OWNERSHIP, "Range table write was not confirmed", "result", result);
             mCoordinator.onWriteUnknown(now);
         }
+        // Grants go first, as they are given up sooner than notices if the link is full.
+        tickIfAuthorized(now);
         if (!mEnded) {
             publishTableIfChanged();
         }
-        tickIfAuthorized(now);
     }
 
     private void onWriteConflict(StoreObject object, long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeTableCache.java
@@ -191,9 +191,9 @@
     }
 
     /**
-     * Applies the assignments that changed between the versions {@code base} and {@code version}.
-     * Returns false if the known table is older than {@code version} but not at {@code base}, so
-     * that the whole table is needed.
+     * Applies the assignments that changed between the versions {@code base} and {@code version},
+     * which are all if the base is {@link StoreVersion#NONE}. Returns false if the known table is
+     * older than {@code version} but not at {@code base}, so that the whole table is needed.
      */
     boolean applyChanges(
             String service, StoreVersion base, StoreVersion version, List<Assignment> changes) {
@@ -201,6 +201,10 @@
         if (current != null && !version.isAfter(current.version())) {
             return true;
         }
+        if (base.equals(StoreVersion.NONE)) {
+            updateIfNewer(service, RangeTable.of(version, changes), true);
+            return true;
+        }
         if (current == null || !current.version().equals(base)) {
             return false;
         }
--- a/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/TableExchange.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -18,10 +17,11 @@
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.StoreVersion;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -44,7 +44,6 @@
     /** Optional field: first key, fence and milliseconds until the next owner of each range. */
     private static final String NEXT_OWNERS = "next_owners";
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
     private final RangeTableCache mTables;
@@ -57,6 +56,14 @@
     private final LongSupplier mClock;
     private final DecisionLog mLog;
 
+    /** Newest versions, by service, of which a change could not be applied. */
+    private final Map<String, StoreVersion> mMissedVersions = new HashMap<>();
+
+    private boolean mFetchInFlight;
+
+    /** The peer to fetch tables from after the fetch in flight, if that brings too old ones. */
+    private Optional<Address> mNextFetch = Optional.empty();
+
     TableExchange(DaemonContext context, Supplier<List<Address>> peerAddresses, HttpClient client) {
         mTables = context.directory().tables();
         mEpoch = context.store().epoch();
@@ -66,7 +73,7 @@
         mLog = context.log();
         mPeerAddresses = checkNotNull(peerAddresses);
         mClient = checkNotNull(client);
-        mNotices = new PeerNotices(client, context.thread(), context.metrics());
+        mNotices = new PeerNotices(client, context.thread(), mClock, context.metrics());
     }
 
     /** Updates the table of this daemon and sends the changed assignments to all others. */
@@ -140,14 +147,16 @@
         StoreVersion version =
                 new StoreVersion(body.path("epoch").asLong(), body.path("revision").asLong());
         mEpoch.observe(version.epoch());
+        String service = body.path("service").asText();
         boolean applied =
                 mTables.applyChanges(
-                        body.path("service").asText(),
+                        service,
                         new StoreVersion(
                                 body.path("base_epoch").asLong(), body.path("base").asLong()),
                         version,
                         RangeTableCodec.decodeAssignments(body));
         if (!applied) {
+            mMissedVersions.put(service, version);
             fetchTables(Address.of(body.path("sender").asText()));
         }
     }
@@ -176,20 +185,42 @@
         return nextOwners;
     }
 
-    /** Requests all tables that another daemon knows. A failed call is not repeated here. */
+    /**
+     * Requests all tables that another daemon knows. A failed call is not repeated here. While a
+     * call is in flight, another one is made only after it and only if it brings too old tables.
+     */
     void fetchTables(Address peer) {
+        if (mFetchInFlight) {
+            mNextFetch = Optional.of(peer);
+            return;
+        }
+        mFetchInFlight = true;
         mClient.call(peer, HttpCall.of("GET", TABLES_PATH), CALL_TIMEOUT)
                 .whenComplete(
-                        (reply, error) -> {
-                            if (error == null && reply.status() == 200) {
-                                mThread.execute(() -> onTables(peer, reply));
-                            }
-                        });
+                        (reply, error) -> mThread.execute(() -> onFetched(peer, reply, error)));
+    }
+
+    private void onFetched(Address peer, HttpReply reply, Throwable error) {
+        mFetchInFlight = false;
+        if (error == null && reply.status() == 200) {
+            onTables(peer, reply);
+        }
+        mMissedVersions.entrySet().removeIf(e -> !isOlder(e.getKey(), e.getValue()));
+        Optional<Address> next = mNextFetch;
+        mNextFetch = Optional.empty();
+        if (!mMissedVersions.isEmpty()) {
+            next.ifPresent(this::fetchTables);
+        }
+    }
+
+    /** Reports whether the table of a service is older than a version. */
+    private boolean isOlder(String service, StoreVersion version) {
+        return mTables.table(service).map(t -> version.isAfter(t.version())).orElse(true);
     }
 
     private void onTables(Address peer, HttpReply reply) {
         try {
-            MAPPER.readTree(reply.body())
+            DeflatedJson.decode(reply)
                     .properties()
                     .forEach(
                             e ->
@@ -200,7 +231,7 @@
                                                     e.getValue()),
                                             false));
             mTables.setLoaded();
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IllegalArgumentException e) {
             mLog.write(
                     Part.PEER,
                     "Cannot decode key range tables from a peer",
@@ -228,6 +259,6 @@
                                     RangeTableCodec.encode(version.epoch(), table.assignments());
                             body.set(service, encoded.put("revision", version.revision()));
                         });
-        return HttpReply.of(200, body.toString());
+        return DeflatedJson.encode(HttpReply.of(200, body.toString()));
     }
 }
--- a/entry/src/test/java/org/geraniumusher/entry/PeerNoticesTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/PeerNoticesTest.java
@@ -61,7 +61,11 @@
         List<Address> peers = List.of(mPeer.address());
         DaemonContext context = mFixture.createContext("entry-1");
         PeerNotices notices =
-                new PeerNotices(HttpClient.create(mGroup), context.thread(), context.metrics());
+                new PeerNotices(
+                        HttpClient.create(mGroup),
+                        context.thread(),
+                        context.clock(),
+                        context.metrics());
 
         for (int i = 1; i <= NOTICES; i++) {
             notices.send(peers, HttpCall.of("POST", "/" + i, "{}"));
--- a/entry/src/test/java/org/geraniumusher/entry/TakeoverNoticesTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/TakeoverNoticesTest.java
@@ -21,7 +21,6 @@
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
@@ -96,7 +95,6 @@
 
     /** All of the first table of a term is in its notice. */
     @Test
-    @Tag("known-red")
     void onTableChanges_firstTableOfTerm_isAppliedWithoutFetchingIt() throws Exception {
         addPeers(1);
         mExchange.publish(SERVICE, Optional.empty(), table(8));
@@ -116,7 +114,6 @@
 
     /** A daemon that misses a change got each later one as a whole table. */
     @Test
-    @Tag("known-red")
     void onTableChanges_changeWasMissed_oneFetchIsInFlight() throws Exception {
         addPeers(1);
         List<JsonNode> notices = new ArrayList<>();
@@ -142,7 +139,6 @@
 
     /** Grants are given up after 0.5 s, so what is sent before them must be little. */
     @Test
-    @Tag("known-red")
     void publish_manyPeers_fewNoticesAreInFlightAndAllArrive() throws Exception {
         addPeers(PEERS);
 
