Ask the former coordinator for the holds that it granted

Cause: the next coordinator knows from the table only who may hold a range, not for how long, and waits for the longest hold that can have been granted.

Change: a daemon that is elected asks the one that the replaced record names (GET /holds). If that run has no authority any more, it answers with the holds that it knows, with the time that is left of each, also after it has resigned. Without an answer within 0.2 s the term begins with the longest holds as before. A report is used only for the term that follows it, not beside a table of another coordinator and not across a restore. A lost answer to a takeover's write can hide the beginning of a term, so reports are forgotten at the end of each term too.

Ruled out: a bound in the record, which cannot be written when long holds are granted. The loss of all daemons is not changed: nobody can be asked.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/HoldBounds.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/HoldBounds.java
@@ -114,6 +114,14 @@
         return nowNanos + (long) ((endNanos - nowNanos) / CLOCK_DRIFT_FACTOR) - MAX_TRANSIT_NANOS;
     }
 
+    /**
+     * Returns a time on the clock of a daemon by which {@code remainingNanos} of another daemon,
+     * whose message arrived at {@code nowNanos}, have passed.
+     */
+    static long latest(long remainingNanos, long nowNanos) {
+        return nowNanos + (long) (remainingNanos * CLOCK_DRIFT_FACTOR);
+    }
+
     /** Returns the longest time for which a server holds a range after a grant arrived. */
     static long maxHoldFromArrival(long holdNanos) {
         return (long) (holdNanos * CLOCK_DRIFT_FACTOR);
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -331,6 +331,17 @@
         return Optional.ofNullable(mHolders.get(incarnationId)).map(FormerHolder::hold);
     }
 
+    /** Returns the bounds of all holds on the range, by incarnation. */
+    Map<String, Hold> holds() {
+        Map<String, Hold> holds = new HashMap<>();
+        mHolders.forEach((incarnationId, holder) -> holds.put(incarnationId, holder.latestHold()));
+        if (mayBeHeld()) {
+            holds.merge(
+                    mAssignment.owner(), new Hold(holdEnd(), lateGrantUntil(), NEVER), Hold::max);
+        }
+        return holds;
+    }
+
     /** Returns the other incarnations that may still hold keys of the range. */
     Set<String> holders() {
         return mHolders.keySet();
@@ -408,6 +419,9 @@
      * @param failingSince when the first grant failed since the last answer, or NEVER
      */
     record Hold(long end, long lateGrantUntil, long failingSince) {
+        /** A hold that has ended. */
+        static final Hold NONE = new Hold(0, 0, NEVER);
+
         /** Returns a hold whose last grant may be one without an answer. */
         static Hold withLateGrants(long end) {
             return new Hold(end, end, NEVER);
@@ -446,6 +460,11 @@
             return new Hold(mHold.end, mHold.lateGrantUntil, mFailingSince);
         }
 
+        /** Returns the hold, which a release without late grants has ended. */
+        Hold latestHold() {
+            return mReleased ? new Hold(mHold.lateGrantUntil, mHold.lateGrantUntil, NEVER) : hold();
+        }
+
         FormerHolder withoutReleaseInFlight() {
             FormerHolder copy = new FormerHolder(hold());
             copy.mReleased = mReleased;
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Leases.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Leases.java
@@ -21,6 +21,9 @@
     private final FormerHolders mFormerHolders;
     private final Map<Key, Lease> mLeases = new HashMap<>();
 
+    /** What the coordinator before this term knew at its end, if it said so. */
+    private Optional<HoldReport> mFormerReport = Optional.empty();
+
     private record Key(KeyRange range, long fence) {}
 
     Leases(HoldBounds holdBounds, FormerHolders formerHolders) {
@@ -28,6 +31,11 @@
         mFormerHolders = checkNotNull(formerHolders);
     }
 
+    /** Sets what the coordinator before this term knew at its end. */
+    void setFormerReport(Optional<HoldReport> report) {
+        mFormerReport = checkNotNull(report);
+    }
+
     /** Returns an unmodifiable view of all leases. */
     Collection<Lease> all() {
         return Collections.unmodifiableCollection(mLeases.values());
@@ -69,8 +77,7 @@
                 lease = create(assignment, previousLeases.values(), nowNanos);
                 if (former.isPresent()
                         && former.get().ownsPartOf(assignment.owner(), assignment.range())) {
-                    lease.inheritHold(
-                            Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(nowNanos)));
+                    lease.inheritHold(formerOwnersHold(assignment, nowNanos));
                 }
             }
             lease.update(assignment);
@@ -117,11 +124,21 @@
         return created;
     }
 
+    /** Returns the bounds of the hold of an owner that was one before this term too. */
+    private Lease.Hold formerOwnersHold(Assignment assignment, long nowNanos) {
+        return mFormerReport
+                .map(r -> r.holdOf(assignment.owner(), assignment.range()))
+                .orElseGet(() -> Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(nowNanos)));
+    }
+
     /**
-     * Returns the bounds of a hold that only former coordinators may have granted. This coordinator
-     * does not know which of their grants were answered.
+     * Returns the bounds of a hold that only former coordinators may have granted. Without a report
+     * it is not known which of their grants were answered.
      */
     private Lease.Hold formerHold(String incarnationId, KeyRange range, long nowNanos) {
+        if (mFormerReport.isPresent()) {
+            return mFormerReport.get().holdOf(incarnationId, range);
+        }
         long lastGrant = mFormerHolders.noGrantsSince(incarnationId, range).orElse(nowNanos);
         return Lease.Hold.withLateGrants(mHoldBounds.formerHoldEnd(lastGrant, nowNanos));
     }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -185,6 +185,19 @@
         return mNextWriteAt;
     }
 
+    /**
+     * Sets the holds that the coordinator before this term knew at its end, which then need not be
+     * taken to be the longest ones. Must be called before {@link #start}.
+     */
+    public void setFormerReport(HoldReport report) {
+        mLeases.setFormerReport(Optional.of(report));
+    }
+
+    /** Returns the holds that are known, or empty if no table of this term is in the store. */
+    public Optional<HoldReport> holdReport() {
+        return mLeases.isEmpty() ? Optional.empty() : Optional.of(HoldReport.of(mLeases.all()));
+    }
+
     /**
      * Starts a term with the table in the store, or empty when the service has no table yet.
      *
@@ -215,6 +228,7 @@
         mNeedsNewFences = table.isPresent();
         boolean mayBeIncomplete = table.map(t -> t.version().epoch() < mEpoch).orElse(mRestored);
         if (mayBeIncomplete) {
+            mLeases.setFormerReport(Optional.empty());
             mHoldBounds.limitFormerHolds(nowNanos);
         }
         mNextWriteAt =
@@ -361,6 +375,7 @@
             mStoredRevision = current.version().revision();
         } else {
             mHoldBounds.setFormerCoordinatorsUnknown();
+            mLeases.setFormerReport(Optional.empty());
             beginTerm(Optional.of(current), nowNanos);
         }
     }
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeHistoryTest.java
@@ -101,6 +101,40 @@
                 .isGreaterThan(20);
     }
 
+    /** The next coordinator trusts what a refused one knows of its holds. */
+    @Test
+    void run_storeRefusesCoordinators_noKeyHasTwoHolders() {
+        int reports = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            Random random = new Random(seed);
+            RangeSimulation simulation = new RangeSimulation(seed, 6, 3);
+            simulation.startRequests();
+            simulation.run(2_000 * MILLI);
+            for (int step = 0; step < 60; step++) {
+                disturbWithRefusals(simulation, random);
+                simulation.run(random.nextInt(1_500) * MILLI);
+            }
+            reports += simulation.reports();
+        }
+
+        assertWithMessage("terms that began with a report").that(reports).isAtLeast(20);
+    }
+
+    private static void disturbWithRefusals(RangeSimulation simulation, Random random) {
+        switch (random.nextInt(8)) {
+            case 0, 1, 2 ->
+                    simulation.refuseDaemon(
+                            random.nextInt(3), (6_000 + random.nextInt(4_000)) * MILLI);
+            case 3 -> simulation.setLossRate(0.2 * random.nextInt(2));
+            case 4, 5 ->
+                    simulation
+                            .servers()
+                            .refuseConnections(
+                                    random.nextInt(6), (1_000 + random.nextInt(9_000)) * MILLI);
+            default -> addLoadToRandomWindow(simulation, random);
+        }
+    }
+
     /** A coordinator that is killed must be replaced before its grants run out. */
     @Test
     void run_coordinatorIsKilledForGood_keysStayHeld() {
--- a/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
+++ b/decisions/src/test/java/org/geraniumusher/keyrange/RangeSimulation.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 
 /**
@@ -27,6 +26,8 @@
     private static final long REQUEST_INTERVAL_NANOS = 20 * MILLI;
     private static final long RELEASE_TIME_LIMIT_NANOS = 4_000 * MILLI;
     private static final long MAX_LATENESS_NANOS = 12_000 * MILLI;
+    private static final long REPORT_DELAY_NANOS = 3 * MILLI;
+    private static final long MAX_REPORT_WAIT_NANOS = 200 * MILLI;
 
     private final Random mRandom;
 
@@ -38,18 +39,9 @@
 
     private final SimulatedServers mServers = new SimulatedServers(() -> this.mNow);
     private final List<Daemon> mDaemons = new ArrayList<>();
-    private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
-    private Optional<CoordinatorRecord> mRecord = Optional.empty();
-    private Optional<RangeTable> mTable = Optional.empty();
+    private final EventQueue mEvents = new EventQueue();
+    private final SimulatedStore mStore = new SimulatedStore();
     private long mNow;
-    private long mSequence;
-    private long mRevision = 10;
-
-    /** Number of restores, counted from 1; all answers of the store report it. */
-    private long mEpoch = 1;
-
-    /** States of the store after each write, in order of time. */
-    private final List<StoreState> mStoreStates = new ArrayList<>();
 
     private final FenceCheck mFenceCheck = new FenceCheck();
     private double mLossRate;
@@ -57,21 +49,7 @@
     private boolean mStoreDown;
     private boolean mHasRequests;
     private int mMoves;
-
-    private record StoreState(
-            long at,
-            long revision,
-            Optional<CoordinatorRecord> record,
-            Optional<RangeTable> table) {}
-
-    private record Event(long at, long sequence, Runnable task) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            return at != other.at
-                    ? Long.compare(at, other.at)
-                    : Long.compare(sequence, other.sequence);
-        }
-    }
+    private int mReports;
 
     RangeSimulation(long seed, int servers, int daemons) {
         mRandom = new Random(seed);
@@ -81,9 +59,8 @@
             addServer("s" + i);
         }
         for (int i = 0; i < daemons; i++) {
-            Daemon daemon = new Daemon("d" + i, 1);
-            mDaemons.add(daemon);
-            after(i * 7 * MILLI, daemon::tick);
+            mDaemons.add(new Daemon("d" + i, 1));
+            after(i * 7 * MILLI, mDaemons.get(i)::tick);
         }
     }
 
@@ -136,21 +113,7 @@
      * revisions are given out again.
      */
     void restoreStore(long ageNanos) {
-        StoreState copy = new StoreState(0, 10, Optional.empty(), Optional.empty());
-        for (StoreState state : mStoreStates) {
-            if (state.at <= mNow - ageNanos) {
-                copy = state;
-            }
-        }
-        mEpoch++;
-        mRevision = copy.revision;
-        mRecord = copy.record;
-        mTable = copy.table;
-        recordStoreState();
-    }
-
-    private void recordStoreState() {
-        mStoreStates.add(new StoreState(mNow, mRevision, mRecord, mTable));
+        mStore.restore(mNow - ageNanos, mNow);
     }
 
     /** Kills a daemon and starts it again, without its state, after {@code downNanos}. */
@@ -164,8 +127,12 @@
 
     /** Pauses a daemon for {@code nanos}; its calls in flight still take effect. */
     void pauseDaemon(int index, long nanos) {
-        Daemon daemon = mDaemons.get(index % mDaemons.size());
-        daemon.mPausedUntil = mNow + nanos;
+        mDaemons.get(index % mDaemons.size()).mPausedUntil = mNow + nanos;
+    }
+
+    /** Lets the store refuse a daemon, which goes on, for {@code nanos}. */
+    void refuseDaemon(int index, long nanos) {
+        mDaemons.get(index % mDaemons.size()).mRefusedUntil = mNow + nanos;
     }
 
     /** Suspends the machine of a daemon: like a pause that its monotonic clock does not count. */
@@ -195,24 +162,28 @@
         return mMoves;
     }
 
+    /** Returns how many terms began with what the former coordinator knew. */
+    int reports() {
+        return mReports;
+    }
+
     RangeTable table() {
-        return mTable.orElseThrow();
+        return mStore.table().orElseThrow();
     }
 
     /** Runs the simulation for {@code nanos}. */
     void run(long nanos) {
         long end = mNow + nanos;
-        while (!mEvents.isEmpty() && mEvents.peek().at <= end) {
-            Event event = mEvents.poll();
-            mNow = event.at;
-            event.task.run();
+        while (mEvents.nextAt() <= end) {
+            mNow = mEvents.nextAt();
+            mEvents.poll().run();
             mServers.checkNoKeyHasTwoHolders();
         }
         mNow = end;
     }
 
     private void after(long nanos, Runnable task) {
-        mEvents.add(new Event(mNow + nanos, mSequence++, task));
+        mEvents.add(mNow + nanos, task);
     }
 
     private long delay() {
@@ -233,12 +204,19 @@
         private final KeyLoad mLoad = KeyLoad.create(0);
         private final FormerHolders mFormerHolders = FormerHolders.create();
         private RangeCoordinator mCoordinator;
+
+        /** What this daemon knew at the end of its last term. */
+        private Optional<HoldReport> mEndedReport = Optional.empty();
+
+        /** Time until which the term does not begin, unless the former coordinator reports. */
+        private long mReportPendingUntil;
+
         private boolean mAlive = true;
         private boolean mCalling;
         private boolean mReading;
         private long mPausedUntil;
-
         private long mSuspendedUntil;
+        private long mRefusedUntil;
 
         /** Time that the monotonic clock does not count until {@link #mSuspendedUntil}. */
         private long mMonotonicLagNanos;
@@ -305,6 +283,7 @@
                 mCoordinator.onNewEpoch(epoch);
             } else {
                 mCoordinator = createCoordinator();
+                mEndedReport = Optional.empty();
             }
             mNextPoll = now();
             return true;
@@ -345,8 +324,9 @@
             }
             // A daemon may see a table at any time after the write, even before its writer does.
             if (mObservationRandom.nextBoolean()
-                    && (mSeenEpoch == mEpoch || !mStoreDown && observeEpoch(mEpoch))) {
-                mTable.ifPresent(t -> mFormerHolders.onTable(t, false, now()));
+                    && (mSeenEpoch == mStore.epoch()
+                            || !mStoreDown && observeEpoch(mStore.epoch()))) {
+                mStore.table().ifPresent(t -> mFormerHolders.onTable(t, false, now()));
             }
             if (!mCalling && mElection.shouldWrite(now())) {
                 writeRecord();
@@ -357,7 +337,7 @@
                 readStore(
                         () -> {},
                         () -> {
-                            mElection.onRead(mRecord, now());
+                            mElection.onRead(mStore.record(), now());
                             discardCoordinatorUnlessOwn();
                         });
             }
@@ -365,7 +345,7 @@
         }
 
         private void advanceCoordinator() {
-            if (!mElection.hasAuthority(now())) {
+            if (!mElection.hasAuthority(now()) || now() < mReportPendingUntil) {
                 return;
             }
             mCoordinator.setStoreStatus(
@@ -388,9 +368,10 @@
                             () -> {
                                 mReading = false;
                                 if (term == mCoordinator && !term.isStarted()) {
-                                    term.start(mTable, mElection.formerCoordinators(), now());
+                                    term.start(
+                                            mStore.table(), mElection.formerCoordinators(), now());
                                 } else if (term == mCoordinator) {
-                                    term.onStoredTable(mTable, now());
+                                    term.onStoredTable(mStore.table(), now());
                                 }
                             });
                 }
@@ -400,22 +381,61 @@
 
         /** Makes a read of the store, whose answer may be lost. */
         private void readStore(Runnable onLost, Runnable onAnswer) {
-            boolean lost = mStoreDown || mRandom.nextDouble() < mLossRate;
+            boolean lost = mStoreDown || mNow < mRefusedUntil || mRandom.nextDouble() < mLossRate;
             long generation = mCallGeneration;
             if (lost) {
                 after(1_500 * MILLI, () -> whenRunning(() -> ifCurrent(generation, onLost)));
             } else {
-                after(delay(), () -> whenRunning(() -> onAnswer(generation, mEpoch, onAnswer)));
+                after(
+                        delay(),
+                        () -> whenRunning(() -> onAnswer(generation, mStore.epoch(), onAnswer)));
             }
         }
 
         /** Ends a term like the daemon does: the record of another one ends it for good. */
         private void discardCoordinatorUnlessOwn() {
             if (mCoordinator.isStarted() && !mElection.isOwn() && !mElection.mayContinue()) {
+                mEndedReport = mCoordinator.holdReport();
                 mCoordinator = createCoordinator();
             }
         }
 
+        /** Asks the coordinator before this term, whose answer may come too late, for its holds. */
+        private void askForReport(Optional<CoordinatorRecord> former) {
+            mEndedReport = Optional.empty();
+            RangeCoordinator term = mCoordinator;
+            for (Daemon other : mDaemons) {
+                Optional<String> run = Optional.of(other.mName + "/" + other.mIncarnation);
+                if (other != this && former.map(CoordinatorRecord::incarnationId).equals(run)) {
+                    mReportPendingUntil = now() + MAX_REPORT_WAIT_NANOS;
+                    after(
+                            REPORT_DELAY_NANOS,
+                            () -> other.whenRunning(() -> other.report(this, term)));
+                }
+            }
+        }
+
+        private void report(Daemon next, RangeCoordinator term) {
+            if (mElection.hasAuthority(now())) {
+                return;
+            }
+            Optional<HoldReport> report =
+                    mCoordinator.isStarted() ? mCoordinator.holdReport() : mEndedReport;
+            long sentAt = now();
+            after(
+                    REPORT_DELAY_NANOS,
+                    () -> next.whenRunning(() -> next.receive(report, sentAt, term)));
+        }
+
+        private void receive(Optional<HoldReport> report, long sentAt, RangeCoordinator term) {
+            if (term == mCoordinator && now() < mReportPendingUntil) {
+                mReportPendingUntil = now();
+                report.ifPresent(r -> term.setFormerReport(r.receivedAt(now(), sentAt)));
+                mReports++;
+                advanceCoordinator();
+            }
+        }
+
         private void writeRecord() {
             mCalling = true;
             long sentAt = now();
@@ -426,16 +446,10 @@
             long[] written = new long[1];
             write(
                     () -> {
-                        if (mRecord.map(r -> r.version().revision()).orElse(0L) == expected) {
-                            mRecord =
-                                    Optional.of(
-                                            new CoordinatorRecord(
-                                                    mName,
-                                                    mIncarnation,
-                                                    "peer",
-                                                    new StoreVersion(epoch, ++mRevision)));
-                            written[0] = mRevision;
-                            recordStoreState();
+                        if (mStore.record().map(r -> r.version().revision()).orElse(0L)
+                                == expected) {
+                            written[0] = mStore.nextRevision();
+                            mStore.setRecord(ownRecord(epoch, written[0]), mNow);
                         }
                     },
                     () -> {
@@ -443,17 +457,11 @@
                         if (written[0] != 0) {
                             if (newTerm) {
                                 mCoordinator = createCoordinator();
+                                askForReport(known);
                             }
-                            mElection.onWritten(
-                                    new CoordinatorRecord(
-                                            mName,
-                                            mIncarnation,
-                                            "peer",
-                                            new StoreVersion(epoch, written[0])),
-                                    sentAt,
-                                    now());
-                        } else if (mRecord.isPresent()) {
-                            mElection.onConflict(mRecord.get(), now());
+                            mElection.onWritten(ownRecord(epoch, written[0]), sentAt, now());
+                        } else if (mStore.record().isPresent()) {
+                            mElection.onConflict(mStore.record().get(), now());
                             discardCoordinatorUnlessOwn();
                         }
                         advanceCoordinator();
@@ -461,12 +469,17 @@
                     () -> mCalling = false);
         }
 
+        private CoordinatorRecord ownRecord(long epoch, long revision) {
+            return new CoordinatorRecord(
+                    mName, mIncarnation, "peer", new StoreVersion(epoch, revision));
+        }
+
         /** Makes a write that may be lost, executed without an answer, or executed late. */
         private void write(Runnable effect, Runnable onAnswer, Runnable onUnknown) {
-            boolean lost = mStoreDown || mRandom.nextDouble() < mLossRate;
+            boolean lost = mStoreDown || mNow < mRefusedUntil || mRandom.nextDouble() < mLossRate;
             long generation = mCallGeneration;
             if (lost) {
-                if (!mStoreDown && mRandom.nextBoolean()) {
+                if (!mStoreDown && mNow >= mRefusedUntil && mRandom.nextBoolean()) {
                     after((long) (mRandom.nextDouble() * 6_000 * MILLI), effect);
                 }
                 after(1_500 * MILLI, () -> whenRunning(() -> ifCurrent(generation, onUnknown)));
@@ -476,7 +489,7 @@
                     delay(),
                     () -> {
                         effect.run();
-                        long epoch = mEpoch;
+                        long epoch = mStore.epoch();
                         after(
                                 delay(),
                                 () -> whenRunning(() -> onAnswer(generation, epoch, onAnswer)));
@@ -486,31 +499,27 @@
         @Override
         public void write(ImmutableList<Assignment> assignments, long expectedRevision) {
             RangeCoordinator term = mCoordinator;
-            boolean[] written = new boolean[1];
             long[] revision = new long[1];
             long epoch = mSeenEpoch;
             write(
                     () -> {
-                        if (mTable.map(t -> t.version().revision()).orElse(0L)
+                        if (mStore.table().map(t -> t.version().revision()).orElse(0L)
                                 == expectedRevision) {
-                            mTable =
-                                    Optional.of(
-                                            RangeTable.of(
-                                                    new StoreVersion(epoch, ++mRevision),
-                                                    assignments));
-                            written[0] = true;
-                            revision[0] = mRevision;
-                            recordStoreState();
+                            revision[0] = mStore.nextRevision();
+                            mStore.setTable(
+                                    RangeTable.of(
+                                            new StoreVersion(epoch, revision[0]), assignments),
+                                    mNow);
                             mMoves +=
                                     (int) assignments.stream().filter(Assignment::isMoving).count();
                         }
                     },
                     () -> {
-                        if (written[0]) {
+                        if (revision[0] != 0) {
                             term.onWritten(new StoreVersion(epoch, revision[0]), now());
                             term.table().ifPresent(this::sendTable);
-                        } else if (mTable.isPresent()) {
-                            term.onWriteConflict(mTable.get(), now());
+                        } else if (mStore.table().isPresent()) {
+                            term.onWriteConflict(mStore.table().get(), now());
                         } else {
                             term.onWriteUnknown(now());
                         }
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.CoordinatorElection;
 import org.geraniumusher.keyrange.CoordinatorReach;
 import org.geraniumusher.keyrange.CoordinatorRecord;
+import org.geraniumusher.keyrange.HoldReport;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.traffic.Drain;
@@ -90,6 +92,8 @@
     /** The drivers of the current term, by service; empty while the record names another daemon. */
     private final Map<String, RangeCoordinatorDriver> mDrivers = new HashMap<>();
 
+    private final HoldReports mHoldReports;
+
     private Runnable mActingListener = () -> {};
     private RangeCoordinatorDriver.Publisher mPublisher = RangeCoordinatorDriver.Publisher.NONE;
     private PeerReach mPeerReach = PeerReach.NONE;
@@ -124,6 +128,7 @@
         mClock = context.clock();
         mLog = context.log();
         mElection = CoordinatorElection.create(identity(), mIncarnation, mClock.getAsLong());
+        mHoldReports = new HoldReports(mSettings.peerAddress());
         mStore.epoch().addListener(this::onNewEpoch);
     }
 
@@ -145,6 +150,11 @@
         mPeerReach = peerReach;
     }
 
+    /** Sets how former coordinators are asked for the holds that they granted. */
+    void setHoldInquiry(HoldReports.Inquiry inquiry) {
+        mHoldReports.setInquiry(inquiry);
+    }
+
     /** Sets a listener that runs on each tick while this daemon is the coordinator. */
     void setActingListener(Runnable listener) {
         mActingListener = listener;
@@ -249,6 +259,7 @@
             mDrivers.values().forEach(RangeCoordinatorDriver::onNewEpoch);
         } else {
             endDrivers();
+            mHoldReports.forgetOwn();
         }
         callStoreIfDue(now);
     }
@@ -257,6 +268,9 @@
         boolean acting = mElection.hasAuthority(now);
         if (acting != mActing) {
             mActing = acting;
+            if (acting && mDrivers.isEmpty()) {
+                mHoldReports.forgetOwn();
+            }
             mLog.write(
                     Part.OWNERSHIP,
                     acting ? "Became the coordinator" : "Is no longer the coordinator",
@@ -267,6 +281,9 @@
             mReach.onTermEnded();
             return;
         }
+        if (mHoldReports.isPending(now)) {
+            return;
+        }
         mDirectory
                 .configuration()
                 .ifPresent(
@@ -432,14 +449,42 @@
     }
 
     private void endDrivers() {
+        mHoldReports.forgetFormer();
+        if (!mDrivers.isEmpty()) {
+            mHoldReports.setOwn(reportsOfDrivers());
+        }
         mDrivers.values().forEach(RangeCoordinatorDriver::end);
         mDrivers.clear();
     }
 
+    private ImmutableMap<String, HoldReport> reportsOfDrivers() {
+        ImmutableMap.Builder<String, HoldReport> reports = ImmutableMap.builder();
+        mDrivers.forEach(
+                (service, driver) -> driver.holdReport().ifPresent(r -> reports.put(service, r)));
+        return reports.buildOrThrow();
+    }
+
+    /**
+     * Returns the holds that this daemon knew at the end of its last term, by service, if it has no
+     * authority now and {@code incarnation} names this run of it.
+     */
+    Optional<ImmutableMap<String, HoldReport>> holdReports(long incarnation) {
+        if (incarnation != mIncarnation || hasAuthority()) {
+            return Optional.empty();
+        }
+        return Optional.of(mDrivers.isEmpty() ? mHoldReports.own() : reportsOfDrivers());
+    }
+
     private RangeCoordinatorDriver driver(String service) {
         return mDrivers.computeIfAbsent(
                 service,
-                s -> new RangeCoordinatorDriver(s, mPublisher, this::hasAuthority, mContext));
+                s ->
+                        new RangeCoordinatorDriver(
+                                s,
+                                mPublisher,
+                                this::hasAuthority,
+                                mHoldReports.former(s),
+                                mContext));
     }
 
     private void readRecord(long now) {
@@ -517,7 +562,9 @@
                                 () ->
                                         runIfCurrent(
                                                 generation,
-                                                () -> onRecordWritten(result, now, newTerm))));
+                                                () ->
+                                                        onRecordWritten(
+                                                                result, now, newTerm, known))));
     }
 
     private ObjectNode encode(String daemon, long epoch) {
@@ -531,12 +578,23 @@
         return spec;
     }
 
-    private void onRecordWritten(StoreResult result, long sentAt, boolean newTerm) {
+    /**
+     * Processes the result of a write of the record.
+     *
+     * @param former the record that was replaced
+     */
+    private void onRecordWritten(
+            StoreResult result, long sentAt, boolean newTerm, Optional<CoordinatorRecord> former) {
         mStoreCallInFlight = false;
         long now = now();
         if (result instanceof StoreResult.Written written) {
             if (newTerm) {
                 endDrivers();
+                // Others may have coordinated after the one in a record from before a restore.
+                mHoldReports.beginTerm(
+                        former.filter(r -> r.version().epoch() == mStore.epoch().current()),
+                        now,
+                        this::onDirectoryChange);
             }
             mElection.onWritten(decode(written.object()), sentAt, now);
             if (mResigned) {
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -83,6 +83,7 @@
     private final ProbationTrials mProbationTrials;
     private final LeavingReporter mLeavingReporter;
     private final ReachInquiry mReachInquiry;
+    private final HoldInquiry mHoldInquiry;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -157,6 +158,8 @@
                         this::peerAddresses,
                         client);
         coordinator.setPeerReach(mReachInquiry);
+        mHoldInquiry = new HoldInquiry(context, coordinator, client);
+        coordinator.setHoldInquiry(mHoldInquiry);
         // A restore may have lost the entry of this daemon; the next tick writes it again.
         mStore.epoch().addListener(() -> mRegistered = false);
         mCalls = createCalls();
@@ -389,6 +392,7 @@
                         query(call -> mProbationTrials.answer(MAPPER.readTree(call.body()))))
                 .put("POST " + LeavingReporter.PATH, query(mLeavingReporter::reply))
                 .put("POST " + ReachInquiry.PATH, mReachInquiry::reply)
+                .put("GET " + HoldInquiry.PATH, query(mHoldInquiry::reply))
                 .put("GET " + RelayEndpoint.PATH, mRelayEndpoint::answer)
                 .put("GET " + FleetStatus.PATH, query(call -> mFleet.statusReply()))
                 .put(
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -8,6 +8,7 @@
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.CoordinatorElection;
+import org.geraniumusher.keyrange.HoldReport;
 import org.geraniumusher.keyrange.KeyLoad;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.keyrange.NextOwner;
@@ -144,11 +145,13 @@
      * Creates a driver for one keyed service. The coordinator is started by a later {@link #tick}.
      *
      * @param hasAuthority reports whether this daemon has the authority to coordinate now
+     * @param formerReport what the coordinator before this term knew of its holds, if it said so
      */
     RangeCoordinatorDriver(
             String service,
             Publisher publisher,
             BooleanSupplier hasAuthority,
+            Optional<HoldReport> formerReport,
             DaemonContext context) {
         mService = service;
         mWriter = context.settings().name() + "/" + context.incarnation();
@@ -168,6 +171,7 @@
                         context.settings().maxHoldNanos(),
                         mLoad,
                         mDirectory.tables().formerHolders(service));
+        formerReport.ifPresent(mCoordinator::setFormerReport);
         mCoordinator.setHoldListener(new HoldLog(mService, mMetrics, mLog));
         StoreEpoch epoch = mStore.epoch();
         if (epoch.mayBeRestored()) {
@@ -266,6 +270,11 @@
         }
     }
 
+    /** Returns the holds that are known, or empty if no table of this term is in the store. */
+    Optional<HoldReport> holdReport() {
+        return mCoordinator.holdReport();
+    }
+
     /** Returns the servers of the service that may own ranges. */
     ImmutableList<String> servers() {
         return mLastIncarnationIds;
--- a/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/RangeCoordinatorDriverTest.java
@@ -74,7 +74,11 @@
         mDirectory.start();
         RangeCoordinatorDriver driver =
                 new RangeCoordinatorDriver(
-                        FakeWireFormat.SERVICE, mPublisher, () -> mHasAuthority, mContext);
+                        FakeWireFormat.SERVICE,
+                        mPublisher,
+                        () -> mHasAuthority,
+                        Optional.empty(),
+                        mContext);
         confirmRecord();
         run(driver, 3_000);
         assertThat(owners()).containsExactly("a@1", "b@1");
@@ -330,7 +334,11 @@
 
         RangeCoordinatorDriver next =
                 new RangeCoordinatorDriver(
-                        FakeWireFormat.SERVICE, mPublisher, () -> mHasAuthority, mContext);
+                        FakeWireFormat.SERVICE,
+                        mPublisher,
+                        () -> mHasAuthority,
+                        Optional.empty(),
+                        mContext);
         confirmRecord();
         run(next, 2_000);
 
