Spread the grants of a coordinator over time

Cause: a coordinator sent the grants and releases of all its ranges in one pass of the event loop. On a machine with 0.3 of a core, just after a restart, the pass takes longer than the 0.5 s after which grants are given up, so their answers are read too late, the servers count as failing, and the grants are sent again. The planner was ruled out: its first plan, the install and the grants of 428 ranges took 63 ms on a whole core with the settings of the daemon.

Ranges whose hold is missing or ends first go first, those whose grants fail last.

--- a/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Lease.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -141,7 +142,8 @@
         return holdEnd() != 0;
     }
 
-    private long holdEnd() {
+    /** Returns the time by which the hold of the owner has ended, 0 if it has none. */
+    long holdEnd() {
         return mGrantInFlight ? Math.max(mHoldEnd, mInFlightHoldEnd) : mHoldEnd;
     }
 
@@ -175,6 +177,11 @@
         return nowNanos < mLowerFenceUntil && mHolders.isEmpty() && !mGrantFailed && !mFenced;
     }
 
+    /** Reports whether the last grant failed. */
+    boolean isFailing() {
+        return mFailingSince != NEVER;
+    }
+
     boolean isGrantDue(long nowNanos) {
         return mHolders.isEmpty() && !mGrantInFlight && !mFenced && nowNanos >= mNextGrantAt;
     }
@@ -378,14 +385,17 @@
     /**
      * Returns the holders to which a release must be sent now, and marks their releases as in
      * flight.
+     *
+     * @param mayCall reports whether one more call may be sent now, and counts it
      */
-    List<String> takeDueReleases(long nowNanos) {
+    List<String> takeDueReleases(BooleanSupplier mayCall, long nowNanos) {
         List<String> due = new ArrayList<>();
         mHolders.forEach(
                 (incarnationId, holder) -> {
                     if (!holder.mReleased
                             && !holder.mReleaseInFlight
-                            && nowNanos >= holder.mNextReleaseAt) {
+                            && nowNanos >= holder.mNextReleaseAt
+                            && mayCall.getAsBoolean()) {
                         holder.mReleaseInFlight = true;
                         due.add(incarnationId);
                     }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/Leases.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/Leases.java
@@ -4,6 +4,7 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,6 +42,16 @@
         return Collections.unmodifiableCollection(mLeases.values());
     }
 
+    /**
+     * Returns all leases by when their holds run out, those without one first and those whose
+     * grants fail last.
+     */
+    List<Lease> byUrgency() {
+        return mLeases.values().stream()
+                .sorted(Comparator.comparing(Lease::isFailing).thenComparingLong(Lease::holdEnd))
+                .toList();
+    }
+
     boolean isEmpty() {
         return mLeases.isEmpty();
     }
--- a/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
+++ b/decisions/src/main/java/org/geraniumusher/keyrange/RangeCoordinator.java
@@ -76,6 +76,7 @@
     private final Set<String> mReplaced = new HashSet<>();
     private final ServerReachability mReachability = new ServerReachability();
     private final Leases mLeases;
+    private final CallPace mCallPace = new CallPace();
     private RangeTable mTable;
     private final FormerHolders mFormerHolders;
     private boolean mStarted;
@@ -294,9 +295,8 @@
         if (!mWriteInFlight && !needsStoredTable() && nowNanos >= mNextWriteAt) {
             writeNext(nowNanos);
         }
-        for (Lease lease : mLeases.all()) {
-            sendDueCalls(lease, nowNanos);
-        }
+        mCallPace.advance(mLeases.all().size(), nowNanos);
+        mLeases.byUrgency().forEach(lease -> sendDueCalls(lease, nowNanos));
     }
 
     private void updateReachability(long nowNanos) {
@@ -402,7 +402,7 @@
                 .forEach(
                         (incarnationId, end) ->
                                 mHoldListener.onHoldEnded(incarnationId, assignment, end));
-        for (String incarnationId : lease.takeDueReleases(nowNanos)) {
+        for (String incarnationId : lease.takeDueReleases(mCallPace::tryRelease, nowNanos)) {
             mCalls.release(incarnationId, assignment.range(), assignment.fence());
         }
         if (lease.isGrantDue(nowNanos)
@@ -411,7 +411,7 @@
                 && (isUnchangedByPendingWrite(assignment)
                         || lease.mayBeHeld() && isRenewalUrgent(nowNanos))) {
             long hold = lease.holdNanos(mHoldBounds.holdNanos(nowNanos), nowNanos);
-            if (!lease.isUsefulHold(hold)) {
+            if (!lease.isUsefulHold(hold) || !mCallPace.tryGrant()) {
                 return;
             }
             lease.onGrantSent(
