Look at all ranges once for the results that arrive together

Cause: each result of a release, of a failed grant and of a grant of a moving range let the coordinator plan and look at all ranges. Results arrive together, so passes of the event loop were long, further grants missed their time limit, and each failure was one more result.

Change: these results request one tick, which runs after the results that have arrived.

--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -110,6 +110,9 @@
     private final KeyLoad mLoad;
     private final RangeCoordinator mCoordinator;
 
+    /** A tick looks at all ranges, so one serves all results that arrive together. */
+    private final CoalescedTask mTickAfterResults;
+
     /** All incarnations seen during this term, by ID, including those no longer listed. */
     private final Map<String, ServerEntry> mKnownServers = new HashMap<>();
 
@@ -164,6 +167,7 @@
         mClock = context.clock();
         mLog = context.log();
         mMetrics = context.metrics();
+        mTickAfterResults = new CoalescedTask(mThread, () -> tickIfAuthorized(mClock.getAsLong()));
         mLoad = KeyLoad.create(mClock.getAsLong());
         mCoordinator =
                 RangeCoordinator.create(
@@ -578,7 +582,7 @@
             }
         }
         if (moving || !(result instanceof GrantResult.Done)) {
-            tickIfAuthorized(now);
+            mTickAfterResults.request();
         }
     }
 
@@ -649,6 +653,6 @@
             logFailure("Release failed", range, server, result);
             mCoordinator.onReleaseUnknown(server.incarnationId(), range, fence, now);
         }
-        tickIfAuthorized(now);
+        mTickAfterResults.request();
     }
 }
