Show the age of what a daemon knows of the store

Metrics store.copy_age_ms.KIND and configuration.version; the age of the configuration in 'geraniumusher daemons', of all kinds in its JSON; config_version and config_age_ms right after the result of a failed request. Ages are sent only to those who ask for them, since releases that do not know the field reject it.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -217,6 +217,15 @@
         return mMirrors.values();
     }
 
+    /**
+     * Returns the time in ms since the copy of a kind was last known to be current, or -1 if it
+     * never was.
+     */
+    long copyAgeMillis(StoreKind kind) {
+        OptionalLong ageNanos = mMirrors.get(kind).copyAgeNanos(mClock.getAsLong());
+        return ageNanos.isPresent() ? TimeUnit.NANOSECONDS.toMillis(ageNanos.getAsLong()) : -1;
+    }
+
     /** Returns whether all state that is needed to route requests was read. */
     boolean isComplete() {
         return mConfiguration.isPresent()
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -1,5 +1,7 @@
 package org.geraniumusher.entry;
 
+import com.google.common.base.Ascii;
+
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -187,6 +189,14 @@
         mMetrics.registerGauge("event_loop.longest_pass_ms", monitor::longestPassMillis);
         mMetrics.registerGauge("servers.unusable_entries", mDirectory::unusableServers);
         mMetrics.registerGauge("clock.suspensions", clock::suspensions);
+        mMetrics.registerGauge(
+                "configuration.version",
+                () -> mDirectory.configuration().map(c -> (int) c.version()).orElse(-1));
+        for (KindMirror mirror : mDirectory.mirrors()) {
+            mMetrics.registerGauge(
+                    "store.copy_age_ms." + Ascii.toLowerCase(mirror.kind().name()),
+                    () -> (int) mDirectory.copyAgeMillis(mirror.kind()));
+        }
         mMetrics.registerGauge("store.epoch", () -> (int) epoch.current());
         mMetrics.registerGauge(
                 "store.answers_from_earlier_epoch", () -> (int) epoch.droppedAnswers());
--- a/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
+++ b/entry/src/main/java/org/geraniumusher/entry/FleetStatus.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 
@@ -40,6 +41,9 @@
 
     private static final String COORDINATOR = "coordinator";
 
+    /** Query parameter with which a daemon or the tool asks for the ages of copies. */
+    static final String AGES = "ages";
+
     private final DaemonContext mContext;
     private final CoordinatorService mCoordinator;
     private final HttpClient mClient;
@@ -72,16 +76,18 @@
     }
 
     /** Returns the reply to a peer that requests the status of this daemon. */
-    HttpReply statusReply() {
-        return JsonReply.ok(ownStatus());
+    HttpReply statusReply(HttpCall call) {
+        return JsonReply.ok(ownStatus(call.query(AGES).isPresent()));
     }
 
     /**
      * Returns the status of this daemon and the {@code peers}; a peer that does not answer is
      * listed as suspect.
+     *
+     * @param withAges whether the ages of their copies are included
      */
-    CompletableFuture<ImmutableList<MemberStatus>> members(List<Address> peers) {
-        return collectStatuses(peers)
+    CompletableFuture<ImmutableList<MemberStatus>> members(List<Address> peers, boolean withAges) {
+        return collectStatuses(peers, withAges)
                 .thenApply(
                         all ->
                                 all.stream()
@@ -91,7 +97,7 @@
 
     /** Returns the burn rates over this daemon and the {@code peers} that answer. */
     CompletableFuture<BurnReport> burnReport(List<Address> peers) {
-        return collectStatuses(peers)
+        return collectStatuses(peers, false)
                 .thenApply(
                         all ->
                                 mContext.metrics()
@@ -102,7 +108,7 @@
                                                         .toList()));
     }
 
-    private Status ownStatus() {
+    private Status ownStatus(boolean withAges) {
         long version = mContext.directory().configuration().map(RouterConfig::version).orElse(0L);
         Map<String, Long> tables =
                 mContext.directory().tables().tables().entrySet().stream()
@@ -120,10 +126,21 @@
                         quarantineRevisions(),
                         tables,
                         mCoordinator.isActing() ? ImmutableList.of(COORDINATOR) : List.of(),
-                        mUpstreams.statuses(mWallClock.getAsLong()));
+                        mUpstreams.statuses(mWallClock.getAsLong()),
+                        withAges ? copyAges() : ImmutableMap.of());
         return new Status(member, mContext.metrics().burnSummary().toBytes());
     }
 
+    private ImmutableMap<String, Long> copyAges() {
+        ImmutableMap.Builder<String, Long> ages = ImmutableMap.builder();
+        for (KindMirror mirror : mContext.directory().mirrors()) {
+            ages.put(
+                    Ascii.toLowerCase(mirror.kind().name()),
+                    mContext.directory().copyAgeMillis(mirror.kind()));
+        }
+        return ages.buildOrThrow();
+    }
+
     private ImmutableMap<String, Long> quarantineRevisions() {
         Directory directory = mContext.directory();
         return directory.quarantines().keySet().stream()
@@ -132,12 +149,13 @@
                                 RequestFingerprint::hex, directory::quarantineRevision));
     }
 
-    private CompletableFuture<List<Status>> collectStatuses(List<Address> peers) {
+    private CompletableFuture<List<Status>> collectStatuses(List<Address> peers, boolean withAges) {
+        HttpCall call = HttpCall.of("GET", withAges ? PATH + "?" + AGES + "=1" : PATH);
         List<CompletableFuture<Status>> statuses = new ArrayList<>();
-        statuses.add(CompletableFuture.completedFuture(ownStatus()));
+        statuses.add(CompletableFuture.completedFuture(ownStatus(withAges)));
         for (Address peer : peers) {
             statuses.add(
-                    mClient.call(peer, HttpCall.of("GET", PATH), CALL_TIMEOUT)
+                    mClient.call(peer, call, CALL_TIMEOUT)
                             .thenApply(reply -> Json.read(reply.text(), Status.class))
                             .exceptionally(error -> suspectStatus(peer, error)));
         }
@@ -165,7 +183,8 @@
                         ImmutableMap.of(),
                         ImmutableMap.of(),
                         ImmutableList.of(),
-                        ImmutableList.of());
+                        ImmutableList.of(),
+                        ImmutableMap.of());
         return new Status(unknown, new byte[0]);
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -106,6 +107,9 @@
 
     private long mLastAnswerNanos;
 
+    /** Whether the store has answered a list or a watch. */
+    private boolean mConfirmed;
+
     KindMirror(
             StoreKind kind,
             WatchTiming timing,
@@ -185,6 +189,14 @@
         return mLastAnswerNanos;
     }
 
+    /**
+     * Returns the time in ns for which the copy has not been known to be current, or empty if it
+     * never was.
+     */
+    OptionalLong copyAgeNanos(long nowNanos) {
+        return mConfirmed ? OptionalLong.of(nowNanos - mLastAnswerNanos) : OptionalLong.empty();
+    }
+
     /** Returns the changes after a revision, or empty if some of them are no longer kept. */
     Optional<ImmutableList<StoreResult.Change>> changesSince(long revision) {
         return mHistory.since(revision);
@@ -379,6 +391,7 @@
 
     private void onAnswer() {
         mLastAnswerNanos = mClock.getAsLong();
+        mConfirmed = true;
         if (!mReachable) {
             mReachable = true;
             mReachableSinceNanos = mClock.getAsLong();
--- a/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/OperatorEndpoint.java
@@ -77,7 +77,9 @@
                 case "/admin/assignments" ->
                         completed(tableReply(call, table -> assignmentsBody(call, table)));
                 case "/admin/daemons" ->
-                        mFleet.members(mPeerService.peerAddresses())
+                        mFleet.members(
+                                        mPeerService.peerAddresses(),
+                                        call.query(FleetStatus.AGES).isPresent())
                                 .thenApply(all -> new Replies.Daemons(daemonName(), all))
                                 .thenApply(JsonReply::ok);
                 case "/admin/drains" -> drainReply(call);
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -394,7 +394,7 @@
                 .put("POST " + ReachInquiry.PATH, mReachInquiry::reply)
                 .put("GET " + HoldInquiry.PATH, query(mHoldInquiry::reply))
                 .put("GET " + RelayEndpoint.PATH, mRelayEndpoint::answer)
-                .put("GET " + FleetStatus.PATH, query(call -> mFleet.statusReply()))
+                .put("GET " + FleetStatus.PATH, query(mFleet::statusReply))
                 .put(
                         "GET " + TableExchange.TABLES_PATH,
                         query(call -> mTableExchange.tablesReply()))
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -147,6 +147,10 @@
                 exchange.id(),
                 "result",
                 result,
+                "config_version",
+                configVersion(),
+                "config_age_ms",
+                mDirectory.copyAgeMillis(StoreKind.CONFIGURATION),
                 "request",
                 exchange.knownFingerprint(),
                 "route",
@@ -163,8 +167,6 @@
                 waiting,
                 "owner",
                 describeOwner(exchange),
-                "config_version",
-                configVersion(),
                 "table_revision",
                 tableRevision(exchange));
     }
--- a/entry/src/main/java/org/geraniumusher/operator/MemberStatus.java
+++ b/entry/src/main/java/org/geraniumusher/operator/MemberStatus.java
@@ -25,6 +25,9 @@
  * @param roles what the daemon does besides routing, such as {@code coordinator}
  * @param servers the backend servers that are leaving or paused at the daemon; left out of the JSON
  *     while empty, because releases that do not know it reject it
+ * @param copyAgesMillis time in ms since the daemon's copy of the objects of a kind was last known
+ *     to be current, by kind; only in replies to those who ask for it, because releases that do not
+ *     know it reject it
  */
 public record MemberStatus(
         String name,
@@ -36,7 +39,8 @@
         @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> quarantines,
         Map<String, Long> tableVersions,
         List<String> roles,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ServerStatus> servers) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ServerStatus> servers,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> copyAgesMillis) {
     /** Makes immutable copies of the collections. */
     public MemberStatus {
         checkNotNull(name, "name");
@@ -50,6 +54,10 @@
         drains = ImmutableList.copyOf(drains);
         roles = ImmutableList.copyOf(roles);
         servers = servers == null ? ImmutableList.of() : ImmutableList.copyOf(servers);
+        copyAgesMillis =
+                copyAgesMillis == null
+                        ? ImmutableSortedMap.of()
+                        : ImmutableSortedMap.copyOf(copyAgesMillis);
     }
 
     /** Whether a daemon answered the last status request. */
--- a/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
+++ b/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
@@ -14,6 +14,11 @@
     }
 
     private static MemberStatus create(Map<String, Long> quarantines, List<ServerStatus> servers) {
+        return create(quarantines, servers, Map.of());
+    }
+
+    private static MemberStatus create(
+            Map<String, Long> quarantines, List<ServerStatus> servers, Map<String, Long> ages) {
         return new MemberStatus(
                 "d",
                 1,
@@ -24,7 +29,8 @@
                 quarantines,
                 Map.of("keyed", 7L),
                 List.of(),
-                servers);
+                servers,
+                ages);
     }
 
     /** A release without the field rejects it and would show the daemon as suspect. */
@@ -49,6 +55,24 @@
         assertThat(Json.read(json, MemberStatus.class)).isEqualTo(member);
     }
 
+    /** A release without the field rejects it and would show the daemon as suspect. */
+    @Test
+    void json_noAges_fieldIsLeftOutAndReadAsNone() {
+        MemberStatus member = withQuarantines(Map.of());
+
+        String json = Json.write(member);
+
+        assertThat(json).doesNotContain("copyAges");
+        assertThat(Json.read(json, MemberStatus.class)).isEqualTo(member);
+    }
+
+    @Test
+    void json_ages_areReadBack() {
+        MemberStatus member = create(Map.of(), List.of(), Map.of("configuration", 12L));
+
+        assertThat(Json.read(Json.write(member), MemberStatus.class)).isEqualTo(member);
+    }
+
     @Test
     void json_servers_areReadBack() {
         MemberStatus member =
--- a/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
@@ -38,7 +38,8 @@
 
     /** Prints the daemons and their states. */
     Optional<Failure> daemons() {
-        return mContext.printReply("/admin/daemons", Replies.Daemons.class, StateCommands::toTable);
+        return mContext.printReply(
+                "/admin/daemons?ages=1", Replies.Daemons.class, StateCommands::toTable);
     }
 
     /** Prints the servers that are leaving or paused at each daemon. */
@@ -100,6 +101,7 @@
                         "STATE",
                         "DATA CENTRE",
                         "CONFIGURATION",
+                        "AGE S",
                         "TABLES",
                         "DRAINS",
                         "ROLES");
@@ -109,6 +111,7 @@
                     member.state(),
                     member.dataCentre(),
                     member.configurationVersion(),
+                    configurationAge(member),
                     member.tableVersions().entrySet().stream()
                             .map(e -> e.getKey() + "@" + e.getValue())
                             .collect(Collectors.joining(",")),
@@ -118,6 +121,15 @@
         return table;
     }
 
+    /**
+     * Returns the seconds since the daemon last knew that its configuration is the one of the
+     * store, or an empty text if it did not say so.
+     */
+    private static String configurationAge(MemberStatus member) {
+        long millis = member.copyAgesMillis().getOrDefault("configuration", -1L);
+        return millis < 0 ? "" : String.format(Locale.ROOT, "%.1f", millis / 1e3);
+    }
+
     /** Includes which daemons did not answer, because a list without theirs looks complete. */
     private static String toServersText(Replies.Daemons reply) {
         Table table =
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -179,6 +179,14 @@
         assertThat(out()).isEmpty();
     }
 
+    /** A daemon that was behind looked like one that was up to date. */
+    @Test
+    void daemons_daemonTellsAges_showsThatOfItsConfiguration() {
+        assertThat(runIn(ImmutableMap.of(), "--daemon", daemon(), "daemons")).isEqualTo(0);
+
+        assertThat(out()).containsMatch("AGE S .*\n.*entry-1 .* 9 +1\\.2 ");
+    }
+
     @Test
     void daemons_firstDaemonUnreachable_asksTheNext() {
         String unreachable = "127.0.0.1:1";
--- a/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
+++ b/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
@@ -116,7 +116,7 @@
                     JsonReply.ok(
                             new Replies.Assignments(
                                     "catalogue", 7, 3, "entry-1", List.of(ALL_KEYS)));
-            case "/admin/daemons" -> JsonReply.ok(daemons());
+            case "/admin/daemons" -> JsonReply.ok(daemons(call.query("ages").isPresent()));
             case "/admin/drains" -> drains(call);
             case "/admin/quarantines" -> quarantines(call);
             case "/admin/burn" -> JsonReply.ok(mBurn);
@@ -124,7 +124,7 @@
         };
     }
 
-    private Replies.Daemons daemons() {
+    private Replies.Daemons daemons(boolean withAges) {
         return new Replies.Daemons(
                 "entry-1",
                 List.of(
@@ -146,7 +146,10 @@
                                                 "orders",
                                                 Leaving.NO,
                                                 "2026-12-05T03:00:00.250Z",
-                                                2.25)))));
+                                                2.25)),
+                                withAges
+                                        ? ImmutableMap.of("configuration", 1_240L)
+                                        : ImmutableMap.of())));
     }
 
     private Map<String, Long> quarantinesInForce() {
