Close idle connections to a peer that gave no response in time

After a call that timed out or was cancelled, or a connect that timed out, the client closes the idle connections to that address. To cancel the future of a call now closes its connection, which stayed open until the time of the call was over. A refused connect closes none: a server at its limit refuses new ones and serves those that are open.

HttpClientTest.call_idleConnectionsAreSilent_onlyTheFirstCallTimesOut and call_isCancelled_connectionIsClosedAndNextCallIsAnswered failed before.

--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -39,6 +40,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +51,10 @@
 /**
  * HTTP client for control traffic that keeps a pool of idle connections per address. A future that
  * fails leaves open whether the server executed the request. Thread-safe; never blocks.
+ *
+ * <p>Invariant: after a call that got no response in time, or was cancelled, no call uses a
+ * connection to that address that was idle then. A network that has forgotten one connection has
+ * probably forgotten the others, and each would cost another call its whole time.
  */
 public final class HttpClient {
     private static final int MAX_IDLE_CONNECTIONS_PER_ADDRESS = 4;
@@ -100,35 +106,32 @@
      * <p>The future fails with an {@link IOException} on a connection error, and with a {@link
      * TimeoutException} if no response arrives within {@code timeout} of this call, in which the
      * time to connect counts. A request is not sent after that time. A GET whose pooled connection
-     * fails is sent once more on a new connection, with {@code timeout} starting over.
+     * fails is sent once more on a new connection, with {@code timeout} starting over. To cancel
+     * the future closes the connection of the call.
      */
     public CompletableFuture<HttpReply> call(Address address, HttpCall call, Duration timeout) {
         Optional<ClientConnection> idle = pollIdle(address);
         if (idle.isEmpty()) {
             return callOnNewConnection(address, call, timeout);
         }
-        CompletableFuture<HttpReply> future = new CompletableFuture<>();
-        idle.get().send(address, call, limit(timeout), future);
-        return call.method().equals("GET")
-                ? future.handle(
-                                (reply, error) ->
-                                        retryOnNewConnection(reply, error, address, call, timeout))
-                        .thenCompose(result -> result)
-                : future;
-    }
-
-    /**
-     * Returns the reply, or repeats the GET on a new connection after an {@link IOException}. A
-     * peer that restarted has closed its pooled connections, and a GET is safe to repeat.
-     */
-    private CompletableFuture<HttpReply> retryOnNewConnection(
-            HttpReply reply, Throwable error, Address address, HttpCall call, Duration timeout) {
-        if (error == null) {
-            return CompletableFuture.completedFuture(reply);
+        CompletableFuture<HttpReply> first = new CompletableFuture<>();
+        idle.get().send(address, call, limit(timeout), first);
+        if (!call.method().equals("GET")) {
+            return first;
         }
-        return error instanceof IOException
-                ? callOnNewConnection(address, call, timeout)
-                : CompletableFuture.failedFuture(error);
+        CompletableFuture<HttpReply> result = new CompletableFuture<>();
+        Cancellation.propagate(result, first);
+        first.whenComplete(
+                (reply, error) -> {
+                    // A peer that restarted has closed its pooled connections, and a GET is safe to
+                    // repeat.
+                    if (error instanceof IOException && !result.isDone()) {
+                        Cancellation.forward(callOnNewConnection(address, call, timeout), result);
+                    } else {
+                        Cancellation.complete(result, reply, error);
+                    }
+                });
+        return result;
     }
 
     /**
@@ -141,7 +144,7 @@
         HttpObjectAggregator aggregator = new HttpObjectAggregator(mMaxReplyBytes);
         aggregator.setMaxCumulationBufferComponents(MAX_BODY_PARTS);
         ClientConnection connection =
-                new ClientConnection(mMaxReplyBytes, mPeerKind, this::offerIdle);
+                new ClientConnection(mMaxReplyBytes, mPeerKind, this::offerIdle, this::closeIdle);
         TimeLimit limit = limit(timeout);
         ChannelFuture connecting =
                 connect(
@@ -158,6 +161,10 @@
                     if (opened.isSuccess()) {
                         connection.send(address, call, limit, future);
                     } else {
+                        // A refusal proves nothing of the connections that are open.
+                        if (opened.cause() instanceof ConnectTimeoutException) {
+                            closeIdle(address);
+                        }
                         future.completeExceptionally(opened.cause());
                     }
                 });
@@ -203,6 +210,16 @@
         }
     }
 
+    /** Closes the idle connections to an address. */
+    private void closeIdle(Address address) {
+        Queue<ClientConnection> idle = mIdleConnections.get(address);
+        ClientConnection connection = idle == null ? null : idle.poll();
+        while (connection != null) {
+            connection.close();
+            connection = idle.poll();
+        }
+    }
+
     private ChannelFuture connect(
             Address address, Duration timeout, Consumer<Channel> initializer) {
         ChannelHandler channelInitializer =
@@ -247,6 +264,7 @@
         private final ReceiveLimiter mLimiter;
         private final PeerKind mPeerKind;
         private final BiConsumer<Address, ClientConnection> mOnIdle;
+        private final Consumer<Address> mOnSilence;
         private volatile Channel mChannel;
         private Address mAddress;
         private CompletableFuture<HttpReply> mPendingReply;
@@ -255,10 +273,12 @@
         ClientConnection(
                 int maxReplyBytes,
                 PeerKind peerKind,
-                BiConsumer<Address, ClientConnection> onIdle) {
+                BiConsumer<Address, ClientConnection> onIdle,
+                Consumer<Address> onSilence) {
             mLimiter = new ReceiveLimiter((long) maxReplyBytes + MAX_FRAMING_BYTES, this);
             mPeerKind = peerKind;
             mOnIdle = onIdle;
+            mOnSilence = onSilence;
         }
 
         ReceiveLimiter limiter() {
@@ -279,6 +299,23 @@
                 TimeLimit limit,
                 CompletableFuture<HttpReply> future) {
             mChannel.eventLoop().execute(() -> sendNow(address, call, limit, future));
+            future.whenComplete(
+                    (reply, error) -> {
+                        if (future.isCancelled()) {
+                            mChannel.eventLoop().execute(() -> onCancelled(future));
+                        }
+                    });
+        }
+
+        private void onCancelled(CompletableFuture<HttpReply> future) {
+            if (mPendingReply == future) {
+                onSilence(new CancellationException());
+            }
+        }
+
+        private void onSilence(Throwable cause) {
+            mOnSilence.accept(mAddress);
+            fail(cause);
         }
 
         private void sendNow(
@@ -290,13 +327,18 @@
                 future.completeExceptionally(new IOException("pooled connection is closed"));
                 return;
             }
+            if (future.isCancelled()) {
+                mOnSilence.accept(address);
+                close();
+                return;
+            }
             mAddress = address;
             mPendingReply = future;
             long remainingNanos = limit.remainingNanos();
             mTimeout =
                     mChannel.eventLoop()
                             .schedule(
-                                    () -> fail(limit.exceeded(address)),
+                                    () -> onSilence(limit.exceeded(address)),
                                     remainingNanos,
                                     TimeUnit.NANOSECONDS);
             if (remainingNanos <= 0) {
--- a/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
@@ -24,6 +24,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -42,11 +44,15 @@
 
     private static final int LATEST_END_SECONDS = 10;
 
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(200);
+    private static final int SILENT_CONNECTIONS = 3;
+
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final HttpClient mClient =
             HttpClient.create(mGroup, MAX_REPLY_BYTES, PeerKind.DAEMON_OR_STORE);
     private final CountDownLatch mConnectionClosed = new CountDownLatch(1);
+    private final CountDownLatch mSilentConnectionsClosed = new CountDownLatch(SILENT_CONNECTIONS);
     private final AtomicLong mBytesSent = new AtomicLong();
     private TcpListener mListener;
 
@@ -167,6 +173,76 @@
         assertThat(reply.body()).hasLength(MAX_REPLY_BYTES);
     }
 
+    private static String get(CompletableFuture<HttpReply> reply) throws Exception {
+        return reply.get(LATEST_END_SECONDS, TimeUnit.SECONDS).text();
+    }
+
+    private CompletableFuture<HttpReply> get(Duration timeout) {
+        return mClient.call(mListener.address(), HttpCall.of("GET", "/objects"), timeout);
+    }
+
+    /** Opens connections that a network then forgets; both of their ends stay open. */
+    private void openSilentIdleConnections(int count) throws Exception {
+        mListener =
+                TcpListener.bind(
+                        mGroup,
+                        "127.0.0.1",
+                        0,
+                        true,
+                        (SocketChannel channel) ->
+                                channel.pipeline().addLast(new SilentAfterFirstReply()));
+        List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            replies.add(get(CALL_TIMEOUT));
+        }
+        for (CompletableFuture<HttpReply> reply : replies) {
+            assertThat(get(reply)).isEqualTo("ok");
+        }
+    }
+
+    /** Each of the idle connections cost another call its whole time. */
+    @Test
+    void call_idleConnectionsAreSilent_onlyTheFirstCallTimesOut() throws Exception {
+        openSilentIdleConnections(SILENT_CONNECTIONS);
+
+        assertThrows(ExecutionException.class, () -> get(get(SHORT_TIMEOUT)));
+
+        assertThat(get(get(CALL_TIMEOUT))).isEqualTo("ok");
+    }
+
+    /** A call that was given up kept its connection until the time of the call was over. */
+    @Test
+    void call_isCancelled_connectionIsClosedAndNextCallIsAnswered() throws Exception {
+        openSilentIdleConnections(SILENT_CONNECTIONS);
+
+        get(CALL_TIMEOUT).cancel(false);
+
+        assertThat(mSilentConnectionsClosed.await(LATEST_END_SECONDS, TimeUnit.SECONDS)).isTrue();
+        assertThat(get(get(CALL_TIMEOUT))).isEqualTo("ok");
+    }
+
+    /** Replies to the first request of a connection and to no other. */
+    private final class SilentAfterFirstReply extends ChannelInboundHandlerAdapter {
+        private boolean mReplied;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ReferenceCountUtil.release(message);
+            if (!mReplied) {
+                mReplied = true;
+                context.writeAndFlush(
+                        Unpooled.copiedBuffer(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                                StandardCharsets.ISO_8859_1));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mSilentConnectionsClosed.countDown();
+        }
+    }
+
     /** Sends its bytes on each read, whatever the request is. */
     private final class RawServer extends ChannelInboundHandlerAdapter {
         private final String mHead;
