Send notices of copies for the kinds that receivers wait for

In large fleets each answer to a feeder's own watch of servers, one a second, caused a notice to all of its followers, which read servers from feeders and make no use of it. A feeder now tells them when the configuration is known to be current; the coordinator of a small fleet also when the entries of servers are.

--- a/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
@@ -62,7 +62,7 @@
         mClock = context.clock();
         mNotices = new PeerNotices(client, mThread, mClock, context.metrics());
         mNextSendNanos = mClock.getAsLong();
-        mDirectory.setConfirmationListener(this::sendSoon);
+        mDirectory.setConfirmationListener(this::onConfirmed);
     }
 
     /** Sets the daemons of the fleet. */
@@ -83,8 +83,16 @@
                 .toList();
     }
 
-    private void sendSoon() {
-        if (!mSendScheduled && !receivers().isEmpty()) {
+    /**
+     * Sends the state of all copies when that of a kind with a short bound is new. In large fleets
+     * daemons do not depend on peers for the entries of servers: feeders watch these themselves,
+     * and followers ask feeders.
+     */
+    private void onConfirmed(StoreKind kind) {
+        boolean isAwaited =
+                kind == StoreKind.CONFIGURATION
+                        || kind == StoreKind.SERVERS && !Feeders.usesFeeders(mMembers);
+        if (isAwaited && !mSendScheduled && !receivers().isEmpty()) {
             mSendScheduled = true;
             long waitNanos = Math.max(0, mNextSendNanos - mClock.getAsLong());
             mThread.schedule(this::send, waitNanos, TimeUnit.NANOSECONDS);
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -32,6 +32,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -86,7 +87,7 @@
     /** Reasons for which watches were given up. */
     private final Multiset<Doubt> mDoubts = EnumMultiset.create(Doubt.class);
 
-    private Runnable mConfirmationListener = () -> {};
+    private Consumer<StoreKind> mConfirmationListener = kind -> {};
 
     /** Whether this daemon reads the entries of servers through feeders. */
     private boolean mServersRelayed;
@@ -164,7 +165,7 @@
 
         @Override
         public void onConfirmed() {
-            mConfirmationListener.run();
+            mConfirmationListener.accept(mKind);
         }
 
         @Override
@@ -201,8 +202,8 @@
         mMirrors.get(StoreKind.SERVERS).setRelayed(relayed);
     }
 
-    /** Sets a listener that runs when a copy is known to be current. */
-    void setConfirmationListener(Runnable listener) {
+    /** Sets a listener that is told when the copy of a kind is known to be current. */
+    void setConfirmationListener(Consumer<StoreKind> listener) {
         mConfirmationListener = checkNotNull(listener);
     }
 
