Keep the waits of feeders short

Followers of a daemon that became a feeder while its watch of servers had a long wait were turned away with 503 until that wait ended, for up to 18 s, and watched the store themselves.

A mirror now knows where its answers come from: the store, the store on behalf of followers, or a feeder. A long wait that no longer fits is ended. KindMirrorTest.setSource_daemonBecomesFeederDuringLongWait_watchIsSentAgainWithShortWait could not be written before, as there was no such state; RelayTest passes.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -196,10 +196,10 @@
         mMirrors.values().forEach(m -> m.onCallTimedOut(sentNanos));
     }
 
-    /** Sets whether this daemon reads the entries of servers through feeders. */
-    void setServersRelayed(boolean relayed) {
-        mServersRelayed = relayed;
-        mMirrors.get(StoreKind.SERVERS).setRelayed(relayed);
+    /** Sets from where this daemon reads the entries of servers. */
+    void setServerSource(KindMirror.Source source) {
+        mServersRelayed = source == KindMirror.Source.FEEDER;
+        mMirrors.get(StoreKind.SERVERS).setSource(source);
     }
 
     /** Sets a listener that is told when the copy of a kind is known to be current. */
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -62,6 +62,16 @@
         }
     }
 
+    /** Where the answers to watches come from. */
+    enum Source {
+        /** The store; while a peer vouches for the copy, watches wait for long. */
+        STORE,
+        /** The store, on behalf of followers, who rely on frequent answers. */
+        STORE_FOR_FOLLOWERS,
+        /** A feeder; these calls have limits of their own, and answers come later. */
+        FEEDER
+    }
+
     /** Why a watch is given up and sent again. */
     enum Doubt {
         /** The wait of the watch is over, and there is no answer. */
@@ -110,6 +120,12 @@
      */
     private static final long LONG_WAIT_MILLIS = 18_000;
 
+    /**
+     * Longest wait of a watch by a feeder, or by a follower whose feeder failed. The answer to a
+     * watch without changes also confirms the copy that a feeder serves.
+     */
+    static final long FEEDER_WAIT_MILLIS = 1_000;
+
     /** Time after the end of its wait within which a watch must be answered. */
     private static final long ANSWER_MARGIN_MILLIS = 500;
 
@@ -176,8 +192,7 @@
     /** Time until which the statements of peers suffice. */
     private long mCoveredUntilNanos;
 
-    /** Whether the calls have a limit of their own, as those to feeders. */
-    private boolean mRelayed;
+    private Source mSource = Source.STORE;
 
     /** The last watch, and whether it waits for its answer. */
     private CompletableFuture<StoreResult> mWatch = CompletableFuture.completedFuture(null);
@@ -316,11 +331,11 @@
         }
     }
 
-    /** Sets whether this daemon reads the kind through feeders, with the limits of these calls. */
-    void setRelayed(boolean relayed) {
-        boolean endsLongWatch = relayed && !mRelayed && mWatchPending && mWatchCovered;
-        mRelayed = relayed;
-        if (endsLongWatch) {
+    /** Sets where the answers to watches come from. Ends a long wait that no longer fits. */
+    void setSource(Source source) {
+        boolean endsLongWait = source != mSource && mWatchPending && mWatchCovered;
+        mSource = source;
+        if (endsLongWait) {
             sendWatchAgain();
         }
     }
@@ -375,7 +390,7 @@
     }
 
     private void giveUpWatch(Doubt doubt) {
-        if (!mWatchPending || mWatchGivenUp || mRelayed) {
+        if (!mWatchPending || mWatchGivenUp || mSource == Source.FEEDER) {
             return;
         }
         long now = mClock.getAsLong();
@@ -501,8 +516,8 @@
         long generation = mCallGeneration;
         long number = ++mWatchNumber;
         long now = mClock.getAsLong();
-        mWatchCovered = isCovered(now) && !mWatchGivenUp && !mRelayed;
-        long waitMillis = mWatchCovered ? LONG_WAIT_MILLIS : mTiming.mWaitMillis;
+        mWatchCovered = mSource == Source.STORE && isCovered(now) && !mWatchGivenUp;
+        long waitMillis = mWatchCovered ? LONG_WAIT_MILLIS : shortWaitMillis();
         mWatchPending = true;
         mWatchSentNanos = now;
         mWatchEndNanos =
@@ -514,11 +529,15 @@
                 result ->
                         mThread.execute(
                                 () -> runIfCurrent(generation, () -> onWatchResult(result))));
-        if (!mWatchGivenUp && !mRelayed) {
+        if (!mWatchGivenUp && mSource != Source.FEEDER) {
             checkWatchLater(number, now);
         }
     }
 
+    private long shortWaitMillis() {
+        return mSource == Source.STORE_FOR_FOLLOWERS ? FEEDER_WAIT_MILLIS : mTiming.mWaitMillis;
+    }
+
     private boolean isCovered(long nowNanos) {
         return mCoveredUntilNanos - nowNanos > 0;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -282,7 +282,7 @@
                 }
             }
             mRelayedStore.setMembers(members);
-            mDirectory.setServersRelayed(mRelayedStore.isFollower());
+            mDirectory.setServerSource(mRelayedStore.source());
             mCopyNotices.setMembers(members);
             mDispatcher.setMaxEntryLagNanos(
                     mRelayedStore.isFollower() ? RelayEndpoint.MAX_LAG_NANOS : 0);
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -42,12 +42,6 @@
     /** Time without feeders after one failed; a restart of a daemon takes about as long. */
     private static final long FEEDER_RETRY_NANOS = 3_000_000_000L;
 
-    /**
-     * Longest wait of a watch of the store by a feeder, or by a follower whose feeder failed. The
-     * answer to a watch without changes also confirms the copy that a feeder serves.
-     */
-    private static final long FEEDER_WATCH_MILLIS = 1_000;
-
     private final Store mDelegate;
     private final EntrySettings mSettings;
     private final WireFormat mWire;
@@ -107,14 +101,21 @@
         return mIsFollower;
     }
 
+    /** Returns from where this daemon reads the entries of backend servers. */
+    KindMirror.Source source() {
+        if (mIsFollower) {
+            return KindMirror.Source.FEEDER;
+        }
+        return mIsFeeder ? KindMirror.Source.STORE_FOR_FOLLOWERS : KindMirror.Source.STORE;
+    }
+
     @Override
     public CompletableFuture<StoreResult> watch(StoreKind kind, long revision, long waitMillis) {
         if (kind != StoreKind.SERVERS) {
             return mDelegate.watch(kind, revision, waitMillis);
         }
         if (!mIsFollower || mFeeders.isEmpty() || mClock.getAsLong() < mSkipFeedersUntilNanos) {
-            return watchDirectly(
-                    revision, mIsFeeder ? Math.min(FEEDER_WATCH_MILLIS, waitMillis) : waitMillis);
+            return watchDirectly(revision, waitMillis);
         }
         mLastWatchDirect = false;
         Address feeder = mFeeders.get(mFeederIndex % mFeeders.size()).peerAddress();
@@ -181,7 +182,7 @@
                 reason);
         mFeederIndex++;
         mSkipFeedersUntilNanos = mClock.getAsLong() + FEEDER_RETRY_NANOS;
-        Cancellation.forward(watchDirectly(revision, FEEDER_WATCH_MILLIS), result);
+        Cancellation.forward(watchDirectly(revision, KindMirror.FEEDER_WAIT_MILLIS), result);
     }
 
     /**
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -294,13 +294,26 @@
     @Test
     void watch_isRelayed_isNotGivenUp() {
         startWithCopy();
-        mMirror.setRelayed(true);
+        mMirror.setSource(KindMirror.Source.FEEDER);
 
         mThread.advance(5_000 * MILLI);
 
         assertThat(mDoubts).isEmpty();
     }
 
+    /** The followers of a daemon that became a feeder were turned away for up to 18 s. */
+    @Test
+    void setSource_daemonBecomesFeederDuringLongWait_watchIsSentAgainWithShortWait() {
+        startWithCopy();
+        confirmByPeer();
+        answerWithoutChanges();
+        assertThat(mStore.lastWaitMillis()).isEqualTo(18_000);
+
+        mMirror.setSource(KindMirror.Source.STORE_FOR_FOLLOWERS);
+
+        assertThat(mStore.lastWaitMillis()).isEqualTo(1_000);
+    }
+
     /** The platform does not say whether an event of a removal carries a revision. */
     @Test
     void watch_removalWithoutRevision_removesTheObject() {
