--- a/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoopGroup;
@@ -31,6 +32,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 /** Guards the client against servers that send anything but one reply to each call. */
 final class HttpClientTest {
@@ -85,14 +87,17 @@
      * Answers each request with {@code head}, then sends {@code filler} without end if not empty.
      */
     private void startServer(String head, String filler) {
+        listen(() -> new RawServer(head, filler));
+    }
+
+    private void listen(Supplier<ChannelHandler> server) {
         mListener =
                 TcpListener.bind(
                         mGroup,
                         "127.0.0.1",
                         0,
                         true,
-                        (SocketChannel channel) ->
-                                channel.pipeline().addLast(new RawServer(head, filler)));
+                        (SocketChannel channel) -> channel.pipeline().addLast(server.get()));
     }
 
     private CompletableFuture<HttpReply> call() {
@@ -183,14 +188,7 @@
 
     /** Opens connections that a network then forgets; both of their ends stay open. */
     private void openSilentIdleConnections(int count) throws Exception {
-        mListener =
-                TcpListener.bind(
-                        mGroup,
-                        "127.0.0.1",
-                        0,
-                        true,
-                        (SocketChannel channel) ->
-                                channel.pipeline().addLast(new SilentAfterFirstReply()));
+        listen(SilentAfterFirstReply::new);
         List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             replies.add(get(CALL_TIMEOUT));
