Start with a peer's copy only if it is current

A daemon whose first list was not answered within 0.4 s, as on a slow machine, took the copy of any peer, since the store counts as unreachable before its first answer.

A copy names its age now. Before a first call has failed, only one that was current in the last 2 s is taken; after that any, as while the store is away. A peer of an earlier release names none and is asked in the second case only.

KindMirrorTest.adoptPeerCopy_firstListNotAnsweredAndPeerIsBehind_isIgnored fails without the check and passes.

--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -125,6 +125,9 @@
      */
     static final long FEEDER_WAIT_MILLIS = 1_000;
 
+    /** Age of a peer's copy with which a daemon may start before its own list is answered. */
+    private static final long MAX_START_AGE_NANOS = 2_000_000_000L;
+
     /** Time after the end of its wait within which a watch must be answered. */
     private static final long ANSWER_MARGIN_MILLIS = 500;
 
@@ -430,15 +433,23 @@
 
     /**
      * Replaces the copy with that of a peer if the store is unreachable and the peer's is newer, or
-     * is the same and settled for the first time.
+     * is the same and settled for the first time. Until a first call to the store has failed, which
+     * may take longer at a start than an answer, only a copy that is current will do.
      *
      * @param version version of the peer's copy
      * @param settled whether the peer's copy is settled
+     * @param ageNanos time for which the peer has not known its copy to be current; empty if it did
+     *     not say so
      * @param objects all objects of the kind at that version, by name
      */
-    void adoptPeerCopy(StoreVersion version, boolean settled, Map<String, StoreObject> objects) {
+    void adoptPeerCopy(
+            StoreVersion version,
+            boolean settled,
+            OptionalLong ageNanos,
+            Map<String, StoreObject> objects) {
         boolean settles = settled && !mCopySettled && version.equals(mVersion);
-        if (!mReachable && (version.isAfter(mVersion) || settles)) {
+        boolean isUsable = mFailures > 0 || ageNanos.orElse(Long.MAX_VALUE) <= MAX_START_AGE_NANOS;
+        if (!mReachable && isUsable && (version.isAfter(mVersion) || settles)) {
             mLog.write(
                     DecisionLog.Part.STORE,
                     "Copied objects from a peer",
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -30,6 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +51,7 @@
     /** Prefix of the paths of copies; the kind of the objects follows. */
     private static final String OBJECTS_PATH = "/objects/";
 
+    private static final String AGE_MILLIS = "age_ms";
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
     private static final long TICK_INTERVAL_MILLIS = 500;
     private static final long REPORT_INTERVAL_NANOS = 500_000_000L;
@@ -342,7 +344,8 @@
             StoreVersion version =
                     new StoreVersion(copy.path("epoch").asLong(), copy.path("revision").asLong(-1));
             if (mStore.epoch().observe(version.epoch())) {
-                mirror.adoptPeerCopy(version, copy.path("settled").asBoolean(), objects);
+                mirror.adoptPeerCopy(
+                        version, copy.path("settled").asBoolean(), decodeAge(copy), objects);
             }
         } catch (IOException | RuntimeException e) {
             mLog.write(
@@ -355,6 +358,13 @@
         }
     }
 
+    /** Returns the age of a copy, or empty if its sender does not know it or does not say so. */
+    private static OptionalLong decodeAge(JsonNode copy) {
+        return copy.has(AGE_MILLIS)
+                ? OptionalLong.of(TimeUnit.MILLISECONDS.toNanos(copy.path(AGE_MILLIS).asLong()))
+                : OptionalLong.empty();
+    }
+
     private void sendReports() {
         ImmutableMap<String, KeyedRequestStats.Report> reports = mKeyedRequestStats.takeReports();
         if (mCoordinator.isActing()) {
@@ -473,6 +483,8 @@
         copy.put("epoch", mirror.version().epoch());
         copy.put("revision", mirror.version().revision());
         copy.put("settled", settled);
+        mirror.copyAgeNanos(mClock.getAsLong())
+                .ifPresent(age -> copy.put(AGE_MILLIS, TimeUnit.NANOSECONDS.toMillis(age)));
         ArrayNode objects = copy.putArray("objects");
         mirror.objects().values().forEach(object -> objects.add(object.content()));
         return new HttpReply(200, MAPPER.writeValueAsBytes(copy));
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -14,6 +14,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Guards against servers that are treated as gone because their entries expired during an outage of
@@ -294,7 +295,10 @@
         StoreVersion own = mirror.version();
 
         mirror.adoptPeerCopy(
-                new StoreVersion(own.epoch(), own.revision() + 1), true, mirror.objects());
+                new StoreVersion(own.epoch(), own.revision() + 1),
+                true,
+                OptionalLong.empty(),
+                mirror.objects());
 
         assertThat(mirror.version().revision()).isEqualTo(own.revision() + 1);
         assertThat(mDirectory.servers().get("a@1").leaving()).isTrue();
@@ -333,7 +337,9 @@
     }
 
     private void adopt(StoreVersion version, boolean settled) {
-        mDirectory.mirror(StoreKind.SERVERS).adoptPeerCopy(version, settled, ImmutableMap.of());
+        mDirectory
+                .mirror(StoreKind.SERVERS)
+                .adoptPeerCopy(version, settled, OptionalLong.empty(), ImmutableMap.of());
     }
 
     /**
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 
 import org.geraniumusher.model.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
@@ -12,6 +13,7 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /** Guards against mirrors that stop following the store or follow it too late. */
 final class KindMirrorTest {
@@ -301,6 +303,34 @@
         assertThat(mDoubts).isEmpty();
     }
 
+    private void adoptPeerCopy(OptionalLong ageNanos) {
+        mMirror.adoptPeerCopy(new StoreVersion(1, 7), true, ageNanos, ImmutableMap.of());
+    }
+
+    /** A daemon that started beside a peer that was behind refused requests on newer routes. */
+    @Test
+    void adoptPeerCopy_firstListNotAnsweredAndPeerIsBehind_isIgnored() {
+        mStore.holdAnswers();
+        mMirror.start();
+
+        adoptPeerCopy(OptionalLong.of(10_000 * MILLI));
+        assertThat(mMirror.hasState()).isFalse();
+
+        adoptPeerCopy(OptionalLong.of(1_000 * MILLI));
+        assertThat(mMirror.hasState()).isTrue();
+    }
+
+    /** Any copy is better than none while the store is away. */
+    @Test
+    void adoptPeerCopy_firstListFailed_copyOfAnyAgeIsUsed() {
+        mStore.setDown(true);
+        mMirror.start();
+
+        adoptPeerCopy(OptionalLong.empty());
+
+        assertThat(mMirror.hasState()).isTrue();
+    }
+
     /** The followers of a daemon that became a feeder were turned away for up to 18 s. */
     @Test
     void setSource_daemonBecomesFeederDuringLongWait_watchIsSentAgainWithShortWait() {
