Leave calls in progress alone when the store answers again

Each kind that was answered after an outage had all kinds that had failed tried at once, also those whose call had just been sent for the same reason: up to six more calls a daemon and outage.

The answer to a kind now ends the pause of the others, and nothing else. KindMirrorTest.retryNow_callIsInProgress_isNotSentAgain failed before (three watches) and passes.

--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -96,6 +96,8 @@
     /** Consecutive calls without a usable answer. */
     private int mFailures;
 
+    private boolean mRetryScheduled;
+
     /** Recent changes from watches, for the followers of this daemon. */
     private final ChangeHistory mHistory = new ChangeHistory();
 
@@ -149,6 +151,7 @@
     void start() {
         mStarted = true;
         mCallGeneration++;
+        mRetryScheduled = false;
         mWatch.forget();
         long generation = mCallGeneration;
         mStore.listAll(mKind, false)
@@ -228,9 +231,12 @@
         return mCopySettled;
     }
 
-    /** Retries without a further pause if the last call failed, as another kind got an answer. */
+    /**
+     * Ends the pause after a failed call, if there is one, as another kind got an answer. A call in
+     * progress is left alone: the answer to each kind would have all the others sent again.
+     */
     void retryNow() {
-        if (!mReachable && mFailures > 0) {
+        if (mRetryScheduled) {
             mCallGeneration++;
             retry();
         }
@@ -267,6 +273,7 @@
     }
 
     private void retry() {
+        mRetryScheduled = false;
         if (mListedFromStore) {
             sendWatch();
         } else {
@@ -275,6 +282,7 @@
     }
 
     private void retryLater() {
+        mRetryScheduled = true;
         scheduleIfCurrent(
                 this::retry, mFailures == 1 ? SHORT_RETRY_MILLIS : mListener.retryMillis());
     }
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -303,6 +303,18 @@
         assertThat(mDoubts).isEmpty();
     }
 
+    /** After an outage the answer to each kind had the calls for all others sent once more. */
+    @Test
+    void retryNow_callIsInProgress_isNotSentAgain() {
+        startWithCopy();
+        mStore.failWatches();
+
+        mMirror.retryNow();
+        mMirror.retryNow();
+
+        assertThat(mStore.watchCount()).isEqualTo(2);
+    }
+
     private void adoptPeerCopy(OptionalLong ageNanos) {
         mMirror.adoptPeerCopy(new StoreVersion(1, 7), true, ageNanos, ImmutableMap.of());
     }
