Have a watch that was sent again answered soon

The coordinator's own watch of these kinds, sent again after the silence, waited for 2.5 s, and until its answer the age of all copies passed 3.6 s.

A watch that is sent again waits for 0.7 s at most.

--- a/entry/src/main/java/org/geraniumusher/entry/GuardedWatch.java
+++ b/entry/src/main/java/org/geraniumusher/entry/GuardedWatch.java
@@ -170,6 +170,10 @@
         long now = mClock.getAsLong();
         boolean vouchedFor = mSource == Source.STORE && !mGivenUp && mAge.vouchedForNanos(now) > 0;
         long waitMillis = vouchedFor ? LONG_WAIT_MILLIS : shortWaitMillis();
+        if (mGivenUp) {
+            // The age of the copy is near its limit, here and at all daemons that rely on this one.
+            waitMillis = Math.min(waitMillis, Timing.PROMPT.mWaitMillis);
+        }
         long answerMillis = vouchedFor ? 0 : waitMillis + ANSWER_MARGIN_MILLIS;
         Pending pending =
                 new Pending(
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -29,14 +29,11 @@
     private boolean mFailsOnChange;
 
     private final KindMirror mMirror =
-            new KindMirror(
-                    StoreKind.CONFIGURATION,
-                    GuardedWatch.Timing.PROMPT,
-                    mStore,
-                    mThread,
-                    mThread::now,
-                    mLog,
-                    new Listener());
+            createMirror(StoreKind.CONFIGURATION, GuardedWatch.Timing.PROMPT);
+
+    private KindMirror createMirror(StoreKind kind, GuardedWatch.Timing timing) {
+        return new KindMirror(kind, timing, mStore, mThread, mThread::now, mLog, new Listener());
+    }
 
     @AfterEach
     void close() {
@@ -200,6 +197,21 @@
         assertThat(mDoubts).hasSize(2);
     }
 
+    /**
+     * After a silence the coordinator knew that its copy was current only when the wait of its next
+     * watch was over, and until then all daemons asked the store themselves.
+     */
+    @Test
+    void watch_isSentAgainForKindWithLongerBound_isAnsweredSoon() {
+        createMirror(StoreKind.DRAINS, GuardedWatch.Timing.RELAXED).start();
+        assertThat(mStore.lastWaitMillis()).isEqualTo(2_500);
+
+        mThread.advance(3_100 * MILLI);
+
+        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.NO_ANSWER);
+        assertThat(mStore.lastWaitMillis()).isEqualTo(700);
+    }
+
     /** Each watch costs the store a call, so one that peers vouch for waits for long. */
     @Test
     void watch_peerSaysThatTheCopyIsCurrent_waitsForLongUntilItNoLongerSaysSo() {
