Derive what the watches and their receivers keep

A daemon chose the receivers of its notices of copies again at each answer, also a follower, which has none: with 2,800 members that sorts a data centre for each member, 1.4 times a second. They are chosen when the list of the fleet changes, from one set of feeders. The source of watches stood three times: as two flags in RelayedStore, as one in Directory and in GuardedWatch; it stands in the last two as one value, and its behaviour in the enum. 'Doubt' and 'silence' are now what they are called elsewhere, the reason of a watch that is given up and a call that timed out.

No change of behaviour; the tests of entry and FeedersTest pass. What the choice cost was not measured.

--- a/decisions/src/main/java/org/geraniumusher/relay/Feeders.java
+++ b/decisions/src/main/java/org/geraniumusher/relay/Feeders.java
@@ -11,6 +11,8 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Chooses feeders: the daemons that watch the entries of backend servers in the store and relay the
@@ -80,22 +82,25 @@
      */
     public static ImmutableList<Member> copyReceivers(
             Collection<Member> members, String name, String dataCentre, boolean isCoordinator) {
+        Set<Member> feeders = usesFeeders(members) ? feedersOf(members) : Set.copyOf(members);
+        boolean isFeeder = feeders.stream().anyMatch(m -> m.name().equals(name));
         return members.stream()
                 .filter(m -> !m.name().equals(name))
-                .filter(m -> isCopyReceiver(members, m, name, dataCentre, isCoordinator))
+                .filter(
+                        m ->
+                                feeders.contains(m)
+                                        ? isCoordinator
+                                        : isFeeder && m.dataCentre().equals(dataCentre))
                 .collect(ImmutableList.toImmutableList());
     }
 
-    private static boolean isCopyReceiver(
-            Collection<Member> members,
-            Member member,
-            String name,
-            String dataCentre,
-            boolean isCoordinator) {
-        if (!usesFeeders(members) || isFeeder(members, member.name(), member.dataCentre())) {
-            return isCoordinator;
-        }
-        return member.dataCentre().equals(dataCentre) && isFeeder(members, name, dataCentre);
+    /** Returns the feeders of all data centres. */
+    private static Set<Member> feedersOf(Collection<Member> members) {
+        return members.stream()
+                .map(Member::dataCentre)
+                .distinct()
+                .flatMap(dataCentre -> feedersOf(members, dataCentre).stream())
+                .collect(Collectors.toSet());
     }
 
     private static List<Member> feedersOf(Collection<Member> members, String dataCentre) {
--- a/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
@@ -48,7 +48,12 @@
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final PeerNotices mNotices;
-    private List<Feeders.Member> mMembers = ImmutableList.of();
+    private boolean mUsesFeeders;
+
+    /** The daemons that this one tells, as the coordinator and otherwise. */
+    private ImmutableList<Address> mReceiversAsCoordinator = ImmutableList.of();
+
+    private ImmutableList<Address> mReceivers = ImmutableList.of();
     private boolean mSendScheduled;
     private long mNextSendNanos;
     private long mPeerConfigurationVersion = -1;
@@ -67,7 +72,9 @@
 
     /** Sets the daemons of the fleet. */
     void setMembers(List<Feeders.Member> members) {
-        mMembers = ImmutableList.copyOf(members);
+        mUsesFeeders = Feeders.usesFeeders(members);
+        mReceiversAsCoordinator = receivers(members, true);
+        mReceivers = receivers(members, false);
     }
 
     /** Returns the version of the configuration at the daemon that last told so, or -1. */
@@ -75,12 +82,16 @@
         return mPeerConfigurationVersion;
     }
 
-    private List<Address> receivers() {
+    private ImmutableList<Address> receivers(List<Feeders.Member> members, boolean isCoordinator) {
         return Feeders.copyReceivers(
-                        mMembers, mSettings.name(), mSettings.dataCentre(), mCoordinator.isActing())
+                        members, mSettings.name(), mSettings.dataCentre(), isCoordinator)
                 .stream()
                 .map(Feeders.Member::peerAddress)
-                .toList();
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private ImmutableList<Address> receivers() {
+        return mCoordinator.isActing() ? mReceiversAsCoordinator : mReceivers;
     }
 
     /**
@@ -90,8 +101,7 @@
      */
     private void onConfirmed(StoreKind kind) {
         boolean isAwaited =
-                kind == StoreKind.CONFIGURATION
-                        || kind == StoreKind.SERVERS && !Feeders.usesFeeders(mMembers);
+                kind == StoreKind.CONFIGURATION || kind == StoreKind.SERVERS && !mUsesFeeders;
         if (isAwaited && !mSendScheduled && !receivers().isEmpty()) {
             mSendScheduled = true;
             long waitNanos = Math.max(0, mNextSendNanos - mClock.getAsLong());
--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -10,7 +10,7 @@
 import com.google.common.collect.Multiset;
 
 import org.geraniumusher.entry.DecisionLog.Part;
-import org.geraniumusher.entry.GuardedWatch.Doubt;
+import org.geraniumusher.entry.GuardedWatch.Reason;
 import org.geraniumusher.keyrange.RangeTable;
 import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.operator.Leaving;
@@ -83,14 +83,10 @@
 
     private final DrainHistory mDrainHistory = new DrainHistory();
 
-    /** Reasons for which watches were given up. */
-    private final Multiset<Doubt> mDoubts = EnumMultiset.create(Doubt.class);
+    private final Multiset<Reason> mWatchesGivenUp = EnumMultiset.create(Reason.class);
 
     private Consumer<StoreKind> mConfirmationListener = kind -> {};
 
-    /** Whether this daemon reads the entries of servers through feeders. */
-    private boolean mServersRelayed;
-
     private final LeavingIncarnations mLeaving =
             new LeavingIncarnations(incarnationId -> mServers.containsKey(incarnationId));
 
@@ -115,35 +111,21 @@
                 StoreKind.CONFIGURATION,
                 GuardedWatch.Timing.PROMPT,
                 store,
-                thread,
                 this::decodeConfiguration);
         addMirror(
-                StoreKind.EVACUATIONS,
-                GuardedWatch.Timing.RELAXED,
-                store,
-                thread,
-                this::decodeEvacuations);
-        addMirror(StoreKind.DRAINS, GuardedWatch.Timing.RELAXED, store, thread, this::decodeDrains);
-        addMirror(
-                StoreKind.QUARANTINES,
-                GuardedWatch.Timing.RELAXED,
-                store,
-                thread,
-                this::decodeQuarantines);
+                StoreKind.EVACUATIONS, GuardedWatch.Timing.RELAXED, store, this::decodeEvacuations);
+        addMirror(StoreKind.DRAINS, GuardedWatch.Timing.RELAXED, store, this::decodeDrains);
         addMirror(
-                StoreKind.SERVERS, GuardedWatch.Timing.PROMPT, store, thread, this::decodeServers);
+                StoreKind.QUARANTINES, GuardedWatch.Timing.RELAXED, store, this::decodeQuarantines);
+        addMirror(StoreKind.SERVERS, GuardedWatch.Timing.PROMPT, store, this::decodeServers);
         mTables = new RangeTableCache(store, thread, clock, log, mListeners::run);
         mEpoch.addListener(this::onNewEpoch);
     }
 
     private void addMirror(
-            StoreKind kind,
-            GuardedWatch.Timing timing,
-            Store store,
-            EventThread thread,
-            Runnable decode) {
+            StoreKind kind, GuardedWatch.Timing timing, Store store, Runnable decode) {
         MirrorListener listener = new MirrorListener(kind, decode);
-        mMirrors.put(kind, new KindMirror(kind, timing, store, thread, mClock, mLog, listener));
+        mMirrors.put(kind, new KindMirror(kind, timing, store, mThread, mClock, mLog, listener));
     }
 
     /** Passes on what a mirror tells; confined to the event loop. */
@@ -181,19 +163,20 @@
         }
 
         @Override
-        public void onDoubt(Doubt doubt) {
-            mDoubts.add(doubt);
+        public void onGivenUp(Reason reason) {
+            mWatchesGivenUp.add(reason);
         }
 
         @Override
-        public void onSilence(long sentNanos) {
+        public void onTimedOut(long sentNanos) {
             onCallTimedOut(sentNanos);
         }
 
         /** One kind tries often whether the store answers again; the others follow it. */
         @Override
         public long retryMillis() {
-            StoreKind probe = mServersRelayed ? StoreKind.CONFIGURATION : StoreKind.SERVERS;
+            boolean serversRelayed = mMirrors.get(StoreKind.SERVERS).watch().isRelayed();
+            StoreKind probe = serversRelayed ? StoreKind.CONFIGURATION : StoreKind.SERVERS;
             boolean triesOften = mKind == probe || mMirrors.get(probe).isReachable();
             return triesOften ? RETRY_MILLIS : OUTAGE_RETRY_MILLIS;
         }
@@ -210,7 +193,6 @@
 
     /** Sets from where this daemon reads the entries of servers. */
     void setServerSource(GuardedWatch.Source source) {
-        mServersRelayed = source == GuardedWatch.Source.FEEDER;
         mMirrors.get(StoreKind.SERVERS).watch().setSource(source);
     }
 
@@ -220,8 +202,8 @@
     }
 
     /** Returns how many watches were given up for a reason. */
-    int doubts(Doubt doubt) {
-        return mDoubts.count(doubt);
+    int watchesGivenUp(Reason reason) {
+        return mWatchesGivenUp.count(reason);
     }
 
     /** Has missing servers looked at again when they can no longer be about to register. */
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -193,10 +193,10 @@
         mMetrics.registerGauge(
                 "configuration.version",
                 () -> mDirectory.configuration().map(c -> (int) c.version()).orElse(-1));
-        for (GuardedWatch.Doubt doubt : GuardedWatch.Doubt.values()) {
+        for (GuardedWatch.Reason reason : GuardedWatch.Reason.values()) {
             mMetrics.registerGauge(
-                    "store.watches_given_up." + Ascii.toLowerCase(doubt.name()),
-                    () -> mDirectory.doubts(doubt));
+                    "store.watches_given_up." + Ascii.toLowerCase(reason.name()),
+                    () -> mDirectory.watchesGivenUp(reason));
         }
         for (KindMirror mirror : mDirectory.mirrors()) {
             mMetrics.registerGauge(
--- a/entry/src/main/java/org/geraniumusher/entry/GuardedWatch.java
+++ b/entry/src/main/java/org/geraniumusher/entry/GuardedWatch.java
@@ -55,15 +55,39 @@
     /** Where the answers to watches come from. */
     enum Source {
         /** The store; while a peer vouches for the copy, watches wait for long. */
-        STORE,
+        STORE(true, true),
         /** The store, on behalf of followers, who rely on frequent answers. */
-        STORE_FOR_FOLLOWERS,
+        STORE_FOR_FOLLOWERS(false, true) {
+            @Override
+            long waitMillis(Timing timing) {
+                return FEEDER_WAIT_MILLIS;
+            }
+        },
         /** A feeder; these calls have limits of their own, and answers come later. */
-        FEEDER
+        FEEDER(false, false);
+
+        private final boolean mAllowsLongWait;
+        private final boolean mIsGuarded;
+
+        /**
+         * Creates a source.
+         *
+         * @param allowsLongWait whether the statement of a peer replaces the answers to watches
+         * @param isGuarded whether a watch may be given up before its own limit
+         */
+        Source(boolean allowsLongWait, boolean isGuarded) {
+            mAllowsLongWait = allowsLongWait;
+            mIsGuarded = isGuarded;
+        }
+
+        /** Returns the longest wait of a watch while no peer vouches for the copy. */
+        long waitMillis(Timing timing) {
+            return timing.mWaitMillis;
+        }
     }
 
     /** Why a watch is given up and sent again. */
-    enum Doubt {
+    enum Reason {
         /** The wait of the watch is over, and there is no answer. */
         NO_ANSWER,
         /** No peer vouches for the copy any longer. */
@@ -77,14 +101,14 @@
     /** Learns of watches that are given up. */
     interface Listener {
         /** Called when a watch is given up. */
-        void onDoubt(Doubt doubt);
+        void onGivenUp(Reason reason);
 
         /**
-         * Called when a watch got no answer.
+         * Called when a watch got no answer in time.
          *
          * @param sentNanos clock time in ns at which it was sent
          */
-        void onSilence(long sentNanos);
+        void onTimedOut(long sentNanos);
     }
 
     /**
@@ -168,8 +192,8 @@
     /** Waits for changes after a version, in place of an earlier watch that still waits. */
     void send(StoreVersion version) {
         long now = mClock.getAsLong();
-        boolean vouchedFor = mSource == Source.STORE && !mGivenUp && mAge.vouchedForNanos(now) > 0;
-        long waitMillis = vouchedFor ? LONG_WAIT_MILLIS : shortWaitMillis();
+        boolean vouchedFor = mSource.mAllowsLongWait && !mGivenUp && mAge.vouchedForNanos(now) > 0;
+        long waitMillis = vouchedFor ? LONG_WAIT_MILLIS : mSource.waitMillis(mTiming);
         if (mGivenUp) {
             // The age of the copy is near its limit, here and at all daemons that rely on this one.
             waitMillis = Math.min(waitMillis, Timing.PROMPT.mWaitMillis);
@@ -184,15 +208,11 @@
                         now + TimeUnit.MILLISECONDS.toNanos(answerMillis));
         mPending = Optional.of(pending);
         pending.call().thenAccept(result -> mThread.execute(() -> onResult(pending, result)));
-        if (!mGivenUp && mSource != Source.FEEDER) {
+        if (!mGivenUp && mSource.mIsGuarded) {
             checkLater(pending);
         }
     }
 
-    private long shortWaitMillis() {
-        return mSource == Source.STORE_FOR_FOLLOWERS ? FEEDER_WAIT_MILLIS : mTiming.mWaitMillis;
-    }
-
     private boolean isPending(Pending watch) {
         return mPending.filter(w -> w == watch).isPresent();
     }
@@ -214,6 +234,11 @@
         mGivenUp = false;
     }
 
+    /** Returns whether the answers to watches come from a feeder. */
+    boolean isRelayed() {
+        return mSource == Source.FEEDER;
+    }
+
     /** Sets where the answers to watches come from. Ends a long wait that no longer fits. */
     void setSource(Source source) {
         boolean changes = source != mSource;
@@ -237,7 +262,7 @@
         if (mAge.vouchedForNanos(mClock.getAsLong()) > 0) {
             checkLater(watch);
         } else {
-            giveUp(watch, watch.vouchedFor() ? Doubt.NOT_CONFIRMED : Doubt.NO_ANSWER);
+            giveUp(watch, watch.vouchedFor() ? Reason.NOT_CONFIRMED : Reason.NO_ANSWER);
         }
     }
 
@@ -253,7 +278,7 @@
     private void checkBehind(long heardNanos) {
         mBehindCheckScheduled = false;
         mPending.filter(w -> w.sentNanos() - heardNanos < 0)
-                .ifPresent(w -> giveUp(w, Doubt.PEER_IS_AHEAD));
+                .ifPresent(w -> giveUp(w, Reason.PEER_IS_AHEAD));
     }
 
     /**
@@ -264,12 +289,12 @@
      */
     void onCallTimedOut(long sentNanos) {
         if (!mAge.isCurrentSince(sentNanos)) {
-            mPending.ifPresent(w -> giveUp(w, Doubt.CALL_TIMED_OUT));
+            mPending.ifPresent(w -> giveUp(w, Reason.CALL_TIMED_OUT));
         }
     }
 
-    private void giveUp(Pending watch, Doubt doubt) {
-        if (mGivenUp || mSource == Source.FEEDER) {
+    private void giveUp(Pending watch, Reason reason) {
+        if (mGivenUp || !mSource.mIsGuarded) {
             return;
         }
         long now = mClock.getAsLong();
@@ -279,7 +304,7 @@
                 "kind",
                 mKind,
                 "reason",
-                doubt,
+                reason,
                 "waited_ms",
                 TimeUnit.NANOSECONDS.toMillis(now - watch.sentNanos()),
                 "copy_age_ms",
@@ -288,9 +313,9 @@
                 watch.version().revision());
         mGivenUp = true;
         sendAgain(watch);
-        mListener.onDoubt(doubt);
-        if (doubt == Doubt.NO_ANSWER) {
-            mListener.onSilence(watch.sentNanos());
+        mListener.onGivenUp(reason);
+        if (reason == Reason.NO_ANSWER) {
+            mListener.onTimedOut(watch.sentNanos());
         }
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RelayedStore.java
@@ -51,8 +51,7 @@
     private final DecisionLog mLog;
     private final EntryMetrics mMetrics;
     private ImmutableList<Feeders.Member> mFeeders = ImmutableList.of();
-    private boolean mIsFollower;
-    private boolean mIsFeeder;
+    private GuardedWatch.Source mSource = GuardedWatch.Source.STORE;
     private boolean mLastWatchDirect;
     private int mFeederIndex;
     private long mSkipFeedersUntilNanos = Long.MIN_VALUE;
@@ -79,15 +78,18 @@
     /** Sets the daemons of the fleet, of which some are chosen as feeders. */
     void setMembers(List<Feeders.Member> members) {
         boolean isFollower = !Feeders.isFeeder(members, mSettings.name(), mSettings.dataCentre());
-        if (isFollower != mIsFollower) {
+        if (isFollower != isFollower()) {
             mLog.write(
                     Part.PEER,
                     isFollower ? "Follows feeders" : "Watches the store itself",
                     "daemons",
                     members.size());
         }
-        mIsFollower = isFollower;
-        mIsFeeder = !isFollower && Feeders.usesFeeders(members);
+        GuardedWatch.Source ownSource =
+                Feeders.usesFeeders(members)
+                        ? GuardedWatch.Source.STORE_FOR_FOLLOWERS
+                        : GuardedWatch.Source.STORE;
+        mSource = isFollower ? GuardedWatch.Source.FEEDER : ownSource;
         mFeeders = Feeders.feedersFor(members, mSettings.name(), mSettings.dataCentre());
     }
 
@@ -98,15 +100,12 @@
 
     /** Returns whether this daemon watches the entries of servers through feeders. */
     boolean isFollower() {
-        return mIsFollower;
+        return mSource == GuardedWatch.Source.FEEDER;
     }
 
     /** Returns from where this daemon reads the entries of backend servers. */
     GuardedWatch.Source source() {
-        if (mIsFollower) {
-            return GuardedWatch.Source.FEEDER;
-        }
-        return mIsFeeder ? GuardedWatch.Source.STORE_FOR_FOLLOWERS : GuardedWatch.Source.STORE;
+        return mSource;
     }
 
     @Override
@@ -114,7 +113,7 @@
         if (kind != StoreKind.SERVERS) {
             return mDelegate.watch(kind, revision, waitMillis);
         }
-        if (!mIsFollower || mFeeders.isEmpty() || mClock.getAsLong() < mSkipFeedersUntilNanos) {
+        if (!isFollower() || mFeeders.isEmpty() || mClock.getAsLong() < mSkipFeedersUntilNanos) {
             return watchDirectly(revision, waitMillis);
         }
         mLastWatchDirect = false;
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -25,7 +25,7 @@
     private final DecisionLog mLog =
             DecisionLog.start(
                     mThread::now, () -> 0, new PrintStream(new ByteArrayOutputStream(), true));
-    private final List<GuardedWatch.Doubt> mDoubts = new ArrayList<>();
+    private final List<GuardedWatch.Reason> mGivenUp = new ArrayList<>();
     private boolean mFailsOnChange;
 
     private final KindMirror mMirror =
@@ -61,12 +61,12 @@
         public void onConfirmed() {}
 
         @Override
-        public void onDoubt(GuardedWatch.Doubt doubt) {
-            mDoubts.add(doubt);
+        public void onGivenUp(GuardedWatch.Reason reason) {
+            mGivenUp.add(reason);
         }
 
         @Override
-        public void onSilence(long sentNanos) {}
+        public void onTimedOut(long sentNanos) {}
 
         @Override
         public long retryMillis() {
@@ -157,11 +157,19 @@
         mMirror.start();
     }
 
-    /** Tells the mirror that a peer has an equal copy that is current. */
-    private void confirmByPeer() {
+    /** Has a peer vouch for the copy. */
+    private void vouch() {
         mMirror.onPeerCopy(mMirror.version(), mMirror.digest(), 0);
     }
 
+    /** Starts with a copy for which a peer vouches, so that the pending watch waits for long. */
+    private void startWithLongWait() {
+        startWithCopy();
+        vouch();
+        answerWithoutChanges();
+        assertThat(mStore.lastWaitMillis()).isEqualTo(18_000);
+    }
+
     /** A change of the next revision that the watches do not bring. */
     private StoreVersion versionOfMissedChange() {
         return new StoreVersion(mMirror.version().epoch(), mMirror.revision() + 1);
@@ -180,7 +188,7 @@
 
         mThread.advance(1_300 * MILLI);
 
-        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.NO_ANSWER);
+        assertThat(mGivenUp).containsExactly(GuardedWatch.Reason.NO_ANSWER);
         assertThat(mStore.watchCount()).isEqualTo(2);
     }
 
@@ -190,11 +198,11 @@
         startWithCopy();
 
         mThread.advance(3_000 * MILLI);
-        assertThat(mDoubts).hasSize(1);
+        assertThat(mGivenUp).hasSize(1);
 
         answerWithoutChanges();
         mThread.advance(1_300 * MILLI);
-        assertThat(mDoubts).hasSize(2);
+        assertThat(mGivenUp).hasSize(2);
     }
 
     /**
@@ -208,27 +216,24 @@
 
         mThread.advance(3_100 * MILLI);
 
-        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.NO_ANSWER);
+        assertThat(mGivenUp).containsExactly(GuardedWatch.Reason.NO_ANSWER);
         assertThat(mStore.lastWaitMillis()).isEqualTo(700);
     }
 
     /** Each watch costs the store a call, so one that peers vouch for waits for long. */
     @Test
     void watch_peerSaysThatTheCopyIsCurrent_waitsForLongUntilItNoLongerSaysSo() {
-        startWithCopy();
-        confirmByPeer();
-        answerWithoutChanges();
-        assertThat(mStore.lastWaitMillis()).isEqualTo(18_000);
+        startWithLongWait();
 
         for (int i = 0; i < 15; i++) {
             mThread.advance(1_000 * MILLI);
-            confirmByPeer();
+            vouch();
         }
-        assertThat(mDoubts).isEmpty();
+        assertThat(mGivenUp).isEmpty();
         assertThat(mStore.watchCount()).isEqualTo(2);
 
         mThread.advance(1_500 * MILLI);
-        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.NOT_CONFIRMED);
+        assertThat(mGivenUp).containsExactly(GuardedWatch.Reason.NOT_CONFIRMED);
         assertThat(mStore.lastWaitMillis()).isLessThan(1_000);
     }
 
@@ -241,7 +246,7 @@
 
         mThread.advance(500 * MILLI);
 
-        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.NOT_CONFIRMED);
+        assertThat(mGivenUp).containsExactly(GuardedWatch.Reason.NOT_CONFIRMED);
     }
 
     /**
@@ -249,23 +254,19 @@
      */
     @Test
     void onPeerCopy_peerIsAheadAndWatchHangs_watchIsSentAgain() {
-        startWithCopy();
-        confirmByPeer();
-        answerWithoutChanges();
+        startWithLongWait();
         mThread.advance(100 * MILLI);
 
         mMirror.onPeerCopy(versionOfMissedChange(), mMirror.digest() + 1, 0);
         mThread.advance(400 * MILLI);
 
-        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.PEER_IS_AHEAD);
+        assertThat(mGivenUp).containsExactly(GuardedWatch.Reason.PEER_IS_AHEAD);
     }
 
     /** Usually the watch brings the change right after; to send it again would cost a call. */
     @Test
     void onPeerCopy_watchBringsTheChange_isNotSentAgain() {
-        startWithCopy();
-        confirmByPeer();
-        answerWithoutChanges();
+        startWithLongWait();
         mThread.advance(100 * MILLI);
         mMirror.onPeerCopy(versionOfMissedChange(), mMirror.digest() + 1, 0);
         StoreObject changed = mStore.object(StoreKind.CONFIGURATION, "a");
@@ -276,18 +277,18 @@
                         mMirror.revision() + 1));
         mThread.advance(400 * MILLI);
 
-        assertThat(mDoubts).isEmpty();
+        assertThat(mGivenUp).isEmpty();
     }
 
     /** A copy of equal objects is current at any revision of the store, which counts all kinds. */
     @Test
-    void onPeerCopy_equalObjectsAtLaterRevision_areNoDoubt() {
+    void onPeerCopy_equalObjectsAtLaterRevision_watchIsKept() {
         startWithCopy();
 
         mMirror.onPeerCopy(versionOfMissedChange(), mMirror.digest(), 0);
         mThread.advance(400 * MILLI);
 
-        assertThat(mDoubts).isEmpty();
+        assertThat(mGivenUp).isEmpty();
     }
 
     /** What one call learns of the store's connections holds for the others. */
@@ -297,11 +298,11 @@
         mThread.advance(500 * MILLI);
         long sentNanos = mThread.now() - 100 * MILLI;
         mMirror.watch().onCallTimedOut(sentNanos);
-        assertThat(mDoubts).containsExactly(GuardedWatch.Doubt.CALL_TIMED_OUT);
+        assertThat(mGivenUp).containsExactly(GuardedWatch.Reason.CALL_TIMED_OUT);
 
         answerWithoutChanges();
         mMirror.watch().onCallTimedOut(sentNanos);
-        assertThat(mDoubts).hasSize(1);
+        assertThat(mGivenUp).hasSize(1);
     }
 
     /** Calls to feeders have limits of their own, and their answers come later than the store's. */
@@ -312,7 +313,7 @@
 
         mThread.advance(5_000 * MILLI);
 
-        assertThat(mDoubts).isEmpty();
+        assertThat(mGivenUp).isEmpty();
     }
 
     /** After an outage the answer to each kind had the calls for all others sent once more. */
@@ -358,10 +359,7 @@
     /** The followers of a daemon that became a feeder were turned away for up to 18 s. */
     @Test
     void setSource_daemonBecomesFeederDuringLongWait_watchIsSentAgainWithShortWait() {
-        startWithCopy();
-        confirmByPeer();
-        answerWithoutChanges();
-        assertThat(mStore.lastWaitMillis()).isEqualTo(18_000);
+        startWithLongWait();
 
         mMirror.watch().setSource(GuardedWatch.Source.STORE_FOR_FOLLOWERS);
 
