Keep the limits of servers in the whole fleet by permits of the coordinator

Callers of a server that named a limit were served as before, and the server got up to 186 requests in 4 s, of 12 to 17 allowed (ServerLimitTest on, three daemons). Cause: no daemon reads the field. Class: a rate that daemons share needs one place that gives it away; a share for each daemon with a burst of its own is either too much or idle.

A request to a limited server passes only with a permit (LimitGate). The daemon that acts as the coordinator gives them at least an interval apart (PermitSchedule, PermitLedger), each valid for 0.5 s and given for 1 s ahead at most; a new term begins when those of the former one have ended. Less urgent requests book less far ahead. A daemon without an answer of a coordinator uses half of an equal share from a random time on, and none while the size of the fleet is unknown. A limit begins with an answer, or with the notice or the reply of a peer, and ends with an answer without one to a request that was sent after the last naming; ends are reported to the coordinator. Requests that no permit can reach in time are rejected at once with SERVER_LIMITED (206) and a Retry-After that spreads the callers over the rate. The planner counts a limited owner as a smaller one. Requests that wait for a connection when the limit becomes known need a permit too.

MainTest expects the new column.

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.geraniumusher.limit.LimitGate;
+
 /**
  * Estimates the load of one backend server from the load reports on its responses and from the
  * requests of this daemon. Not thread-safe.
@@ -60,17 +62,17 @@
     private double mFailureRate;
     private long mColdUntilNanos = Long.MIN_VALUE / 2;
     private long mSuspectUntilNanos = Long.MIN_VALUE / 2;
-    private final ServerPause mPause;
+    private final StatedNeeds mNeeds;
     private int mUnansweredInRow;
     private final double mInitialColdTokens;
     private double mColdTokens;
     private long mColdTokensAtNanos;
 
     private ServerLoad(
-            int slots, ServiceTimes serviceTimes, double initialColdTokens, ServerPause pause) {
+            int slots, ServiceTimes serviceTimes, double initialColdTokens, StatedNeeds needs) {
         mSlots = slots;
         mInitialColdTokens = initialColdTokens;
-        mPause = pause;
+        mNeeds = needs;
         mServiceTimes = serviceTimes;
     }
 
@@ -86,24 +88,24 @@
      */
     public static ServerLoad create(
             int slots, ServiceTimes serviceTimes, double initialColdTokens) {
-        return create(slots, serviceTimes, initialColdTokens, new ServerPause());
+        return create(slots, serviceTimes, initialColdTokens, StatedNeeds.none(0));
     }
 
     /**
-     * Creates the load of a server that is assumed to be idle and has a pause from before.
+     * Creates the load of a server that is assumed to be idle and has asked for something before.
      *
      * @see #create(int, ServiceTimes, double)
      */
     public static ServerLoad create(
-            int slots, ServiceTimes serviceTimes, double initialColdTokens, ServerPause pause) {
+            int slots, ServiceTimes serviceTimes, double initialColdTokens, StatedNeeds needs) {
         checkArgument(slots > 0, "slots is not positive: %s", slots);
         checkNotNull(serviceTimes);
-        checkNotNull(pause);
+        checkNotNull(needs);
         checkArgument(
                 initialColdTokens >= 0 && initialColdTokens <= 1,
                 "initialColdTokens is not between 0 and 1: %s",
                 initialColdTokens);
-        return new ServerLoad(slots, serviceTimes, initialColdTokens, pause);
+        return new ServerLoad(slots, serviceTimes, initialColdTokens, needs);
     }
 
     /** Records that a request is sent to the server. */
@@ -200,29 +202,39 @@
         return nowNanos < mSuspectUntilNanos;
     }
 
+    /** Returns what the server asked for, which answers change. */
+    public StatedNeeds needs() {
+        return mNeeds;
+    }
+
     /** Returns the time for which the server wants no requests, which answers change. */
     public ServerPause pause() {
-        return mPause;
+        return mNeeds.pause();
+    }
+
+    /** Returns what keeps requests within the limit of the server, which answers change. */
+    public LimitGate gate() {
+        return mNeeds.gate();
     }
 
     /** Returns whether the server wants no requests now. */
     public boolean isPaused(long nowNanos) {
-        return mPause.isActive(nowNanos);
+        return mNeeds.pause().isActive(nowNanos);
     }
 
     /** Returns when the server takes requests again, or {@code nowNanos} if it takes them. */
     public long pausedUntil(long nowNanos) {
-        return mPause.endNanos(nowNanos);
+        return mNeeds.pause().endNanos(nowNanos);
     }
 
     /**
-     * Returns whether the server takes requests, and is warm or has a token for a request while it
-     * is cold.
+     * Returns whether the server takes requests, there is a permit if it has a limit, and it is
+     * warm or has a token for a request while it is cold.
      *
      * @param coldRequestsPerSecond tokens that a cold server gets per second
      */
     public boolean canAdmit(double coldRequestsPerSecond, long nowNanos) {
-        if (isPaused(nowNanos)) {
+        if (isPaused(nowNanos) || !gate().isOpen(nowNanos)) {
             return false;
         }
         if (!isCold(nowNanos)) {
@@ -235,8 +247,8 @@
     }
 
     /**
-     * Takes a token if the server is cold and has one; returns whether it {@linkplain #canAdmit can
-     * admit} a request.
+     * Takes a token if the server is cold and a permit if it has a limit; returns whether it
+     * {@linkplain #canAdmit can admit} a request.
      *
      * @param coldRequestsPerSecond tokens that a cold server gets per second
      */
@@ -245,6 +257,9 @@
         if (admitted && isCold(nowNanos)) {
             mColdTokens--;
         }
+        if (admitted) {
+            gate().tryPass(nowNanos);
+        }
         return admitted;
     }
 
--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerPause.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerPause.java
@@ -1,12 +1,12 @@
 package org.geraniumusher.dispatch;
 
-import com.google.common.collect.ImmutableSet;
 import com.google.common.math.LongMath;
 
+import org.geraniumusher.model.DecimalField;
+
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.regex.Pattern;
 
 /**
  * The time for which one incarnation of a server wants no requests, from the {@code Retry-After}
@@ -16,9 +16,6 @@
  * nothing.
  */
 public final class ServerPause {
-    /** Digits, and a fraction if any. HTTP has neither sign nor exponent in this field. */
-    private static final Pattern DECIMAL_SECONDS = Pattern.compile("[0-9]+(\\.[0-9]+)?");
-
     /** Outlasts each server. Times of the clock plus this many nanoseconds don't overflow. */
     private static final double MAX_NANOS = Duration.ofDays(36_500).toNanos();
 
@@ -50,7 +47,7 @@
         if (retryAfter.isEmpty()) {
             return Change.NONE;
         }
-        OptionalDouble seconds = parseSeconds(retryAfter);
+        OptionalDouble seconds = DecimalField.parse(retryAfter);
         if (seconds.isEmpty()) {
             Change change = mIgnoredBefore ? Change.IGNORED_AGAIN : Change.IGNORED_FIRST;
             mIgnoredBefore = true;
@@ -66,23 +63,6 @@
         return change;
     }
 
-    /** Returns the time that all values state, or empty if one is no time or two differ. */
-    private static OptionalDouble parseSeconds(List<String> values) {
-        ImmutableSet.Builder<Double> distinct = ImmutableSet.builder();
-        for (String value : values) {
-            String text = value.trim();
-            if (!DECIMAL_SECONDS.matcher(text).matches()) {
-                return OptionalDouble.empty();
-            }
-            // Infinite for a number beyond the range of a double.
-            distinct.add(Double.parseDouble(text));
-        }
-        ImmutableSet<Double> seconds = distinct.build();
-        return seconds.size() == 1
-                ? OptionalDouble.of(seconds.iterator().next())
-                : OptionalDouble.empty();
-    }
-
     /** Returns whether the server wants no requests now. */
     public boolean isActive(long nowNanos) {
         return nowNanos < mEndNanos;
--- a/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
+++ b/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
@@ -32,6 +32,8 @@
             204, 503, Outcome.NOT_RUN, "Servers crashed under this request; it is quarantined."),
     /** The memory for the bodies of requests has no room for this one. */
     NO_BODY_MEMORY(205, 503, Outcome.NOT_RUN, "The memory for request bodies is full."),
+    /** The servers that could run the request name a limit that other requests use up. */
+    SERVER_LIMITED(206, 503, Outcome.NOT_RUN, "The server takes no more requests per second."),
     /** No connection could be opened. */
     CONNECT_FAILED(301, 502, Outcome.NOT_RUN, "No connection to the backend server."),
     /** The backend server rejected the request without executing it. */
--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -20,10 +20,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Takes part in the election of the coordinator and runs a {@link RangeCoordinatorDriver} for each
@@ -95,6 +97,7 @@
     private final HoldReports mHoldReports;
 
     private Runnable mActingListener = () -> {};
+    private Function<String, OptionalDouble> mServerLimits = id -> OptionalDouble.empty();
     private RangeCoordinatorDriver.Publisher mPublisher = RangeCoordinatorDriver.Publisher.NONE;
     private PeerReach mPeerReach = PeerReach.NONE;
 
@@ -116,6 +119,7 @@
     private long mNextWriteAt;
     private long mNextDrainWriteAt = Long.MIN_VALUE;
     private boolean mActing;
+    private long mActingSinceNanos;
     private boolean mResigned;
 
     CoordinatorService(DaemonContext context) {
@@ -160,6 +164,11 @@
         mActingListener = listener;
     }
 
+    /** Sets what returns the requests per second that a limited incarnation takes. */
+    void setServerLimits(Function<String, OptionalDouble> limits) {
+        mServerLimits = limits;
+    }
+
     void start() {
         mNextPollAt = now();
         tick();
@@ -180,6 +189,11 @@
         return mActing;
     }
 
+    /** Returns when the present or last term of this daemon began. */
+    long actingSinceNanos() {
+        return mActingSinceNanos;
+    }
+
     /** Passes the report of a daemon to the driver of the service, if it runs here. */
     void onReport(String service, KeyedRequestStats.Report report) {
         RangeCoordinatorDriver driver = mDrivers.get(service);
@@ -268,6 +282,7 @@
         boolean acting = mElection.hasAuthority(now);
         if (acting != mActing) {
             mActing = acting;
+            mActingSinceNanos = acting ? now : mActingSinceNanos;
             if (acting && mDrivers.isEmpty()) {
                 mHoldReports.forgetOwn();
             }
@@ -476,15 +491,19 @@
     }
 
     private RangeCoordinatorDriver driver(String service) {
-        return mDrivers.computeIfAbsent(
-                service,
-                s ->
-                        new RangeCoordinatorDriver(
-                                s,
-                                mPublisher,
-                                this::hasAuthority,
-                                mHoldReports.former(s),
-                                mContext));
+        return mDrivers.computeIfAbsent(service, this::createDriver);
+    }
+
+    private RangeCoordinatorDriver createDriver(String service) {
+        RangeCoordinatorDriver driver =
+                new RangeCoordinatorDriver(
+                        service,
+                        mPublisher,
+                        this::hasAuthority,
+                        mHoldReports.former(service),
+                        mContext);
+        driver.setServerLimits(mServerLimits);
+        return driver;
     }
 
     private void readRecord(long now) {
--- a/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
@@ -21,8 +21,8 @@
 
 /**
  * Tells other daemons which copies of the store's objects are current, so that their watches can
- * wait for long and they still find out within seconds that one of them hangs. Confined to the
- * event loop.
+ * wait for long and they still find out within seconds that one of them hangs. Tells them also
+ * which servers have a limit. Confined to the event loop.
  *
  * <p>The coordinator tells the others, in large fleets through feeders ({@link
  * Feeders#copyReceivers}). Invariant: a daemon passes on how long ago the store answered, and not
@@ -41,6 +41,9 @@
     /** Field with the revision, the digest and the age in ms of the copy of each kind. */
     private static final String COPIES = "copies";
 
+    /** Field with the limits of servers that the sender knows. */
+    private static final String LIMITS = "limits";
+
     private final EntrySettings mSettings;
     private final Directory mDirectory;
     private final StoreEpoch mEpoch;
@@ -48,6 +51,7 @@
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final PeerNotices mNotices;
+    private final LimitPermits mLimitPermits;
     private boolean mUsesFeeders;
 
     /** The daemons that this one tells, as the coordinator and otherwise. */
@@ -58,7 +62,11 @@
     private long mNextSendNanos;
     private long mPeerConfigurationVersion = -1;
 
-    CopyNotices(DaemonContext context, CoordinatorService coordinator, HttpClient client) {
+    CopyNotices(
+            DaemonContext context,
+            CoordinatorService coordinator,
+            HttpClient client,
+            LimitPermits limitPermits) {
         mSettings = context.settings();
         mDirectory = context.directory();
         mEpoch = context.store().epoch();
@@ -67,7 +75,9 @@
         mClock = context.clock();
         mNotices = new PeerNotices(client, mThread, mClock, context.metrics());
         mNextSendNanos = mClock.getAsLong();
+        mLimitPermits = checkNotNull(limitPermits);
         mDirectory.setConfirmationListener(this::onConfirmed);
+        mLimitPermits.setBegunListener(this::sendSoon);
     }
 
     /** Sets the daemons of the fleet. */
@@ -102,7 +112,13 @@
     private void onConfirmed(StoreKind kind) {
         boolean isAwaited =
                 kind == StoreKind.CONFIGURATION || kind == StoreKind.SERVERS && !mUsesFeeders;
-        if (isAwaited && !mSendScheduled && !receivers().isEmpty()) {
+        if (isAwaited) {
+            sendSoon();
+        }
+    }
+
+    private void sendSoon() {
+        if (!mSendScheduled && !receivers().isEmpty()) {
             mSendScheduled = true;
             long waitNanos = Math.max(0, mNextSendNanos - mClock.getAsLong());
             mThread.schedule(this::send, waitNanos, TimeUnit.NANOSECONDS);
@@ -129,6 +145,7 @@
                         .add(TimeUnit.NANOSECONDS.toMillis(ageNanos.getAsLong()));
             }
         }
+        body.set(LIMITS, mLimitPermits.encodeLimits());
         return HttpCall.of("POST", PATH, body.toString());
     }
 
@@ -138,6 +155,7 @@
 
     /** Compares the copies of this daemon with those that a peer describes. */
     void onNotice(JsonNode body) {
+        mLimitPermits.onLimits(body.path(LIMITS));
         long epoch = body.path(EPOCH).asLong();
         if (!mEpoch.observe(epoch) || mCoordinator.isActing()) {
             return;
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 
+import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
@@ -79,6 +80,7 @@
     private final UpstreamSet mUpstreams;
     private final ServerSelector mSelector;
     private final ServerNotices mServerNotices;
+    private final LimitPermits mLimitPermits;
     private final RequestLog mRequestLog;
     private final RetryBudgets mRetryBudgets;
     private final CallerDeadlines mCallerDeadlines;
@@ -90,39 +92,64 @@
     /** Assumed until {@link #setDaemonCount} is called. */
     private int mDaemonCount = 10;
 
+    private boolean mDaemonCountKnown;
+
     private Consumer<String> mUnreachableListener = incarnationId -> {};
 
     Dispatcher(
-            EntrySettings settings,
-            Directory directory,
+            DaemonContext context,
             WireFormat wire,
             EventLoopGroup group,
-            EventThread thread,
-            LongSupplier clock,
-            DecisionLog log,
-            EntryMetrics metrics,
+            CoordinatorService coordinator,
+            HttpClient client,
             KeyedRequestStats keyedRequestStats,
             CrashMonitor crashMonitor) {
-        mDirectory = directory;
+        EntrySettings settings = context.settings();
+        mDirectory = context.directory();
         mWire = wire;
-        mThread = thread;
-        mClock = clock;
-        mMetrics = metrics;
+        mThread = context.thread();
+        mClock = context.clock();
+        mMetrics = context.metrics();
+        DecisionLog log = context.log();
         mKeyedRequestStats = keyedRequestStats;
         mCrashMonitor = crashMonitor;
         mRandom = new Random(settings.name().hashCode());
         mUpstreams =
                 new UpstreamSet(
-                        directory, group, clock, log, metrics, wire.headers().requestId(), mRandom);
+                        mDirectory,
+                        group,
+                        mClock,
+                        log,
+                        mMetrics,
+                        wire.headers().requestId(),
+                        mRandom);
+        ServerLimits serverLimits = new ServerLimits(log, mMetrics);
+        mLimitPermits =
+                new LimitPermits(
+                        context,
+                        coordinator,
+                        mUpstreams,
+                        serverLimits,
+                        client,
+                        () -> mDaemonCountKnown ? mDaemonCount : 0,
+                        this::dispatchWaiting);
         mSelector =
-                new ServerSelector(settings, directory, mUpstreams, mRandom, () -> mDaemonCount);
-        mServerNotices = new ServerNotices(directory, mUpstreams, wire, thread, log, metrics);
+                new ServerSelector(
+                        settings,
+                        mDirectory,
+                        mUpstreams,
+                        mLimitPermits,
+                        mRandom,
+                        () -> mDaemonCount);
+        mServerNotices =
+                new ServerNotices(
+                        mDirectory, mUpstreams, wire, mThread, log, mMetrics, serverLimits);
         mRetryBudgets = new RetryBudgets(settings);
-        mRequestLog = new RequestLog(directory, mUpstreams, log, clock);
+        mRequestLog = new RequestLog(mDirectory, mUpstreams, log, mClock);
         mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
         mUpstreams.registerGauges();
-        metrics.registerGauge("requests.in_progress", mInProgress::size);
-        metrics.registerGauge("requests.waiting", mWaiting::size);
+        mMetrics.registerGauge("requests.in_progress", mInProgress::size);
+        mMetrics.registerGauge("requests.waiting", mWaiting::size);
     }
 
     /**
@@ -131,6 +158,7 @@
      */
     void setDaemonCount(int count) {
         mDaemonCount = Math.max(1, count);
+        mDaemonCountKnown = true;
     }
 
     /** Sets the maximum delay with which this daemon learns of changes of server entries. */
@@ -186,6 +214,11 @@
         return mUpstreams;
     }
 
+    /** Returns the permits for servers that have a limit. */
+    LimitPermits limitPermits() {
+        return mLimitPermits;
+    }
+
     /** Starts to process a request that was read; it may end during this call. */
     void dispatch(Exchange exchange) {
         mInProgress.add(exchange);
@@ -278,6 +311,13 @@
                     ResultCode.QUARANTINED,
                     seconds + WaitLimits.retryAfterSeconds(exchange, mRandom));
         } else if (!failIfUnavailable(exchange, now)) {
+            exchange.awaitedServer()
+                    .ifPresent(
+                            server ->
+                                    mLimitPermits.want(
+                                            server,
+                                            WaitLimits.remainingWaitNanos(exchange, now),
+                                            exchange.route().priority()));
             mWaiting.add(exchange);
             scheduleDispatch();
         }
@@ -300,14 +340,23 @@
                 mMetrics.onNextOwnerTooLate();
             }
             double pauseSeconds = (availableAt - now) / 1e9;
+            double returnSeconds =
+                    exchange.awaitedServer()
+                            .map(s -> returnAfterLimitSeconds(exchange, s))
+                            .orElse(pauseSeconds);
             fail(
                     exchange,
                     exchange.waitReason(),
-                    pauseSeconds + WaitLimits.retryAfterSeconds(exchange, mRandom));
+                    returnSeconds + WaitLimits.retryAfterSeconds(exchange, mRandom));
         }
         return unavailable;
     }
 
+    private double returnAfterLimitSeconds(Exchange exchange, Upstream limited) {
+        mLimitPermits.wantForLater(limited);
+        return mLimitPermits.returnAfterSeconds(limited, exchange.route().priority());
+    }
+
     /**
      * Returns the time before which the key of a request that finds no owner has none, or {@code
      * now} if it is not known.
@@ -356,6 +405,7 @@
     }
 
     private OutgoingRequest outgoingRequest(Exchange exchange, Upstream upstream) {
+        boolean hasPermit = upstream.load().gate().limit().isActive();
         return new OutgoingRequest() {
             @Override
             public String id() {
@@ -367,7 +417,9 @@
                 long now = mClock.getAsLong();
                 return !exchange.isEnded()
                         && now < exchange.deadlineAtNanos()
-                        && mSelector.mayUse(exchange, upstream, now);
+                        && mSelector.mayUse(exchange, upstream, now)
+                        // The server may have named its limit since the request was dispatched.
+                        && (hasPermit || upstream.load().gate().tryPass(now));
             }
 
             @Override
@@ -383,7 +435,7 @@
         long now = mClock.getAsLong();
         exchange.endAttempt();
         mCrashMonitor.onResponse(exchange, upstream, response);
-        mServerNotices.onResponse(upstream, response, now);
+        mServerNotices.onResponse(upstream, response, sentAtNanos, now);
         boolean rejected = response.header(mWire.headers().notExecuted()) != null;
         if (rejected || response.status() == 421) {
             upstream.load().onRejected();
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -122,8 +122,16 @@
         CrashMonitor crashMonitor =
                 createCrashMonitor(context, adapter, clocks, crashReporter, trials);
         mDispatcher =
-                createDispatcher(context, adapter.wire(), mGroup, keyedRequestStats, crashMonitor);
+                new Dispatcher(
+                        context,
+                        adapter.wire(),
+                        mGroup,
+                        mCoordinator,
+                        client,
+                        keyedRequestStats,
+                        crashMonitor);
         mDispatcher.setUnreachableListener(mCoordinator::renewGrants);
+        mCoordinator.setServerLimits(mDispatcher.upstreams()::limitOf);
         FleetStatus fleet =
                 new FleetStatus(
                         context,
@@ -165,25 +173,6 @@
                 trials);
     }
 
-    private static Dispatcher createDispatcher(
-            DaemonContext context,
-            WireFormat wire,
-            EventLoopGroup group,
-            KeyedRequestStats keyedRequestStats,
-            CrashMonitor crashMonitor) {
-        return new Dispatcher(
-                context.settings(),
-                context.directory(),
-                wire,
-                group,
-                context.thread(),
-                context.clock(),
-                context.log(),
-                context.metrics(),
-                keyedRequestStats,
-                crashMonitor);
-    }
-
     private void registerGauges(SuspensionClock clock, StoreEpoch epoch, EventLoopMonitor monitor) {
         mMetrics.registerGauge("process.open_files", OpenFiles::count);
         mMetrics.registerGauge("event_loop.stalls", monitor::stalls);
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -153,6 +153,26 @@
         mRegistry.counter("servers.pauses").inc();
     }
 
+    /** Counts a limit of a server that began. */
+    void onLimitBegun() {
+        mRegistry.counter("servers.limits").inc();
+    }
+
+    /** Counts an answer whose limit is no number. */
+    void onLimitIgnored() {
+        mRegistry.counter("responses.limit_ignored").inc();
+    }
+
+    /**
+     * Counts an ask for permits of a limited server by its result, and the permits that it brought.
+     *
+     * @param result {@code booked}, {@code denied}, {@code ended} or {@code failed}
+     */
+    void onPermitsAsked(String result, int permits) {
+        mRegistry.counter("permits.asked." + result).inc();
+        mRegistry.counter("permits.booked").inc(permits);
+    }
+
     /** Counts a server that said in an answer that it is leaving. */
     void onSaidLeaving() {
         mRegistry.counter("servers.said_leaving").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -45,6 +45,7 @@
     private boolean mEnded;
     private long mEarliestSendNanos = Long.MIN_VALUE;
     private ResultCode mWaitReason = ResultCode.OVERLOADED;
+    private Optional<Upstream> mAwaitedServer = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<ScheduledFuture<?>> mDeadlineTimer = Optional.empty();
     private Optional<ScheduledFuture<?>> mAttemptTimer = Optional.empty();
@@ -280,6 +281,18 @@
     /** Sets why the request waits, which becomes its result if it stops waiting. */
     void setWaitReason(ResultCode reason) {
         mWaitReason = reason;
+        mAwaitedServer = Optional.empty();
+    }
+
+    /** Records that the request waits for a permit of a server that has a limit. */
+    void awaitPermit(Upstream server) {
+        mWaitReason = ResultCode.SERVER_LIMITED;
+        mAwaitedServer = Optional.of(server);
+    }
+
+    /** Returns the server whose permit the request waits for, if it does. */
+    Optional<Upstream> awaitedServer() {
+        return mAwaitedServer;
     }
 
     ResultCode waitReason() {
--- a/entry/src/main/java/org/geraniumusher/entry/HeaderNames.java
+++ b/entry/src/main/java/org/geraniumusher/entry/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param handover token that a server returns when it releases keys and that lets their next owner
  *     start warm
  * @param serverLeaving present if the server that sent the response is leaving
+ * @param serverLimit requests per second that the server which sent the response takes from all
+ *     daemons together
  */
 public record HeaderNames(
         String requestId,
@@ -25,4 +27,5 @@
         String load,
         String key,
         String handover,
-        String serverLeaving) {}
+        String serverLeaving,
+        String serverLimit) {}
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -153,7 +153,7 @@
         mKnownAddresses.addAll(mSettings.seedAddresses());
         mTableExchange = new TableExchange(context, this::peerAddresses, client);
         coordinator.setPublisher(mTableExchange);
-        mCopyNotices = new CopyNotices(context, coordinator, client);
+        mCopyNotices = new CopyNotices(context, coordinator, client, dispatcher.limitPermits());
         context.metrics()
                 .registerGauge(
                         "configuration.version_at_peer",
@@ -412,6 +412,8 @@
                         "POST " + ProbationTrials.PATH,
                         query(call -> mProbationTrials.answer(MAPPER.readTree(call.body()))))
                 .put("POST " + LeavingReporter.PATH, query(mLeavingReporter::reply))
+                .put("POST " + LimitPermits.PATH, query(mDispatcher.limitPermits()::reply))
+                .put("POST " + LimitPermits.END_PATH, query(mDispatcher.limitPermits()::replyToEnd))
                 .put("POST " + ReachInquiry.PATH, mReachInquiry::reply)
                 .put("GET " + HoldInquiry.PATH, query(mHoldInquiry::reply))
                 .put("GET " + RelayEndpoint.PATH, mRelayEndpoint::answer)
--- a/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RangeCoordinatorDriver.java
@@ -24,9 +24,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
@@ -61,6 +63,9 @@
     /** Bounds of the speed of a server relative to the mean of all servers. */
     private static final double MIN_RELATIVE_SPEED = 0.4;
 
+    /** Least capacity of a server with a limit, as a fraction of what it has without. */
+    private static final double MIN_LIMITED_FRACTION = 0.05;
+
     private static final double MAX_RELATIVE_SPEED = 1.6;
 
     /** Publishes tables and grants of the coordinator to other daemons. */
@@ -124,6 +129,8 @@
     /** Moving average of the request time of all servers, or 0 before the first sample. */
     private double mMeanRequestSeconds;
 
+    private Function<String, OptionalDouble> mServerLimits = id -> OptionalDouble.empty();
+
     /** The entries last processed. The directory returns a new map after each change. */
     private ImmutableMap<String, ServerEntry> mLastListedServers = ImmutableMap.of();
 
@@ -432,12 +439,28 @@
      * Returns the work in seconds that a server can do in the window of the key load, from its
      * slots and its speed relative to the mean of all servers.
      */
+    /** Sets what returns the requests per second that a limited incarnation takes. */
+    void setServerLimits(Function<String, OptionalDouble> limits) {
+        mServerLimits = limits;
+    }
+
     private double capacity(ServerEntry entry, long now) {
         double seconds = mRequestSeconds.getOrDefault(entry.incarnationId(), mMeanRequestSeconds);
         double speed = seconds <= 0 ? 1 : mMeanRequestSeconds / seconds;
         speed = Math.max(MIN_RELATIVE_SPEED, Math.min(MAX_RELATIVE_SPEED, speed));
         boolean cold = now < mColdUntilNanos.getOrDefault(entry.incarnationId(), now);
-        return entry.slots() * speed * mLoad.windowSeconds(now) * (cold ? COLD_CAPACITY_FACTOR : 1);
+        double unlimited =
+                entry.slots()
+                        * speed
+                        * mLoad.windowSeconds(now)
+                        * (cold ? COLD_CAPACITY_FACTOR : 1);
+        OptionalDouble limit = mServerLimits.apply(entry.incarnationId());
+        if (limit.isEmpty() || mMeanRequestSeconds == 0) {
+            return unlimited;
+        }
+        // Load and capacity are times of work.
+        double limited = limit.getAsDouble() * mMeanRequestSeconds * mLoad.windowSeconds(now);
+        return Math.max(MIN_LIMITED_FRACTION * unlimited, Math.min(unlimited, limited));
     }
 
     /** Updates the request times of servers and the load of keys from the report of a daemon. */
--- a/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
@@ -13,13 +13,15 @@
 
 /**
  * Applies what servers say of themselves in the headers of their responses: their load, that they
- * are leaving, and for how long they want no requests. Confined to the event loop.
+ * are leaving, for how long they want no requests, and how many a second they take. Confined to the
+ * event loop.
  *
  * <p>Invariant: from the response on, this daemon acts on it, whether the store says the same or
  * not.
  */
 final class ServerNotices {
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int MISDIRECTED = 421;
 
     private static final int MAX_LOGGED_CHARS = 200;
 
@@ -30,6 +32,7 @@
     private final DecisionLog mLog;
     private final EntryMetrics mMetrics;
     private final ServerPauses mPauses;
+    private final ServerLimits mLimits;
 
     ServerNotices(
             Directory directory,
@@ -37,19 +40,25 @@
             WireFormat wire,
             EventThread thread,
             DecisionLog log,
-            EntryMetrics metrics) {
+            EntryMetrics metrics,
+            ServerLimits limits) {
         mDirectory = checkNotNull(directory);
         mUpstreams = checkNotNull(upstreams);
         mWire = checkNotNull(wire);
         mThread = checkNotNull(thread);
         mLog = checkNotNull(log);
         mMetrics = checkNotNull(metrics);
+        mLimits = checkNotNull(limits);
         mPauses = new ServerPauses(thread, log, metrics);
         upstreams.setListener(mPauses);
     }
 
-    /** Processes a response, whose request must still count as in flight. */
-    void onResponse(Upstream upstream, UpstreamResponse response, long nowNanos) {
+    /**
+     * Processes a response, whose request must still count as in flight.
+     *
+     * @param sentAtNanos when that request was sent
+     */
+    void onResponse(Upstream upstream, UpstreamResponse response, long sentAtNanos, long nowNanos) {
         String load = response.header(mWire.headers().load());
         if (load != null) {
             mWire.decodeLoad(load).ifPresent(report -> upstream.load().onReport(report, nowNanos));
@@ -57,6 +66,11 @@
         if (response.header(mWire.headers().serverLeaving()) != null) {
             onSaidLeaving(upstream);
         }
+        // A response with 421 is that of another server.
+        if (response.status() != MISDIRECTED) {
+            List<String> limits = response.headers(mWire.headers().serverLimit());
+            mLimits.onAnswer(upstream, limits, sentAtNanos, nowNanos);
+        }
         if (response.status() == SERVICE_UNAVAILABLE) {
             pause(upstream, response, nowNanos);
         }
--- a/entry/src/main/java/org/geraniumusher/entry/ServerSelector.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerSelector.java
@@ -11,10 +11,12 @@
 import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 
 /**
  * Selects the backend server for a request: the owner of its key, or the one with the least
@@ -42,6 +44,7 @@
     private final EntrySettings mSettings;
     private final Directory mDirectory;
     private final UpstreamSet mUpstreams;
+    private final LimitPermits mLimitPermits;
     private final Random mRandom;
     private final IntSupplier mDaemonCount;
     private long mMaxEntryLagNanos;
@@ -55,11 +58,13 @@
             EntrySettings settings,
             Directory directory,
             UpstreamSet upstreams,
+            LimitPermits limitPermits,
             Random random,
             IntSupplier daemonCount) {
         mSettings = checkNotNull(settings);
         mDirectory = checkNotNull(directory);
         mUpstreams = checkNotNull(upstreams);
+        mLimitPermits = checkNotNull(limitPermits);
         mRandom = checkNotNull(random);
         mDaemonCount = checkNotNull(daemonCount);
     }
@@ -97,6 +102,10 @@
             return Optional.empty();
         }
         exchange.setWaitReason(ResultCode.OVERLOADED);
+        if (!upstream.load().gate().isOpen(now)) {
+            exchange.awaitPermit(upstream);
+            return Optional.empty();
+        }
         return tryAdmit(exchange, upstream, now) ? Optional.of(upstream) : Optional.empty();
     }
 
@@ -138,11 +147,41 @@
                 : rate * COLD_RATE_FRACTION_USED / mDaemonCount.getAsInt();
     }
 
+    /**
+     * Picks the server for a request without a key. A permit at hand is used first, since a server
+     * with a limit would otherwise idle, and only its answers tell that the limit has ended.
+     */
     private Optional<Upstream> pickServer(Exchange exchange, long now) {
+        List<Upstream> limited = limitedServers(exchange);
+        Optional<Upstream> picked =
+                limited.stream().anyMatch(u -> u.load().gate().hasPermit(now))
+                        ? pickServer(exchange, now, u -> u.load().gate().hasPermit(now))
+                        : Optional.empty();
+        if (picked.isEmpty()) {
+            picked = pickServer(exchange, now, u -> true);
+        }
+        if (picked.isPresent()) {
+            limited.forEach(mLimitPermits::wantForLater);
+        } else {
+            limited.stream()
+                    .min(Comparator.comparingLong(u -> u.load().gate().opensAtNanos(now)))
+                    .ifPresent(exchange::awaitPermit);
+        }
+        return picked;
+    }
+
+    private List<Upstream> limitedServers(Exchange exchange) {
+        return mUpstreams.ofService(exchange.service()).stream()
+                .filter(u -> u.load().gate().limit().isActive() && isInService(u))
+                .toList();
+    }
+
+    private Optional<Upstream> pickServer(
+            Exchange exchange, long now, Predicate<Upstream> condition) {
         List<ServerPicker.Candidate> candidates = new ArrayList<>();
         for (Upstream upstream : mUpstreams.ofService(exchange.service())) {
             ServerEntry entry = upstream.entry();
-            if (isInService(upstream)) {
+            if (isInService(upstream) && condition.test(upstream)) {
                 boolean local = entry.dataCentre().equals(mSettings.dataCentre());
                 boolean tried = exchange.triedIncarnations().contains(entry.incarnationId());
                 candidates.add(
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 
-import org.geraniumusher.dispatch.PauseHistory;
+import org.geraniumusher.dispatch.NeedsHistory;
 import org.geraniumusher.dispatch.ServerLoad;
 import org.geraniumusher.dispatch.ServiceTimes;
 import org.geraniumusher.entry.DecisionLog.Part;
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -44,7 +46,7 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, List<Upstream>> mByService = new HashMap<>();
     private final Map<String, ServiceTimes> mServiceTimes = new HashMap<>();
-    private final PauseHistory mPauseHistory = new PauseHistory();
+    private final NeedsHistory mNeedsHistory = new NeedsHistory();
     private Listener mListener = Listener.NONE;
 
     /** Is notified of the upstreams that come and go. */
@@ -93,6 +95,7 @@
         mMetrics.registerGauge("servers.suspect", () -> count(u -> !u.isLeaving() && isSuspect(u)));
         mMetrics.registerGauge("servers.leaving", () -> count(Upstream::isLeaving));
         mMetrics.registerGauge("servers.paused", () -> count(this::isPaused));
+        mMetrics.registerGauge("servers.limited", () -> count(UpstreamSet::isLimited));
         mMetrics.registerGauge("responses.buffered_bytes", mBuffers::totalBytes);
     }
 
@@ -104,6 +107,10 @@
         return upstream.load().isPaused(mClock.getAsLong());
     }
 
+    private static boolean isLimited(Upstream upstream) {
+        return upstream.load().gate().limit().isActive();
+    }
+
     private int count(Predicate<Upstream> condition) {
         return (int) mUpstreams.values().stream().filter(condition).count();
     }
@@ -143,7 +150,7 @@
         }
         boolean remove = upstream.isLeaving() && !isOwner(incarnationId);
         if (remove) {
-            mPauseHistory.onRemoved(incarnationId, upstream.load().pause(), nowNanos);
+            mNeedsHistory.onRemoved(incarnationId, upstream.load().needs(), nowNanos);
             mListener.onRemoved(upstream);
         }
         return remove;
@@ -206,7 +213,7 @@
                 mServiceTimes.computeIfAbsent(
                         entry.service(), s -> ServiceTimes.create(INITIAL_SERVICE_NANOS)),
                 mRandom.nextDouble(),
-                mPauseHistory.onListed(entry.incarnationId()));
+                mNeedsHistory.onListed(entry.incarnationId(), mRandom.nextDouble()));
     }
 
     /** Counts and logs what a server sends to no request. */
@@ -249,16 +256,34 @@
         return mUpstreams.get(incarnationId);
     }
 
+    /** Returns the requests per second that an incarnation takes, if it has a limit. */
+    OptionalDouble limitOf(String incarnationId) {
+        Upstream upstream = get(incarnationId);
+        return upstream == null || !isLimited(upstream)
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(upstream.load().gate().limit().requestsPerSecond());
+    }
+
+    /** Returns the upstreams of the servers that have a limit. */
+    List<Upstream> limited() {
+        return mUpstreams.values().stream().filter(UpstreamSet::isLimited).toList();
+    }
+
     /** Returns the upstreams of a service, including those that are leaving. */
     List<Upstream> ofService(String service) {
         return mByService.getOrDefault(service, List.of());
     }
 
     /**
-     * Returns when a server that may execute the request ends its pause, or {@code nowNanos} if one
-     * has none.
+     * Returns when a server that may execute the request ends its pause or, if it waits for one
+     * with a limit, has a permit for it. Returns {@code nowNanos} if neither keeps it from being
+     * sent.
      */
     long availableAt(Exchange exchange, long nowNanos) {
+        Optional<Upstream> limited = exchange.awaitedServer();
+        if (limited.isPresent()) {
+            return limited.get().load().gate().opensAtNanos(nowNanos);
+        }
         Stream<Upstream> servers =
                 exchange.hasKey()
                         ? mDirectory.table(exchange.service()).stream()
@@ -269,14 +294,15 @@
     }
 
     /**
-     * Returns the status of each server that is leaving or paused, by service and incarnation.
+     * Returns the status of each server that is leaving, paused or limited, by service and
+     * incarnation.
      *
      * @param wallMillis milliseconds since 1970
      */
     List<ServerStatus> statuses(long wallMillis) {
         long now = mClock.getAsLong();
         return mUpstreams.values().stream()
-                .filter(u -> u.isLeaving() || u.load().isPaused(now))
+                .filter(u -> u.isLeaving() || u.load().isPaused(now) || isLimited(u))
                 .map(u -> statusOf(u, now, wallMillis))
                 .sorted(
                         Comparator.comparing(ServerStatus::service)
@@ -295,7 +321,10 @@
                 upstream.entry().service(),
                 upstream.leaving(),
                 leftNanos == 0 ? "" : until.toString(),
-                leftNanos / 1e9);
+                leftNanos / 1e9,
+                isLimited(upstream)
+                        ? upstream.load().gate().limit().requestsPerSecond()
+                        : ServerStatus.NO_LIMIT);
     }
 
     /** Closes the idle connections that their servers are about to close. */
--- a/entry/src/main/java/org/geraniumusher/entry/WaitLimits.java
+++ b/entry/src/main/java/org/geraniumusher/entry/WaitLimits.java
@@ -34,13 +34,18 @@
      * Reports whether the request has waited so long that it is unlikely to be answered in time.
      */
     static boolean hasWaitedTooLong(Exchange exchange, long now) {
+        return remainingWaitNanos(exchange, now) <= 0;
+    }
+
+    /** Returns for how long the request may still wait; negative if it has waited too long. */
+    static long remainingWaitNanos(Exchange exchange, long now) {
         long goalNanos = exchange.latencyGoalNanos();
         long lateWaitNanos = (long) (goalNanos * LATE_WAIT_FRACTION);
         long latestNanos =
                 Math.max(
                         exchange.goalAtNanos() - (long) (goalNanos * (1 - MAX_WAIT_FRACTION)),
                         exchange.arrivedAtNanos() + lateWaitNanos);
-        return now >= Math.min(latestNanos, exchange.deadlineAtNanos() - lateWaitNanos);
+        return Math.min(latestNanos, exchange.deadlineAtNanos() - lateWaitNanos) - now;
     }
 
     /** Returns a random delay, in seconds, after which the caller may retry the request. */
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -52,14 +52,11 @@
         FakeWireFormat wire = new FakeWireFormat();
         Dispatcher dispatcher =
                 new Dispatcher(
-                        context.settings(),
-                        context.directory(),
+                        context,
                         wire,
                         null,
-                        context.thread(),
-                        context.clock(),
-                        context.log(),
-                        context.metrics(),
+                        new CoordinatorService(context),
+                        null,
                         new KeyedRequestStats(),
                         mFixture.createCrashMonitor(context));
         return new CallerConnection(
--- a/entry/src/test/java/org/geraniumusher/entry/CopyNoticesTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CopyNoticesTest.java
@@ -44,7 +44,18 @@
     private final DaemonContext mContext = mFixture.createContext("d");
     private final CoordinatorService mCoordinator = new CoordinatorService(mContext);
     private final CopyNotices mCopyNotices =
-            new CopyNotices(mContext, mCoordinator, HttpClient.create(mGroup));
+            new CopyNotices(
+                    mContext,
+                    mCoordinator,
+                    HttpClient.create(mGroup),
+                    new LimitPermits(
+                            mContext,
+                            mCoordinator,
+                            mFixture.createUpstreams(mContext),
+                            new ServerLimits(mContext.log(), mContext.metrics()),
+                            null,
+                            () -> 0,
+                            () -> {}));
 
     @BeforeEach
     void readStore() {
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -34,7 +34,17 @@
     private static final String SIGNATURE = "signature";
     private static final HeaderNames HEADERS =
             new HeaderNames(
-                    "id", "deadline", SIGNATURE, "server", "not", "by", "load", "key", "h", "l");
+                    "id",
+                    "deadline",
+                    SIGNATURE,
+                    "server",
+                    "not",
+                    "by",
+                    "load",
+                    "key",
+                    "h",
+                    "l",
+                    "r");
     private static final ResponseFailure CLOSED =
             new ResponseFailure("connection closed", Optional.empty(), 0);
 
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -57,7 +57,8 @@
                 "load",
                 "key",
                 "handover",
-                "leaving");
+                "leaving",
+                "limit");
     }
 
     @Override
--- a/entry/src/test/java/org/geraniumusher/entry/LateNoticeTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/LateNoticeTest.java
@@ -32,7 +32,8 @@
                     new FakeWireFormat(),
                     mThread,
                     mContext.log(),
-                    mContext.metrics());
+                    mContext.metrics(),
+                    new ServerLimits(mContext.log(), mContext.metrics()));
 
     /** The upstream of the server before the removal of its entry. */
     private Upstream mRemoved;
@@ -63,7 +64,8 @@
     private void answer(HttpResponseStatus status, String header, String value) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         head.headers().set(header, value);
-        mNotices.onResponse(mRemoved, new UpstreamResponse(head, new byte[0]), mThread.now());
+        mNotices.onResponse(
+                mRemoved, new UpstreamResponse(head, new byte[0]), mThread.now(), mThread.now());
     }
 
     @Test
--- a/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
+++ b/entry/src/test/java/org/geraniumusher/operator/MemberStatusTest.java
@@ -76,7 +76,16 @@
     @Test
     void json_servers_areReadBack() {
         MemberStatus member =
-                create(Map.of(), List.of(new ServerStatus("s@1", "keyed", Leaving.ENTRY, "", 0)));
+                create(
+                        Map.of(),
+                        List.of(
+                                new ServerStatus(
+                                        "s@1",
+                                        "keyed",
+                                        Leaving.ENTRY,
+                                        "",
+                                        0,
+                                        ServerStatus.NO_LIMIT)));
 
         assertThat(Json.read(Json.write(member), MemberStatus.class)).isEqualTo(member);
     }
--- a/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
+++ b/tool/src/main/java/org/geraniumusher/tool/StateCommands.java
@@ -134,7 +134,13 @@
     private static String toServersText(Replies.Daemons reply) {
         Table table =
                 Table.withHeader(
-                        "DAEMON", "SERVER", "SERVICE", "LEAVING", "PAUSED UNTIL", "SECONDS LEFT");
+                        "DAEMON",
+                        "SERVER",
+                        "SERVICE",
+                        "LEAVING",
+                        "PAUSED UNTIL",
+                        "SECONDS LEFT",
+                        "REQUESTS/S");
         for (MemberStatus member : reply.daemons()) {
             for (ServerStatus server : member.servers()) {
                 table.addRow(
@@ -143,7 +149,10 @@
                         server.service(),
                         server.leaving(),
                         server.pausedUntil(),
-                        String.format(Locale.ROOT, "%.1f", server.pauseSecondsLeft()));
+                        String.format(Locale.ROOT, "%.1f", server.pauseSecondsLeft()),
+                        server.requestsPerSecond() == ServerStatus.NO_LIMIT
+                                ? ""
+                                : String.format(Locale.ROOT, "%.1f", server.requestsPerSecond()));
             }
         }
         Map<MemberStatus.State, List<String>> names =
--- a/tool/src/test/java/org/geraniumusher/tool/MainTest.java
+++ b/tool/src/test/java/org/geraniumusher/tool/MainTest.java
@@ -206,11 +206,12 @@
 
     /** An operator must see why a server gets no requests, until when, and at which daemon. */
     @Test
-    void servers_tableAndJson_showLeavingAndPausedServersOfEachDaemon() {
+    void servers_tableAndJson_showLeavingPausedAndLimitedServersOfEachDaemon() {
         assertThat(run("servers")).isEqualTo(0);
-        assertThat(out()).containsMatch("entry-1 +bs-1@5 +catalogue +SAID +- +0.0\n");
+        assertThat(out()).containsMatch("entry-1 +bs-1@5 +catalogue +SAID +- +0.0 +-\n");
         assertThat(out())
-                .containsMatch("entry-1 +bs-2@6 +orders +NO +2026-12-05T03:00:00.250Z +2.\\d\n");
+                .containsMatch(
+                        "entry-1 +bs-2@6 +orders +NO +2026-12-05T03:00:00.250Z +2.\\d +1.5\n");
         assertThat(out()).contains("reported by 1 daemons\n");
         assertThat(run("servers", "--output", "json")).isEqualTo(0);
         assertThat(Json.readTree(out()).at("/daemons/0/servers/0/leaving").asText())
--- a/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
+++ b/tool/src/test/java/org/geraniumusher/tool/TestDaemon.java
@@ -140,13 +140,19 @@
                                 List.of("coordinator"),
                                 List.of(
                                         new ServerStatus(
-                                                "bs-1@5", "catalogue", Leaving.SAID, "", 0),
+                                                "bs-1@5",
+                                                "catalogue",
+                                                Leaving.SAID,
+                                                "",
+                                                0,
+                                                ServerStatus.NO_LIMIT),
                                         new ServerStatus(
                                                 "bs-2@6",
                                                 "orders",
                                                 Leaving.NO,
                                                 "2026-12-05T03:00:00.250Z",
-                                                2.25)),
+                                                2.25,
+                                                1.5)),
                                 withAges
                                         ? ImmutableMap.of("configuration", 1_240L)
                                         : ImmutableMap.of())));
