Pass requests on to a peer when this daemon reaches no server

Cause: a daemon sent requests to servers itself or not at all. Class: what only one process can do fails with that process, although its peers do the same work.

ServerReach tells by the answers to requests that none of the servers answers. Then, and when the server of a request is not reached from here, the request goes through a peer (PeerFallback, PeerForwarder): on the port for calls of peers, after a preface, as callers send it; one hop; with the time that is left, its ID and a cancel by the close of the connection. A 503 of the peer was not run; a connection that breaks leaves the outcome unknown. Peers that reach nothing say so and are left out for a while. Without one that is able, requests are rejected at once with SERVERS_UNREACHABLE (305). One idempotent request at a time tries the servers again after a connection was accepted. The peer decides about owners, limits, retries and quarantines.

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerLoad.java
@@ -168,6 +168,12 @@
         mSuspectUntilNanos = nowNanos + suspectNanos;
     }
 
+    /** Ends the suspicion, as it came from a fault between this daemon and all servers. */
+    public void endSuspicion() {
+        mUnansweredInRow = 0;
+        mSuspectUntilNanos = Long.MIN_VALUE / 2;
+    }
+
     /**
      * Records that this daemon cancelled a request. It would have taken longer, so it counts if
      * that is already longer than expected.
--- a/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
+++ b/decisions/src/main/java/org/geraniumusher/model/ResultCode.java
@@ -1,5 +1,8 @@
 package org.geraniumusher.model;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /**
  * The results that a caller or an operator can see, each with a stable number. {@code
  * docs/result-codes.md} lists them. A number is never reused. Immutable and thread-safe.
@@ -46,6 +49,9 @@
             "The connection broke after the request was sent, or the response exceeded a limit."),
     /** No response arrived before the deadline. */
     TIMED_OUT(304, 504, Outcome.UNKNOWN, "The response did not come before the deadline."),
+    /** This daemon and the peers that it asked reach no server that could run the request. */
+    SERVERS_UNREACHABLE(
+            305, 503, Outcome.NOT_RUN, "No daemon that was tried reaches a backend server."),
     /** The store rejected a write because the object has changed since it was read. */
     CONFLICT(401, 409, Outcome.NOT_RUN, "The object has changed since it was read."),
     /** The object is not valid. */
@@ -71,6 +77,11 @@
         mMeaning = meaning;
     }
 
+    /** Returns the code with a number, or empty if there is none. */
+    public static Optional<ResultCode> ofNumber(int number) {
+        return Arrays.stream(values()).filter(c -> c.mNumber == number).findFirst();
+    }
+
     /** Returns the stable number. */
     public int number() {
         return mNumber;
--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -34,7 +34,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Handles one connection of a caller, which may pipeline requests. Confined to the event loop.
+ * Handles one connection of a caller, or of a peer that passes on requests, which may be pipelined.
+ * Confined to the event loop.
  *
  * <p>Invariants: responses are written in the order of the requests. After a response that closes
  * the connection, no request is handled and no response is written. Each response carries the ID of
@@ -46,6 +47,7 @@
     /** Delay after which a caller may send a request again whose body had no room. */
     private static final double BODY_RETRY_AFTER_SECONDS = 1;
 
+    private final RequestSource mSource;
     private final Dispatcher mDispatcher;
     private final HeaderNames mHeaders;
     private final RequestIds mRequestIds;
@@ -88,6 +90,7 @@
     }
 
     CallerConnection(
+            RequestSource source,
             Dispatcher dispatcher,
             HeaderNames headers,
             RequestIds requestIds,
@@ -95,6 +98,7 @@
             BooleanSupplier stopping,
             EntryMetrics metrics,
             DecisionLog log) {
+        mSource = source;
         mDispatcher = dispatcher;
         mHeaders = headers;
         mRequestIds = requestIds;
@@ -156,6 +160,7 @@
                                 request.content()),
                         id,
                         mClock.getAsLong(),
+                        mSource,
                         pending);
         mUndispatched.add(pending.mExchange);
         mMetrics.onRequest();
@@ -340,6 +345,7 @@
             forwarded.headers().set(response.head().headers());
             HopByHopHeaders.remove(forwarded.headers());
             forwarded.headers().set(mHeaders.requestId(), mId);
+            forwarded.headers().remove(PeerForwarder.RESULT_HEADER);
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
             complete(forwarded);
         }
@@ -357,6 +363,9 @@
                             HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
             response.headers().set(mHeaders.requestId(), mId);
+            if (mSource == RequestSource.PEER) {
+                response.headers().set(PeerForwarder.RESULT_HEADER, code.number());
+            }
             if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
                 response.headers()
                         .set(
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
+import org.geraniumusher.http.OtherProtocol;
 import org.geraniumusher.http.RequestAggregator;
 import org.geraniumusher.http.StrictRequestDecoder;
 import org.geraniumusher.http.TcpListener;
@@ -90,15 +91,40 @@
     }
 
     private void initPipeline(SocketChannel channel) {
+        channel.config().setRecvByteBufAllocator(mReadUntilEmpty);
+        addHandlers(channel, RequestSource.CALLER);
+    }
+
+    /** Returns the protocol in which peers pass on requests, on the port for calls of peers. */
+    OtherProtocol forwardedRequests() {
+        return new OtherProtocol() {
+            @Override
+            public byte[] preface() {
+                return PeerForwarder.PREFACE.clone();
+            }
+
+            @Override
+            public void configure(SocketChannel channel) {
+                channel.config().setRecvByteBufAllocator(mReadUntilEmpty);
+            }
+
+            @Override
+            public void initialize(SocketChannel channel) {
+                addHandlers(channel, RequestSource.PEER);
+            }
+        };
+    }
+
+    private void addHandlers(SocketChannel channel, RequestSource source) {
         TrafficLimits limits = limits();
         mConnections.add(channel);
-        channel.config().setRecvByteBufAllocator(mReadUntilEmpty);
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(MAX_INITIAL_LINE_BYTES, limits.maxHeaderBytes()))
                 .addLast(new HttpResponseEncoder())
                 .addLast(new RequestAggregator(limits.maxBodyBytes(), mBodies))
                 .addLast(
                         new CallerConnection(
+                                source,
                                 mDispatcher,
                                 mWire.headers(),
                                 mRequestIds,
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -1,21 +1,13 @@
 package org.geraniumusher.entry;
 
-import com.google.common.primitives.Ints;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 
 import org.geraniumusher.http.HttpClient;
-import org.geraniumusher.keyrange.KeyRange;
 import org.geraniumusher.model.Outcome;
 import org.geraniumusher.model.ResultCode;
-import org.geraniumusher.traffic.RouteRule;
-import org.geraniumusher.traffic.RouterConfig;
-import org.geraniumusher.traffic.ServiceRule;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -56,21 +48,12 @@
 
     private static final int MAX_WAITING_REQUESTS = 2_000;
 
-    private static final Comparator<Exchange> BY_PRIORITY_THEN_GOAL =
-            Comparator.comparingInt((Exchange e) -> e.route().priority())
-                    .thenComparingLong(Exchange::goalAtNanos);
-
     /** Short, because other daemons can take the request at once. */
     private static final double STOPPING_RETRY_AFTER_SECONDS = 0.02;
 
-    /** The lists of the store are read within this time after a start. */
-    private static final double STARTING_RETRY_AFTER_SECONDS = 0.5;
-
-    /** Applies to a route whose service does not exist, until the next configuration adds it. */
-    private static final double NO_SERVICE_RETRY_AFTER_SECONDS = 1;
-
     private final Directory mDirectory;
     private final WireFormat mWire;
+    private final RequestRouting mRouting;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final EntryMetrics mMetrics;
@@ -81,6 +64,7 @@
     private final ServerSelector mSelector;
     private final ServerNotices mServerNotices;
     private final LimitPermits mLimitPermits;
+    private final PeerFallback mPeerFallback;
     private final RequestLog mRequestLog;
     private final RetryBudgets mRetryBudgets;
     private final CallerDeadlines mCallerDeadlines;
@@ -114,6 +98,7 @@
         mKeyedRequestStats = keyedRequestStats;
         mCrashMonitor = crashMonitor;
         mRandom = new Random(settings.name().hashCode());
+        mRouting = new RequestRouting(mDirectory, wire.headers().key(), mRandom);
         mUpstreams =
                 new UpstreamSet(
                         mDirectory,
@@ -144,6 +129,9 @@
         mServerNotices =
                 new ServerNotices(
                         mDirectory, mUpstreams, wire, mThread, log, mMetrics, serverLimits);
+        mPeerFallback =
+                new PeerFallback(
+                        context, wire.headers(), group, mUpstreams, mRandom, new Requests());
         mRetryBudgets = new RetryBudgets(settings);
         mRequestLog = new RequestLog(mDirectory, mUpstreams, log, mClock);
         mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
@@ -161,6 +149,11 @@
         mDaemonCountKnown = true;
     }
 
+    /** Returns what passes requests on to peers. */
+    PeerForwarder forwarder() {
+        return mPeerFallback.forwarder();
+    }
+
     /** Sets the maximum delay with which this daemon learns of changes of server entries. */
     void setMaxEntryLagNanos(long nanos) {
         mSelector.setMaxEntryLagNanos(nanos);
@@ -182,7 +175,7 @@
     void endRequestsInProgress() {
         for (Exchange exchange : List.copyOf(mInProgress)) {
             if (!exchange.isEnded()) {
-                boolean sent = exchange.attempt().isPresent() || exchange.mayHaveRun();
+                boolean sent = isSent(exchange);
                 cancelAttempt(exchange);
                 fail(
                         exchange,
@@ -197,6 +190,13 @@
         mUnreachableListener = listener;
     }
 
+    /** Returns whether a server may execute the request, now or before. */
+    private static boolean isSent(Exchange exchange) {
+        return exchange.attempt().isPresent()
+                || exchange.forward().isPresent()
+                || exchange.mayHaveRun();
+    }
+
     /** Returns the number of requests that have arrived and not ended. */
     int requestsInProgress() {
         return mInProgress.size();
@@ -226,33 +226,19 @@
             fail(exchange, ResultCode.DRAINING, STOPPING_RETRY_AFTER_SECONDS);
             return;
         }
-        Optional<RouterConfig> config = mDirectory.configuration();
-        if (config.isEmpty() || !mDirectory.isComplete()) {
-            fail(exchange, ResultCode.PLATFORM_UNAVAILABLE, STARTING_RETRY_AFTER_SECONDS);
-            return;
-        }
-        String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
-        String path = pathOf(exchange.request().uri());
-        Optional<RouteRule> route = config.get().match(host, path);
-        if (route.isEmpty()) {
-            fail(exchange, ResultCode.NO_ROUTE, 0);
-            return;
-        }
-        exchange.setRoute(route.get(), route.get().selectService(mRandom.nextDouble()));
-        ServiceRule service = config.get().services().get(exchange.service());
-        if (service == null) {
-            fail(exchange, ResultCode.NO_SERVICE, NO_SERVICE_RETRY_AFTER_SECONDS);
-            return;
-        }
-        if (service.keyed() && !parseKey(exchange)) {
-            fail(exchange, ResultCode.NO_KEY, 0);
+        Optional<RequestRouting.Failure> failure = mRouting.route(exchange);
+        if (failure.isPresent()) {
+            fail(exchange, failure.get().code(), failure.get().retryAfterSeconds());
             return;
         }
         mCallerDeadlines.setTimes(exchange);
-        if (service.keyed()) {
-            mKeyedRequestStats.onRequest(exchange.service(), exchange.key());
+        if (!exchange.isFromPeer()) {
+            // The peer has counted the request.
+            if (exchange.hasKey()) {
+                mKeyedRequestStats.onRequest(exchange.service(), exchange.key());
+            }
+            mRetryBudgets.of(exchange.service(), mDaemonCount).deposit();
         }
-        mRetryBudgets.of(exchange.service(), mDaemonCount).deposit();
         long nanosUntilDeadline = exchange.deadlineAtNanos() - exchange.arrivedAtNanos();
         exchange.setDeadlineTimer(
                 mThread.schedule(
@@ -260,22 +246,6 @@
         sendOrQueue(exchange);
     }
 
-    private static String pathOf(String uri) {
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
-
-    /** Sets the key of the request from its header; returns false if there is no valid key. */
-    private boolean parseKey(Exchange exchange) {
-        String value = exchange.request().headers().get(mWire.headers().key());
-        Integer key = value == null ? null : Ints.tryParse(value.trim());
-        if (key == null || key < 0 || key > KeyRange.MAX_KEY) {
-            return false;
-        }
-        exchange.setKey(key);
-        return true;
-    }
-
     /**
      * Sends a request to a server if one can take it now. Otherwise queues the request, or fails it
      * if it is quarantined, has waited too long or the queue is full.
@@ -293,11 +263,17 @@
             fail(exchange, ResultCode.QUARANTINED, rejectedForSeconds.getAsDouble());
             return;
         }
+        if (mPeerFallback.handleWhileStranded(exchange)) {
+            return;
+        }
         long now = mClock.getAsLong();
         Optional<Upstream> target =
                 now < exchange.earliestSendNanos()
                         ? Optional.empty()
                         : mSelector.select(exchange, now);
+        if (target.isEmpty() && mPeerFallback.handleUnreached(exchange)) {
+            return;
+        }
         ProbationTrials.Decision trial =
                 target.isPresent()
                         ? mCrashMonitor.decideTrial(exchange)
@@ -329,7 +305,7 @@
      * then learns when to come back.
      */
     private boolean failIfUnavailable(Exchange exchange, long now) {
-        long nextOwnerAt = nextOwnerNotBefore(exchange, now);
+        long nextOwnerAt = mSelector.nextOwnerNotBefore(exchange, now);
         long availableAt = Math.max(nextOwnerAt, mUpstreams.availableAt(exchange, now));
         boolean unavailable =
                 WaitLimits.hasWaitedTooLong(exchange, availableAt)
@@ -357,16 +333,6 @@
         return mLimitPermits.returnAfterSeconds(limited, exchange.route().priority());
     }
 
-    /**
-     * Returns the time before which the key of a request that finds no owner has none, or {@code
-     * now} if it is not known.
-     */
-    private long nextOwnerNotBefore(Exchange exchange, long now) {
-        return exchange.waitReason() == ResultCode.NO_OWNER
-                ? mDirectory.tables().nextOwnerNotBefore(exchange.service(), exchange.key(), now)
-                : now;
-    }
-
     private void send(Exchange exchange, Upstream upstream, long now) {
         exchange.recordSend(upstream.entry().incarnationId());
         upstream.load().onSent();
@@ -402,6 +368,7 @@
         if (!exchange.isEnded()) {
             exchange.beginAttempt(new Exchange.Attempt(upstream, connection, now));
         }
+        mPeerFallback.onSent(exchange, connection);
     }
 
     private OutgoingRequest outgoingRequest(Exchange exchange, Upstream upstream) {
@@ -434,6 +401,7 @@
             Exchange exchange, Upstream upstream, long sentAtNanos, UpstreamResponse response) {
         long now = mClock.getAsLong();
         exchange.endAttempt();
+        mPeerFallback.onAnswer();
         mCrashMonitor.onResponse(exchange, upstream, response);
         mServerNotices.onResponse(upstream, response, sentAtNanos, now);
         boolean rejected = response.header(mWire.headers().notExecuted()) != null;
@@ -497,7 +465,10 @@
         mRequestLog.logNotSent(exchange, upstream, cause);
         mUnreachableListener.accept(upstream.entry().incarnationId());
         exchange.setWaitReason(ResultCode.CONNECT_FAILED);
-        resendUnsent(exchange);
+        mPeerFallback.onFailure(upstream);
+        if (!mPeerFallback.handleFailedSends(exchange)) {
+            resendUnsent(exchange);
+        }
     }
 
     /** Sends a request again, without the retry budget, since it did not reach the server. */
@@ -517,10 +488,13 @@
         exchange.endAttempt();
         upstream.load().onRejected();
         mRequestLog.logNotAccepted(exchange, upstream, cause);
+        mPeerFallback.onFailure(upstream);
         exchange.setWaitReason(ResultCode.OVERLOADED);
         exchange.setEarliestSendNanos(
                 mClock.getAsLong() + REJECTED_BACKOFF_NANOS * exchange.sendCount());
-        resendUnsent(exchange);
+        if (!mPeerFallback.handleFailedSends(exchange)) {
+            resendUnsent(exchange);
+        }
     }
 
     /**
@@ -548,6 +522,9 @@
         failure.limit().ifPresent(mMetrics::onResponseOverLimit);
         mRequestLog.logBroken(exchange, upstream, failure, now - sentAtNanos);
         mCrashMonitor.onBroken(exchange, upstream, failure);
+        if (failure.limit().isEmpty()) {
+            mPeerFallback.onFailure(upstream);
+        }
         if (!exchange.isEnded() && !retryIfAllowed(exchange, now)) {
             fail(exchange, ResultCode.OUTCOME_UNKNOWN, 0);
         }
@@ -575,7 +552,7 @@
         if (exchange.isEnded()) {
             return;
         }
-        boolean sent = exchange.attempt().isPresent() || exchange.mayHaveRun();
+        boolean sent = isSent(exchange);
         cancelAttempt(exchange);
         fail(
                 exchange,
@@ -599,6 +576,7 @@
      * complete at the server, until {@link #ATTEMPT_GRACE_NANOS} after the deadline.
      */
     private void cancelAttempt(Exchange exchange) {
+        forwarder().cancel(exchange);
         if (exchange.attempt().isEmpty()) {
             return;
         }
@@ -627,7 +605,11 @@
                 exchange.mayHaveRun() && code.outcome() == Outcome.NOT_RUN
                         ? ResultCode.OUTCOME_UNKNOWN
                         : code;
-        mMetrics.onFailed(exchange, reported, mClock.getAsLong());
+        if (exchange.isFromPeer()) {
+            mMetrics.onFailedForPeer(reported);
+        } else {
+            mMetrics.onFailed(exchange, reported, mClock.getAsLong());
+        }
         mRequestLog.logFailed(exchange, reported, mWaiting.size());
         exchange.responder().fail(reported, retryAfterSeconds);
     }
@@ -659,8 +641,56 @@
         }
         List<Exchange> batch = new ArrayList<>(mWaiting);
         mWaiting.clear();
-        batch.sort(BY_PRIORITY_THEN_GOAL);
+        batch.sort(Exchange.BY_PRIORITY_THEN_GOAL);
         batch.forEach(this::sendOrQueue);
         scheduleDispatch();
     }
+
+    /** What the fallback to peers needs of the requests. */
+    private final class Requests implements PeerFallback.Requests {
+        @Override
+        public Set<Exchange> inProgress() {
+            return mInProgress;
+        }
+
+        @Override
+        public void sendOrQueue(Exchange exchange) {
+            Dispatcher.this.sendOrQueue(exchange);
+        }
+
+        @Override
+        public void sendWaiting() {
+            dispatchWaiting();
+        }
+
+        @Override
+        public void answer(Exchange exchange, String peer, UpstreamResponse response) {
+            end(exchange);
+            mRequestLog.logForwarded(exchange, peer, response);
+            exchange.responder().respond(response);
+        }
+
+        @Override
+        public void fail(Exchange exchange, ResultCode code, double retryAfterSeconds) {
+            Dispatcher.this.fail(exchange, code, retryAfterSeconds);
+        }
+
+        @Override
+        public boolean tryAbandonAttempt(Exchange exchange) {
+            boolean mayRepeat =
+                    exchange.route().kind().mayRepeat()
+                            && mCrashMonitor.mayRetry(exchange)
+                            && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
+            if (mayRepeat) {
+                cancelAttempt(exchange);
+                exchange.setMayHaveRun();
+            }
+            return mayRepeat;
+        }
+
+        @Override
+        public boolean retryIfAllowed(Exchange exchange) {
+            return Dispatcher.this.retryIfAllowed(exchange, mClock.getAsLong());
+        }
+    }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryDaemon.java
@@ -139,6 +139,7 @@
                         client,
                         mDispatcher.upstreams(),
                         clocks.wallMillis());
+        mCallerEndpoint = new CallerEndpoint(context, mDispatcher, adapter.wire(), mGroup);
         mPeerService =
                 new PeerService(
                         context,
@@ -151,11 +152,11 @@
                         crashReporter,
                         trials,
                         client,
+                        mCallerEndpoint.forwardedRequests(),
                         mGroup);
         mOperatorEndpoint =
                 new OperatorEndpoint(
                         context, mCoordinator, mPeerService, fleet, clocks.wallMillis());
-        mCallerEndpoint = new CallerEndpoint(context, mDispatcher, adapter.wire(), mGroup);
     }
 
     private CrashMonitor createCrashMonitor(
@@ -277,6 +278,7 @@
     private void runHousekeeping() {
         long nowNanos = mClock.getAsLong();
         mDispatcher.upstreams().closeExpired();
+        mDispatcher.forwarder().closeExpired();
         mCallerEndpoint.closeIdle(nowNanos);
         mLoop.schedule(this::runHousekeeping, HOUSEKEEPING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -173,6 +173,26 @@
         mRegistry.counter("permits.booked").inc(permits);
     }
 
+    /**
+     * Counts a request that is passed on to a peer, and its result there.
+     *
+     * @param result {@code sent}, {@code answered}, {@code failed}, {@code not_sent} or {@code
+     *     broken}
+     */
+    void onForward(String result) {
+        mRegistry.counter("forwards." + result).inc();
+    }
+
+    /** Counts a request of a peer that failed here; the peer counts it for its route. */
+    void onFailedForPeer(ResultCode code) {
+        mRegistry.counter("forwards.received_failed." + Ascii.toLowerCase(code.name())).inc();
+    }
+
+    /** Counts a time in which no server answers this daemon. */
+    void onStranded() {
+        mRegistry.counter("servers.all_unreached").inc();
+    }
+
     /** Counts a server that said in an answer that it is leaving. */
     void onSaidLeaving() {
         mRegistry.counter("servers.said_leaving").inc();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -12,6 +12,7 @@
 import org.geraniumusher.model.ResultCode;
 import org.geraniumusher.traffic.RouteRule;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -25,11 +26,17 @@
  * <p>Invariant: the request ends at most once, and at most one attempt is in progress.
  */
 final class Exchange {
+    /** Orders requests by their urgency. */
+    static final Comparator<Exchange> BY_PRIORITY_THEN_GOAL =
+            Comparator.comparingInt((Exchange e) -> e.route().priority())
+                    .thenComparingLong(Exchange::goalAtNanos);
+
     private static final int NO_KEY = -1;
 
     private final Request mRequest;
     private final String mId;
     private final long mArrivedAtNanos;
+    private final RequestSource mSource;
     private final CallerResponder mResponder;
     private final Set<String> mTriedIncarnations = new HashSet<>();
     private final Set<UpstreamConnection> mUsedConnections = new HashSet<>();
@@ -46,6 +53,10 @@
     private long mEarliestSendNanos = Long.MIN_VALUE;
     private ResultCode mWaitReason = ResultCode.OVERLOADED;
     private Optional<Upstream> mAwaitedServer = Optional.empty();
+    private boolean mServersUnreached;
+    private boolean mTriesServers;
+    private final Set<PeerLink> mTriedPeers = new HashSet<>();
+    private Optional<Forward> mForward = Optional.empty();
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<ScheduledFuture<?>> mDeadlineTimer = Optional.empty();
     private Optional<ScheduledFuture<?>> mAttemptTimer = Optional.empty();
@@ -91,16 +102,25 @@
     /** One attempt to get a response from a backend server. */
     record Attempt(Upstream upstream, UpstreamConnection connection, long sentAtNanos) {}
 
+    /** One attempt to have a peer send the request to a server. */
+    record Forward(PeerLink peer, UpstreamConnection connection) {}
+
     /**
      * Creates a request that has arrived.
      *
      * @param id ID that the caller sent, or one that this daemon gave it; not empty
      */
-    Exchange(Request request, String id, long arrivedAtNanos, CallerResponder responder) {
+    Exchange(
+            Request request,
+            String id,
+            long arrivedAtNanos,
+            RequestSource source,
+            CallerResponder responder) {
         checkArgument(!id.isBlank(), "request has no ID");
         mRequest = request;
         mId = id;
         mArrivedAtNanos = arrivedAtNanos;
+        mSource = source;
         mResponder = responder;
     }
 
@@ -133,6 +153,11 @@
         return mArrivedAtNanos;
     }
 
+    /** Returns whether a peer passed the request on, which must not be passed on again. */
+    boolean isFromPeer() {
+        return mSource == RequestSource.PEER;
+    }
+
     CallerResponder responder() {
         return mResponder;
     }
@@ -282,6 +307,49 @@
     void setWaitReason(ResultCode reason) {
         mWaitReason = reason;
         mAwaitedServer = Optional.empty();
+        mServersUnreached = false;
+    }
+
+    /** Records that this daemon does not reach the servers that could run the request. */
+    void setServersUnreached() {
+        mServersUnreached = true;
+    }
+
+    /** Returns whether the request waits because its servers are not reached from here. */
+    boolean isServersUnreached() {
+        return mServersUnreached;
+    }
+
+    /** Lets the request show whether servers answer this daemon again. */
+    void setTriesServers() {
+        mTriesServers = true;
+    }
+
+    /** Returns whether the request is sent to servers although none is known to answer. */
+    boolean triesServers() {
+        return mTriesServers;
+    }
+
+    /** Sets the peer that the request is passed on to. */
+    void beginForward(Forward forward) {
+        mTriedPeers.add(forward.peer());
+        mForward = Optional.of(forward);
+        mUsedConnections.add(forward.connection());
+    }
+
+    /** Records that no peer has the request any more. */
+    void endForward() {
+        mForward = Optional.empty();
+    }
+
+    /** Returns the peer that has the request, if one does. */
+    Optional<Forward> forward() {
+        return mForward;
+    }
+
+    /** Returns the peers that the request was passed on to. The set is a live view. */
+    Set<PeerLink> triedPeers() {
+        return mTriedPeers;
     }
 
     /** Records that the request waits for a permit of a server that has a limit. */
--- a/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
@@ -9,19 +9,29 @@
 
 import org.geraniumusher.traffic.ServerEntry;
 
-/** Builds the requests that are forwarded to backend servers. */
+/** Builds the requests that are forwarded to backend servers or passed on to peers. */
 final class ForwardedRequests {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private ForwardedRequests() {}
 
     /**
-     * Returns the request of a caller as it is sent to {@code server}: without hop-by-hop headers,
-     * with its ID, the time left until the deadline and the ID of the server that may execute it.
-     * It keeps the body in memory until it is released.
+     * Returns the request of a caller as it is sent to {@code server}: as for a peer, with the ID
+     * of the server that may execute it.
      */
     static FullHttpRequest build(
             Exchange exchange, ServerEntry server, HeaderNames names, long nowNanos) {
+        FullHttpRequest forwarded = buildForPeer(exchange, names, nowNanos);
+        forwarded.headers().set(names.expectedServer(), server.id());
+        return forwarded;
+    }
+
+    /**
+     * Returns the request of a caller as it is passed on to a peer: without hop-by-hop headers,
+     * with its ID and the time left until the deadline. It keeps the body in memory until it is
+     * released.
+     */
+    static FullHttpRequest buildForPeer(Exchange exchange, HeaderNames names, long nowNanos) {
         Exchange.Request request = exchange.request();
         FullHttpRequest forwarded =
                 new DefaultFullHttpRequest(
@@ -36,7 +46,6 @@
                 Math.max(1, (exchange.deadlineAtNanos() - nowNanos) / NANOS_PER_MILLI);
         headers.set(names.deadlineMillis(), remainingMillis);
         headers.set(names.requestId(), exchange.id());
-        headers.set(names.expectedServer(), server.id());
         if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         } else {
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -16,6 +16,7 @@
 import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.http.HttpServer;
+import org.geraniumusher.http.OtherProtocol;
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.keyrange.CoordinatorRecord;
 import org.geraniumusher.model.Address;
@@ -130,6 +131,7 @@
             CrashReporter crashReporter,
             ProbationTrials probationTrials,
             HttpClient client,
+            OtherProtocol forwardedRequests,
             EventLoopGroup group) {
         mSettings = context.settings();
         mIncarnation = context.incarnation();
@@ -176,7 +178,8 @@
                         group,
                         mSettings.peerAddress(),
                         (call, responder) -> mThread.execute(() -> handle(call, responder)),
-                        AcceptFailures.listener(mLog, context.metrics(), "peers"));
+                        AcceptFailures.listener(mLog, context.metrics(), "peers"),
+                        forwardedRequests);
     }
 
     /** Starts the periodic work; must be called once. */
@@ -286,6 +289,7 @@
             mRelayedStore.setMembers(members);
             mDirectory.setServerSource(mRelayedStore.source());
             mCopyNotices.setMembers(members);
+            mDispatcher.forwarder().setMembers(members);
             mDispatcher.setMaxEntryLagNanos(
                     mRelayedStore.isFollower() ? RelayEndpoint.MAX_LAG_NANOS : 0);
             if (!page.objects().isEmpty()) {
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -163,6 +163,10 @@
                 (mClock.getAsLong() - exchange.arrivedAtNanos()) / NANOS_PER_MILLI,
                 "sends",
                 exchange.sendCount(),
+                "forwards",
+                exchange.triedPeers().size(),
+                "from_peer",
+                exchange.isFromPeer(),
                 "waiting",
                 waiting,
                 "owner",
@@ -171,6 +175,29 @@
                 tableRevision(exchange));
     }
 
+    /** Logs that a peer had a server answer the request. */
+    void logForwarded(Exchange exchange, String peer, UpstreamResponse response) {
+        mLog.write(
+                Part.ANSWER,
+                "Answered through a peer",
+                "id",
+                exchange.id(),
+                "route",
+                exchange.route().name(),
+                "status",
+                response.status(),
+                "peer",
+                peer,
+                "key",
+                exchange.key(),
+                "total_ms",
+                (mClock.getAsLong() - exchange.arrivedAtNanos()) / NANOS_PER_MILLI,
+                "sends",
+                exchange.sendCount(),
+                "forwards",
+                exchange.triedPeers().size());
+    }
+
     /** Logs that the connection closed before the response could be sent. */
     void logAbandoned(Exchange exchange) {
         mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/ServerSelector.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerSelector.java
@@ -98,7 +98,11 @@
         if (!mDirectory.tables().mayServe(exchange.service(), assignment) || upstream == null) {
             return Optional.empty();
         }
-        if (!mayUseOwner(upstream, now) || upstream.load().isSuspect(now)) {
+        if (!mayUseOwner(upstream, now)) {
+            return Optional.empty();
+        }
+        if (upstream.load().isSuspect(now)) {
+            exchange.setServersUnreached();
             return Optional.empty();
         }
         exchange.setWaitReason(ResultCode.OVERLOADED);
@@ -195,6 +199,9 @@
         }
         exchange.setWaitReason(
                 candidates.isEmpty() ? ResultCode.NO_BACKEND_SERVER : ResultCode.OVERLOADED);
+        if (!candidates.isEmpty() && candidates.stream().allMatch(c -> c.load().isSuspect(now))) {
+            exchange.setServersUnreached();
+        }
         return ServerPicker.pick(
                         candidates,
                         exchange.goalAtNanos() - now,
@@ -204,6 +211,16 @@
                 .map(c -> mUpstreams.get(c.incarnationId()));
     }
 
+    /**
+     * Returns the time before which the key of a request that finds no owner has none, or {@code
+     * now} if it is not known.
+     */
+    long nextOwnerNotBefore(Exchange exchange, long now) {
+        return exchange.waitReason() == ResultCode.NO_OWNER
+                ? mDirectory.tables().nextOwnerNotBefore(exchange.service(), exchange.key(), now)
+                : now;
+    }
+
     private boolean isInService(Upstream upstream) {
         return !upstream.isLeaving() && !mDirectory.isOutOfService(upstream.entry());
     }
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -6,27 +6,22 @@
 import org.geraniumusher.operator.Leaving;
 import org.geraniumusher.traffic.ServerEntry;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 /**
  * Client side of one incarnation of a backend server: its latest entry, its estimated load and the
- * idle connections to it. Confined to the event loop.
+ * connections to it. Confined to the event loop.
  *
  * <p>Invariant: once the server is known to be leaving, no connection is reused.
  */
-final class Upstream implements UpstreamConnection.Pool {
-    private final EventLoopGroup mGroup;
+final class Upstream {
+    private static final byte[] NO_PREFACE = {};
+
     private final LongSupplier mClock;
-    private final ResponseBuffers mBuffers;
-    private final String mRequestIdHeader;
     private final ServerLoad mLoad;
-    private final Listener mListener;
-    private final Deque<UpstreamConnection> mIdleConnections = new ArrayDeque<>();
+    private final ConnectionPool mConnections;
     private ServerEntry mEntry;
     private Leaving mLeaving = Leaving.NO;
     private long mLeavingSinceNanos = Long.MAX_VALUE;
@@ -34,15 +29,6 @@
     /** Time since which the server has not been listed, if it is not. */
     private OptionalLong mMissingSinceNanos = OptionalLong.empty();
 
-    /** Is notified of what the server sends to no request. */
-    interface Listener {
-        /** Called when the server sends bytes on an idle connection. */
-        void onUnsolicitedBytes();
-
-        /** See {@link UpstreamConnection.Pool#onSkippedResponse}. */
-        void onSkippedResponse(String requestId, String responseId, int status);
-    }
-
     /**
      * Creates an upstream without connections.
      *
@@ -57,14 +43,12 @@
             LongSupplier clock,
             ResponseBuffers buffers,
             String requestIdHeader,
-            Listener listener,
+            ConnectionPool.Listener listener,
             ServerLoad load) {
         mEntry = entry;
-        mGroup = group;
         mClock = clock;
-        mBuffers = buffers;
-        mListener = listener;
-        mRequestIdHeader = requestIdHeader;
+        mConnections =
+                new ConnectionPool(group, clock, buffers, requestIdHeader, NO_PREFACE, listener);
         mLoad = load;
         updateColdTime(entry);
     }
@@ -110,7 +94,7 @@
         if (!isLeaving()) {
             mLeaving = cause;
             mLeavingSinceNanos = sinceNanos;
-            closeIdle();
+            mConnections.retire();
         }
     }
 
@@ -130,68 +114,16 @@
         return mLeavingSinceNanos;
     }
 
-    /**
-     * Sends a request over an idle connection, the one used last first, or over a new one.
-     *
-     * @param mayCarry whether an idle connection may carry the request
-     * @return the connection, by which the request can be cancelled
-     */
+    /** Sends a request to the server; see {@link ConnectionPool#send}. */
     UpstreamConnection send(
             OutgoingRequest request,
             UpstreamConnection.Listener listener,
             Predicate<UpstreamConnection> mayCarry) {
-        closeExpired(mClock.getAsLong());
-        Optional<UpstreamConnection> idle = mIdleConnections.stream().filter(mayCarry).findFirst();
-        if (idle.isPresent()) {
-            mIdleConnections.remove(idle.get());
-            idle.get().send(request, listener);
-            return idle.get();
-        }
-        UpstreamConnection created =
-                new UpstreamConnection(this, mClock, mBuffers, mRequestIdHeader);
-        created.connectAndSend(mGroup, mEntry.address(), request, listener);
-        return created;
+        return mConnections.send(mEntry.address(), request, listener, mayCarry);
     }
 
     /** Closes the idle connections that the server is about to close. */
     void closeExpired(long nowNanos) {
-        mIdleConnections.removeIf(
-                c -> {
-                    boolean expired = !c.isUsable(nowNanos);
-                    if (expired) {
-                        c.close();
-                    }
-                    return expired;
-                });
-    }
-
-    void closeIdle() {
-        mIdleConnections.forEach(UpstreamConnection::close);
-        mIdleConnections.clear();
-    }
-
-    @Override
-    public void onIdle(UpstreamConnection connection) {
-        if (isLeaving()) {
-            connection.close();
-            return;
-        }
-        connection.markIdle(mClock.getAsLong());
-        mIdleConnections.addFirst(connection);
-    }
-
-    @Override
-    public void onUnsolicitedBytes() {
-        mListener.onUnsolicitedBytes();
-    }
-
-    @Override
-    public void onSkippedResponse(String requestId, String responseId, int status) {
-        mListener.onSkippedResponse(requestId, responseId, status);
-    }
-
-    @Override
-    public void onClosed(UpstreamConnection connection) {
-        mIdleConnections.remove(connection);
+        mConnections.closeExpired(nowNanos);
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -28,8 +28,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * An HTTP connection to a backend server that carries one request at a time. Confined to the event
- * loop.
+ * An HTTP connection to a backend server, or to a peer that passes requests on, that carries one
+ * request at a time. Confined to the event loop.
  *
  * <p>The first request waits until a server that is over its limit of connections would have reset
  * the connection: a request that was sent on it might have been executed. It is sent only if it
@@ -113,6 +113,7 @@
     private final LongSupplier mClock;
     private final ResponseBuffers mBuffers;
     private final String mRequestIdHeader;
+    private final byte[] mPreface;
     private final ReceiveLimiter mLimiter =
             new ReceiveLimiter(
                     MAX_FRAMING_BYTES,
@@ -147,8 +148,18 @@
     private long mIdleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long mUsableUntilNanos;
 
+    /**
+     * Creates a connection that is not open.
+     *
+     * @param preface bytes that are sent before the first request
+     */
     UpstreamConnection(
-            Pool pool, LongSupplier clock, ResponseBuffers buffers, String requestIdHeader) {
+            Pool pool,
+            LongSupplier clock,
+            ResponseBuffers buffers,
+            String requestIdHeader,
+            byte[] preface) {
+        mPreface = preface;
         mPool = pool;
         mClock = clock;
         mBuffers = buffers;
@@ -172,6 +183,9 @@
                             @Override
                             protected void initChannel(SocketChannel channel) {
                                 mChannel = channel;
+                                if (mPreface.length > 0) {
+                                    channel.pipeline().addLast(new ConnectionPreface(mPreface));
+                                }
                                 channel.pipeline()
                                         .addLast(mWriteMonitor)
                                         .addLast(mLimiter)
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -13,6 +13,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -217,7 +218,7 @@
     }
 
     /** Counts and logs what a server sends to no request. */
-    private final class StrayResponses implements Upstream.Listener {
+    private final class StrayResponses implements ConnectionPool.Listener {
         private final String mIncarnationId;
 
         StrayResponses(String incarnationId) {
@@ -269,6 +270,11 @@
         return mUpstreams.values().stream().filter(UpstreamSet::isLimited).toList();
     }
 
+    /** Returns all upstreams, including those that are leaving. */
+    Collection<Upstream> all() {
+        return mUpstreams.values();
+    }
+
     /** Returns the upstreams of a service, including those that are leaving. */
     List<Upstream> ofService(String service) {
         return mByService.getOrDefault(service, List.of());
--- a/entry/src/main/java/org/geraniumusher/http/HttpServer.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpServer.java
@@ -58,6 +58,28 @@
         return bind(group, address.host(), address.port(), handler, onAcceptFailure);
     }
 
+    /**
+     * Starts a server as {@link #create(EventLoopGroup, Address, BiConsumer, Consumer)} does, which
+     * leaves connections of another protocol to it.
+     */
+    public static HttpServer create(
+            EventLoopGroup group,
+            Address address,
+            BiConsumer<HttpCall, Responder> handler,
+            Consumer<Throwable> onAcceptFailure,
+            OtherProtocol other) {
+        return bind(
+                group,
+                address.host(),
+                address.port(),
+                channel -> {
+                    other.configure(channel);
+                    channel.pipeline().addLast(new PrefaceDetector(other));
+                    initialize(channel, handler);
+                },
+                onAcceptFailure);
+    }
+
     /**
      * Starts a server on a host and a port, where port 0 means any free port. Must not be called on
      * an event loop of {@code group}.
@@ -76,14 +98,17 @@
             BiConsumer<HttpCall, Responder> handler,
             Consumer<Throwable> onAcceptFailure) {
         checkNotNull(handler);
+        return bind(group, host, port, channel -> initialize(channel, handler), onAcceptFailure);
+    }
+
+    private static HttpServer bind(
+            EventLoopGroup group,
+            String host,
+            int port,
+            Consumer<SocketChannel> initializer,
+            Consumer<Throwable> onAcceptFailure) {
         return new HttpServer(
-                TcpListener.bind(
-                        group,
-                        host,
-                        port,
-                        true,
-                        channel -> initialize(channel, handler),
-                        onAcceptFailure));
+                TcpListener.bind(group, host, port, true, initializer, onAcceptFailure));
     }
 
     /** Returns the bound address. */
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -60,6 +60,7 @@
                         new KeyedRequestStats(),
                         mFixture.createCrashMonitor(context));
         return new CallerConnection(
+                RequestSource.CALLER,
                 dispatcher,
                 wire.headers(),
                 RequestIds.create("entry-1", 1),
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -111,6 +111,7 @@
                         new Exchange.Request(HttpMethod.GET, "/x?q=1", headers, new byte[] {1}),
                         "id-" + mThread.now(),
                         mThread.now(),
+                        RequestSource.CALLER,
                         null);
         exchange.setRoute(null, "service");
         return exchange;
--- a/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
@@ -129,7 +129,8 @@
 
     private UpstreamConnection connect(LongSupplier clock, OutgoingRequest order) {
         UpstreamConnection connection =
-                new UpstreamConnection(mPool, clock, new ResponseBuffers(), "Request-Id");
+                new UpstreamConnection(
+                        mPool, clock, new ResponseBuffers(), "Request-Id", new byte[0]);
         Address address = Address.of("127.0.0.1:" + mServer.getLocalPort());
         mGroup.execute(() -> connection.connectAndSend(mGroup, address, order, reportTo(mResult)));
         return connection;
