Let a stranded coordinator resign although its connections are accepted

With connections that hang or are reset after they were accepted, as by a proxy or a full backlog, the coordinator found its servers reached and kept its term until no key had an owner: 0 of 93 requests were served at any of three daemons (StrandedDaemonTest on, HANG and RESET). Cause: the coordinator and its peers compared the connections that servers accept. Peers now also say how many of the failing servers answered a request of theirs in the last 0.5 s, which is as long as a grant has failed by then; the coordinator counts the same for itself, so servers that answer nobody are no reason to resign.

--- a/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CoordinatorService.java
@@ -60,7 +60,9 @@
                 new PeerReach() {
                     @Override
                     public void ask(
-                            Collection<String> incarnationIds, Consumer<Outcome> onOutcome) {}
+                            Collection<String> servers,
+                            Collection<String> failing,
+                            Consumer<Outcome> onOutcome) {}
 
                     @Override
                     public void nominate(Address peer) {}
@@ -73,8 +75,16 @@
          */
         record Outcome(int reachedHere, int reachedByPeer, Optional<Address> bestPeer) {}
 
-        /** Counts the servers that this daemon and peers reach; the outcome comes later. */
-        void ask(Collection<String> incarnationIds, Consumer<Outcome> onOutcome);
+        /**
+         * Counts the servers that this daemon and peers reach; the outcome comes later.
+         *
+         * @param servers IDs of incarnations
+         * @param failing those of them that do not answer the grants of this daemon
+         */
+        void ask(
+                Collection<String> servers,
+                Collection<String> failing,
+                Consumer<Outcome> onOutcome);
 
         /** Asks a peer to stand for election at once. */
         void nominate(Address peer);
@@ -329,7 +339,8 @@
                     servers.size(),
                     "failing",
                     failing.size());
-            mPeerReach.ask(servers, outcome -> onReachCompared(inquiry, servers.size(), outcome));
+            mPeerReach.ask(
+                    servers, failing, outcome -> onReachCompared(inquiry, servers.size(), outcome));
         }
         boolean heldBack = mReach.holdsBackLosses(now);
         mDrivers.values().forEach(d -> d.setLossesHeldBack(heldBack));
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -402,6 +402,7 @@
         long now = mClock.getAsLong();
         exchange.endAttempt();
         mPeerFallback.onAnswer();
+        upstream.onAnswered();
         mCrashMonitor.onResponse(exchange, upstream, response);
         mServerNotices.onResponse(upstream, response, sentAtNanos, now);
         boolean rejected = response.header(mWire.headers().notExecuted()) != null;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -165,6 +165,7 @@
                         context,
                         coordinator,
                         ConnectProbe.create(group),
+                        dispatcher.upstreams(),
                         this::peerAddresses,
                         client);
         coordinator.setPeerReach(mReachInquiry);
--- a/entry/src/main/java/org/geraniumusher/entry/ReachInquiry.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ReachInquiry.java
@@ -25,8 +25,12 @@
 import java.util.function.Supplier;
 
 /**
- * Counts to how many servers this daemon and a few peers can open a connection, and answers such
- * calls of peers. Confined to the event loop.
+ * Counts which servers this daemon and a few peers reach, and answers such calls of peers. Confined
+ * to the event loop.
+ *
+ * <p>A server is reached by a connection that it accepts. Connections can be accepted on the way to
+ * a server that is cut off, so the failing servers are also compared by the answers to requests:
+ * one that answers a peer and not this daemon works.
  *
  * <p>Invariant: a daemon connects only to servers that it lists, whatever a call names.
  */
@@ -40,70 +44,128 @@
     /** Peers may be cut off with this daemon, so more than one is asked. */
     private static final int MAX_PEERS = 5;
 
+    /**
+     * Age up to which an answer to a request shows that a server is reached. A grant has failed for
+     * as long when peers are asked, so an older answer may be from before the fault.
+     */
+    private static final long ANSWERED_NANOS = 500_000_000L;
+
     /** Longer than the connections of the peer may take. */
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
     private final DaemonContext mContext;
     private final CoordinatorService mCoordinator;
     private final ConnectProbe mProbe;
+    private final UpstreamSet mUpstreams;
     private final Supplier<ImmutableList<Address>> mPeers;
     private final HttpClient mClient;
     private final Random mRandom;
 
-    /** The IDs of incarnations, as sent between daemons. */
-    record Question(List<String> incarnations) {
+    /**
+     * The IDs of incarnations, as sent between daemons.
+     *
+     * @param failing those that do not answer the asking daemon
+     */
+    record Question(List<String> incarnations, List<String> failing) {
         Question {
             incarnations = ImmutableList.copyOf(incarnations);
+            failing = failing == null ? ImmutableList.of() : ImmutableList.copyOf(failing);
         }
     }
 
-    /** How many servers a daemon reaches, as sent between daemons. */
-    record Answer(int reached) {}
+    /**
+     * How many servers a daemon reaches, as sent between daemons.
+     *
+     * @param reached servers that accept a connection
+     * @param answering failing ones that have answered a request lately
+     */
+    record Answer(int reached, int answering) {}
 
-    private record PeerAnswer(Address peer, int reached) {}
+    private record PeerAnswer(Address peer, Answer answer) {}
 
     ReachInquiry(
             DaemonContext context,
             CoordinatorService coordinator,
             ConnectProbe probe,
+            UpstreamSet upstreams,
             Supplier<ImmutableList<Address>> peers,
             HttpClient client) {
         mContext = checkNotNull(context);
         mCoordinator = checkNotNull(coordinator);
         mProbe = checkNotNull(probe);
+        mUpstreams = checkNotNull(upstreams);
         mPeers = checkNotNull(peers);
         mClient = checkNotNull(client);
         mRandom = new Random(context.incarnation());
     }
 
     @Override
-    public void ask(Collection<String> incarnationIds, Consumer<Outcome> onOutcome) {
+    public void ask(
+            Collection<String> servers, Collection<String> failing, Consumer<Outcome> onOutcome) {
         List<Address> peers = new ArrayList<>(mPeers.get());
         Collections.shuffle(peers, mRandom);
-        String question = Json.write(new Question(List.copyOf(incarnationIds)));
+        String question = Json.write(new Question(List.copyOf(servers), List.copyOf(failing)));
         List<CompletableFuture<Optional<PeerAnswer>>> calls =
                 peers.stream().limit(MAX_PEERS).map(peer -> call(peer, question)).toList();
-        CompletableFuture<Integer> own = countReached(incarnationIds);
+        CompletableFuture<Integer> own = countReached(servers);
         CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
                 .thenCombine(own, (done, reached) -> reached)
                 .thenAccept(
                         reached ->
                                 mContext.thread()
-                                        .execute(() -> onOutcome.accept(best(reached, calls))));
+                                        .execute(
+                                                () ->
+                                                        onOutcome.accept(
+                                                                best(
+                                                                        reached,
+                                                                        servers.size()
+                                                                                - failing.size(),
+                                                                        countAnswering(failing),
+                                                                        calls))));
     }
 
+    /**
+     * Returns the outcome for the peer that is ahead of this daemon by most servers, by the
+     * connections that they accept or by the answers of the failing ones.
+     */
     private static Outcome best(
-            int reachedHere, List<CompletableFuture<Optional<PeerAnswer>>> calls) {
+            int reachedHere,
+            int notFailing,
+            int answeringHere,
+            List<CompletableFuture<Optional<PeerAnswer>>> calls) {
         Outcome best = new Outcome(reachedHere, 0, Optional.empty());
         for (CompletableFuture<Optional<PeerAnswer>> call : calls) {
-            PeerAnswer answer = call.join().orElse(null);
-            if (answer != null && answer.reached() > best.reachedByPeer()) {
-                best = new Outcome(reachedHere, answer.reached(), Optional.of(answer.peer()));
+            PeerAnswer peer = call.join().orElse(null);
+            if (peer == null) {
+                continue;
             }
+            Answer answer = peer.answer();
+            Optional<Address> address = Optional.of(peer.peer());
+            Outcome byConnections = new Outcome(reachedHere, answer.reached(), address);
+            Outcome byAnswers =
+                    new Outcome(
+                            notFailing + answeringHere, notFailing + answer.answering(), address);
+            best = better(better(best, byConnections), byAnswers);
         }
         return best;
     }
 
+    private static Outcome better(Outcome first, Outcome second) {
+        return second.reachedByPeer() - second.reachedHere()
+                        > first.reachedByPeer() - first.reachedHere()
+                ? second
+                : first;
+    }
+
+    /** Counts the incarnations that have answered a request of this daemon lately. */
+    private int countAnswering(Collection<String> incarnationIds) {
+        return (int)
+                incarnationIds.stream()
+                        .map(mUpstreams::get)
+                        .filter(u -> u != null && u.hasAnsweredWithin(ANSWERED_NANOS))
+                        .count();
+    }
+
     private CompletableFuture<Optional<PeerAnswer>> call(Address peer, String question) {
         return mClient.call(peer, HttpCall.of("POST", PATH, question), CALL_TIMEOUT)
                 .thenApply(reply -> decode(peer, reply))
@@ -119,7 +181,7 @@
             logNoAnswer(peer, "status " + reply.status());
             return Optional.empty();
         }
-        return Optional.of(new PeerAnswer(peer, Json.read(reply.text(), Answer.class).reached()));
+        return Optional.of(new PeerAnswer(peer, Json.read(reply.text(), Answer.class)));
     }
 
     private void logNoAnswer(Address peer, String cause) {
@@ -164,7 +226,13 @@
                 .thenAccept(
                         reached ->
                                 responder.reply(
-                                        HttpReply.of(200, Json.write(new Answer(reached)))));
+                                        HttpReply.of(
+                                                200,
+                                                Json.write(
+                                                        new Answer(
+                                                                reached,
+                                                                countAnswering(
+                                                                        question.failing()))))));
     }
 
     @Override
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -23,6 +23,7 @@
     private final ServerLoad mLoad;
     private final ConnectionPool mConnections;
     private ServerEntry mEntry;
+    private long mAnsweredAtNanos = Long.MIN_VALUE / 2;
     private Leaving mLeaving = Leaving.NO;
     private long mLeavingSinceNanos = Long.MAX_VALUE;
 
@@ -61,6 +62,16 @@
         return mLoad;
     }
 
+    /** Records that the server answered a request of this daemon. */
+    void onAnswered() {
+        mAnsweredAtNanos = nowNanos();
+    }
+
+    /** Returns whether the server has answered a request of this daemon within a time. */
+    boolean hasAnsweredWithin(long nanos) {
+        return nowNanos() - mAnsweredAtNanos <= nanos;
+    }
+
     long nowNanos() {
         return mClock.getAsLong();
     }
--- a/entry/src/test/java/org/geraniumusher/entry/CoordinatorResignationTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CoordinatorResignationTest.java
@@ -36,7 +36,10 @@
         private int mReachedByPeer = 2;
 
         @Override
-        public void ask(Collection<String> incarnationIds, Consumer<Outcome> onOutcome) {
+        public void ask(
+                Collection<String> servers,
+                Collection<String> failing,
+                Consumer<Outcome> onOutcome) {
             mInquiries++;
             onOutcome.accept(new Outcome(mReachedHere, mReachedByPeer, Optional.of(PEER)));
         }
