Count deadlines that pass at servers as a sign of a stranded daemon

Cause: a request that ends at its deadline left nothing behind, and none stayed in flight for the second or more from which its server counts as silent. A deadline that passes before the answer now counts for its server until any server answers; three such servers without an answer for 1 s make the daemon stranded.

--- a/decisions/src/main/java/org/geraniumusher/dispatch/ServerReach.java
+++ b/decisions/src/main/java/org/geraniumusher/dispatch/ServerReach.java
@@ -27,6 +27,10 @@
     private static final int MIN_SILENT_SERVERS = 3;
 
     private final Set<String> mFailing = new HashSet<>();
+
+    /** Servers that had not answered a request when its deadline passed, since the last answer. */
+    private final Set<String> mUnanswering = new HashSet<>();
+
     private long mLastAnswerNanos;
     private boolean mStranded;
 
@@ -42,6 +46,7 @@
         boolean wasStranded = mStranded;
         mLastAnswerNanos = nowNanos;
         mFailing.clear();
+        mUnanswering.clear();
         mStranded = false;
         return wasStranded;
     }
@@ -51,6 +56,11 @@
         mFailing.add(checkNotNull(incarnationId));
     }
 
+    /** Records that the deadline of a request passed before its server answered. */
+    public void onDeadline(String incarnationId) {
+        mUnanswering.add(checkNotNull(incarnationId));
+    }
+
     /**
      * Decides anew whether the daemon is stranded; returns whether it is so from now on.
      *
@@ -63,7 +73,9 @@
                 withoutAnswer >= FAILING_NANOS
                         && !mFailing.isEmpty()
                         && mFailing.size() >= Math.min(MIN_FAILING_SERVERS, servers);
-        boolean silent = withoutAnswer >= SILENT_NANOS && silentServers >= MIN_SILENT_SERVERS;
+        boolean silent =
+                withoutAnswer >= SILENT_NANOS
+                        && silentServers + mUnanswering.size() >= MIN_SILENT_SERVERS;
         boolean begins = !mStranded && (failing || silent);
         mStranded |= begins;
         return begins;
--- a/decisions/src/test/java/org/geraniumusher/dispatch/ServerReachTest.java
+++ b/decisions/src/test/java/org/geraniumusher/dispatch/ServerReachTest.java
@@ -64,6 +64,18 @@
         assertThat(update(3, 2 * SECOND)).isTrue();
     }
 
+    /** Requests with short deadlines end before their servers count as silent. */
+    @Test
+    void update_deadlinesOfSeveralServersPassed_isStranded() {
+        mReach.onDeadline("a");
+        mReach.onDeadline("b");
+        mReach.onDeadline("b");
+        assertThat(update(0, 2 * SECOND)).isFalse();
+
+        mReach.onDeadline("c");
+        assertThat(update(0, 2 * SECOND)).isTrue();
+    }
+
     @Test
     void onAnswer_stranded_isStrandedNoMore() {
         mReach.onFailure("a");
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -554,11 +554,13 @@
             return;
         }
         boolean sent = isSent(exchange);
+        Optional<Upstream> unanswering = exchange.attempt().map(Exchange.Attempt::upstream);
         cancelAttempt(exchange);
         fail(
                 exchange,
                 sent ? ResultCode.TIMED_OUT : ResultCode.DEADLINE_UNREACHABLE,
                 sent ? 0 : WaitLimits.retryAfterSeconds(exchange, mRandom));
+        unanswering.ifPresent(mPeerFallback::onDeadline);
     }
 
     /** Cancels a request whose response cannot be delivered because its connection closed. */
--- a/entry/src/main/java/org/geraniumusher/entry/PeerFallback.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerFallback.java
@@ -173,6 +173,11 @@
         mReach.onFailure(upstream);
     }
 
+    /** Records that the deadline of a request passed before its server answered. */
+    void onDeadline(Upstream upstream) {
+        mReach.onDeadline(upstream);
+    }
+
     /** Returns the number of servers that have not answered requests for unusually long. */
     private int countSilentServers() {
         long now = mClock.getAsLong();
--- a/entry/src/main/java/org/geraniumusher/entry/ReachMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ReachMonitor.java
@@ -110,6 +110,12 @@
         check();
     }
 
+    /** Records that the deadline of a request passed before its server answered. */
+    void onDeadline(Upstream upstream) {
+        mReach.onDeadline(upstream.entry().incarnationId());
+        check();
+    }
+
     private void check() {
         long now = now();
         int servers = (int) mUpstreams.all().stream().filter(u -> !u.isLeaving()).count();
