Call the coordinator for limits in one place

The call for permits and the report of an end repeated the same lines (duplicates). Ends that were not reported are also dropped when their servers leave, so that the map of them is bounded by the servers that are listed.

--- a/entry/src/main/java/org/geraniumusher/entry/LimitPermits.java
+++ b/entry/src/main/java/org/geraniumusher/entry/LimitPermits.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 /**
@@ -191,26 +192,31 @@
             onReply(upstream, ask, askedAt, give(upstream, call));
             return;
         }
+        callCoordinator(
+                PATH,
+                call,
+                reply -> onReply(upstream, ask, askedAt, reply),
+                () -> onNoAnswer(upstream, ask));
+    }
+
+    /** Calls the coordinator, if there is one; runs {@code onFailure} if it gives no answer. */
+    private void callCoordinator(
+            String path, Object body, Consumer<HttpReply> onReply, Runnable onFailure) {
         Optional<CoordinatorRecord> coordinator = mCoordinator.presentCoordinator();
         if (coordinator.isEmpty()) {
-            onNoAnswer(upstream, ask);
+            onFailure.run();
             return;
         }
         mClient.call(
                         Address.of(coordinator.get().peerAddress()),
-                        HttpCall.of("POST", PATH, Json.write(call)),
+                        HttpCall.of("POST", path, Json.write(body)),
                         CALL_TIMEOUT)
                 .whenComplete(
-                        (reply, error) ->
-                                mContext.thread()
-                                        .execute(
-                                                () -> {
-                                                    if (error == null && reply.status() == 200) {
-                                                        onReply(upstream, ask, askedAt, reply);
-                                                    } else {
-                                                        onNoAnswer(upstream, ask);
-                                                    }
-                                                }));
+                        (reply, error) -> {
+                            boolean answered = error == null && reply.status() == 200;
+                            mContext.thread()
+                                    .execute(answered ? () -> onReply.accept(reply) : onFailure);
+                        });
     }
 
     private void onReply(Upstream upstream, LimitGate.Ask ask, long askedAt, HttpReply httpReply) {
@@ -333,6 +339,7 @@
         NamedLimit limit = upstream.load().gate().limit();
         boolean hadLimit = !limit.isActive() && limit.endedAtNanos() == sentAtNanos;
         if (hadLimit) {
+            mUnreportedEnds.keySet().removeIf(Upstream::isLeaving);
             mUnreportedEnds.put(upstream, now() - REPORT_INTERVAL_NANOS);
         }
         Long reportedAt = mUnreportedEnds.get(upstream);
@@ -348,29 +355,16 @@
     }
 
     private void reportEnd(Upstream upstream, long sentAtNanos) {
-        Optional<CoordinatorRecord> coordinator = mCoordinator.presentCoordinator();
-        if (coordinator.isEmpty()) {
-            return;
-        }
         End end = new End(upstream.entry().incarnationId(), roundUpToMillis(now() - sentAtNanos));
-        mClient.call(
-                        Address.of(coordinator.get().peerAddress()),
-                        HttpCall.of("POST", END_PATH, Json.write(end)),
-                        CALL_TIMEOUT)
-                .whenComplete(
-                        (reply, error) ->
-                                mContext.thread()
-                                        .execute(
-                                                () -> {
-                                                    if (error == null
-                                                            && reply.status() == 200
-                                                            && Json.read(
-                                                                            reply.text(),
-                                                                            EndReply.class)
-                                                                    .ended()) {
-                                                        mUnreportedEnds.remove(upstream);
-                                                    }
-                                                }));
+        callCoordinator(
+                END_PATH,
+                end,
+                reply -> {
+                    if (Json.read(reply.text(), EndReply.class).ended()) {
+                        mUnreportedEnds.remove(upstream);
+                    }
+                },
+                () -> {});
     }
 
     /**
