Keep idle connections of peers open for longer than peers reuse them

A configuration with an idle timeout of callers below 3 s would have had a daemon close connections of forwarded requests just when a peer reuses them; a request that must not be repeated would then fail with an unknown outcome. Found by reading. Such connections are closed after 10 s at the earliest, except in a stop. No test shows the race.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -109,6 +109,11 @@
         mIdleSinceNanos = clock.getAsLong();
     }
 
+    /** Returns who sends requests on this connection. */
+    RequestSource source() {
+        return mSource;
+    }
+
     /**
      * Reports whether the connection is open and for the last {@code nanos} or longer nothing was
      * received, no request was pending and no response was in transmission.
--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -36,6 +36,12 @@
      */
     private static final long STOPPING_IDLE_NANOS = 1_000_000_000L;
 
+    /**
+     * Least idle time after which connections of peers are closed. It is longer than peers reuse
+     * them, whatever the configuration says of callers.
+     */
+    private static final long MIN_PEER_IDLE_NANOS = 10_000_000_000L;
+
     /** Limit of the reads of a connection in a row, so that no caller holds up the others. */
     private static final int MAX_READS_IN_PASS = 16;
 
@@ -166,7 +172,11 @@
                     if (connection == null) {
                         return;
                     }
-                    if (connection.isIdleFor(idleNanos, nowNanos)) {
+                    boolean keepsLonger =
+                            connection.source() == RequestSource.PEER && !mClosingIdle;
+                    long ownIdleNanos =
+                            keepsLonger ? Math.max(MIN_PEER_IDLE_NANOS, idleNanos) : idleNanos;
+                    if (connection.isIdleFor(ownIdleNanos, nowNanos)) {
                         connection.close(channel, cause);
                     } else if (connection.isStalledFor(channel, stalledNanos, nowNanos)) {
                         connection.close(channel, CallerConnection.CloseCause.STALLED);
