Try servers again only with a retry at hand

Its log: about one request a second at each of the two daemons ended with TIMED_OUT, at its deadline of 2 s. Cause: these were the trials of the servers, 3 a second where connections are accepted, and each needs a retry to be passed on when it gets no answer; the budget had less. A trial now takes that retry first and is left out without one, a connection is tried each 0.6 s instead of 0.3 s, and a request that must not be repeated tries only when none that may be has for 5 s.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -175,7 +175,7 @@
     void endRequestsInProgress() {
         for (Exchange exchange : List.copyOf(mInProgress)) {
             if (!exchange.isEnded()) {
-                boolean sent = isSent(exchange);
+                boolean sent = exchange.isSent();
                 cancelAttempt(exchange);
                 fail(
                         exchange,
@@ -190,13 +190,6 @@
         mUnreachableListener = listener;
     }
 
-    /** Returns whether a server may execute the request, now or before. */
-    private static boolean isSent(Exchange exchange) {
-        return exchange.attempt().isPresent()
-                || exchange.forward().isPresent()
-                || exchange.mayHaveRun();
-    }
-
     /** Returns the number of requests that have arrived and not ended. */
     int requestsInProgress() {
         return mInProgress.size();
@@ -553,7 +546,7 @@
         if (exchange.isEnded()) {
             return;
         }
-        boolean sent = isSent(exchange);
+        boolean sent = exchange.isSent();
         Optional<Upstream> unanswering = exchange.attempt().map(Exchange.Attempt::upstream);
         cancelAttempt(exchange);
         fail(
@@ -678,12 +671,17 @@
             Dispatcher.this.fail(exchange, code, retryAfterSeconds);
         }
 
+        @Override
+        public boolean tryReserveRetry(Exchange exchange) {
+            return mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
+        }
+
         @Override
         public boolean tryAbandonAttempt(Exchange exchange) {
             boolean mayRepeat =
                     exchange.route().kind().mayRepeat()
                             && mCrashMonitor.mayRetry(exchange)
-                            && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
+                            && (exchange.triesServers() || tryReserveRetry(exchange));
             if (mayRepeat) {
                 cancelAttempt(exchange);
                 exchange.setMayHaveRun();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -284,6 +284,11 @@
         return mMayHaveRun;
     }
 
+    /** Returns whether a server may execute the request, now or before. */
+    boolean isSent() {
+        return mAttempt.isPresent() || mForward.isPresent() || mMayHaveRun;
+    }
+
     /** Sets the time until which the request may be sent although it is on probation. */
     void setTrialUntilNanos(long nanos) {
         mTrialUntilNanos = nanos;
--- a/entry/src/main/java/org/geraniumusher/entry/PeerFallback.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerFallback.java
@@ -55,6 +55,9 @@
         /** Ends a request with an error. */
         void fail(Exchange exchange, ResultCode code, double retryAfterSeconds);
 
+        /** Takes a retry of a request from the budget; returns whether there was one. */
+        boolean tryReserveRetry(Exchange exchange);
+
         /** Cancels the attempt of a request if it may be repeated; returns whether it did. */
         boolean tryAbandonAttempt(Exchange exchange);
 
@@ -101,8 +104,7 @@
             return false;
         }
         if (!exchange.isFromPeer()) {
-            if (mReach.tryTakeTrial(exchange)) {
-                exchange.setTriesServers();
+            if (tryTakeTrial(exchange)) {
                 return false;
             }
             if (mForwarder.tryForward(exchange)) {
@@ -113,6 +115,22 @@
         return true;
     }
 
+    /**
+     * Lets a request try the servers if that is due. One that may be repeated takes a retry from
+     * the budget first, with which it goes to a peer when it gets no answer.
+     */
+    private boolean tryTakeTrial(Exchange exchange) {
+        boolean takes =
+                mReach.isTrialDue(exchange)
+                        && (!exchange.route().kind().mayRepeat()
+                                || mRequests.tryReserveRetry(exchange));
+        if (takes) {
+            mReach.takeTrial();
+            exchange.setTriesServers();
+        }
+        return takes;
+    }
+
     /**
      * Passes on a request that found no server, if this daemon does not reach those that could run
      * it, or rejects it if a peer has passed it on; returns whether it did.
--- a/entry/src/main/java/org/geraniumusher/entry/ReachMonitor.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ReachMonitor.java
@@ -22,13 +22,13 @@
     private static final long CHECK_INTERVAL_MILLIS = 200;
 
     /** Interval between the connections that are tried while no server answers. */
-    private static final long PROBE_INTERVAL_MILLIS = 300;
+    private static final long PROBE_INTERVAL_MILLIS = 600;
 
     /**
      * Time for which a trial is left to idempotent requests, which can be passed on to a peer when
      * it gets no answer.
      */
-    private static final long IDEMPOTENT_ONLY_NANOS = 1_000_000_000L;
+    private static final long IDEMPOTENT_ONLY_NANOS = 5_000_000_000L;
 
     private final DaemonContext mContext;
     private final UpstreamSet mUpstreams;
@@ -161,13 +161,15 @@
         }
     }
 
-    /** Takes the trial that is due, if there is one; returns whether the request is to make it. */
-    boolean tryTakeTrial(Exchange exchange) {
-        boolean mayTake =
-                mTrialOffered
-                        && (exchange.route().kind().mayRepeat()
-                                || now() - mTrialOfferedAtNanos > IDEMPOTENT_ONLY_NANOS);
-        mTrialOffered &= !mayTake;
-        return mayTake;
+    /** Returns whether a trial is due that the request may make. */
+    boolean isTrialDue(Exchange exchange) {
+        return mTrialOffered
+                && (exchange.route().kind().mayRepeat()
+                        || now() - mTrialOfferedAtNanos > IDEMPOTENT_ONLY_NANOS);
+    }
+
+    /** Records that a request makes the trial that is due. */
+    void takeTrial() {
+        mTrialOffered = false;
     }
 }
