Spend the reserved retry of a trial once

A request that tries the servers of a stranded daemon takes one retry from the budget first. It kept the mark of the trial after it was passed on, so when the peer did not run it, it tried the servers again and was passed on without a retry, which the budget did not count. The trial now ends when the request is passed on. Found by reading the diff; no test shows the fault.

Measured: two cases of StrandedDaemonTest pass; the whole build was not run on this commit.

--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -681,7 +681,7 @@
             boolean mayRepeat =
                     exchange.route().kind().mayRepeat()
                             && mCrashMonitor.mayRetry(exchange)
-                            && (exchange.triesServers() || tryReserveRetry(exchange));
+                            && (exchange.endTrial() || tryReserveRetry(exchange));
             if (mayRepeat) {
                 cancelAttempt(exchange);
                 exchange.setMayHaveRun();
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -330,6 +330,13 @@
         mTriesServers = true;
     }
 
+    /** Ends the trial of the servers, if the request made one; returns whether it did. */
+    boolean endTrial() {
+        boolean tried = mTriesServers;
+        mTriesServers = false;
+        return tried;
+    }
+
     /** Returns whether the request is sent to servers although none is known to answer. */
     boolean triesServers() {
         return mTriesServers;
