Log the connection, attempt and signature of each answer of a server

Cause: no log line told from which server's response, attempt and connection an answer came, that a failure of a server was retried, or whether a skipped response could belong to an earlier request of its connection; answers to retried requests fell under the limit of 20 lines a second.

Change: fields connection, signature, sends and forwards; a line for each response that is not used because its request is retried; skipped responses with their connection, whether it carried their ID, and two ages, from peers too. A clock of UpstreamConnectionTest reset one connection at each reading after the first, and waited for ever at the third; sending reads the clock now, so it resets one at the second reading only. What the test checks is the same.

--- a/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
@@ -31,10 +31,10 @@
     /** Is notified of what the other end sends to no request. */
     interface Listener {
         /** Called when bytes arrive on an idle connection. */
-        void onUnsolicitedBytes();
+        void onUnsolicitedBytes(UpstreamConnection connection);
 
         /** See {@link UpstreamConnection.Pool#onSkippedResponse}. */
-        void onSkippedResponse(String requestId, String responseId, int status);
+        void onSkippedResponse(SkippedResponse response);
     }
 
     /**
@@ -118,13 +118,13 @@
     }
 
     @Override
-    public void onUnsolicitedBytes() {
-        mListener.onUnsolicitedBytes();
+    public void onUnsolicitedBytes(UpstreamConnection connection) {
+        mListener.onUnsolicitedBytes(connection);
     }
 
     @Override
-    public void onSkippedResponse(String requestId, String responseId, int status) {
-        mListener.onSkippedResponse(requestId, responseId, status);
+    public void onSkippedResponse(SkippedResponse response) {
+        mListener.onSkippedResponse(response);
     }
 
     @Override
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -37,9 +37,6 @@
      */
     private static final long REJECTED_BACKOFF_NANOS = 40_000_000;
 
-    /** Maximum number of sends of one request, including those that were not executed. */
-    private static final int MAX_SENDS = 6;
-
     /**
      * Time after the deadline for which an attempt that must not be repeated is left to its server,
      * which knows the deadline and stops there.
@@ -66,7 +63,7 @@
     private final LimitPermits mLimitPermits;
     private final PeerFallback mPeerFallback;
     private final RequestLog mRequestLog;
-    private final RetryBudgets mRetryBudgets;
+    private final RetryRules mRetryRules;
     private final CallerDeadlines mCallerDeadlines;
     private final List<Exchange> mWaiting = new ArrayList<>();
     private boolean mDispatchScheduled;
@@ -132,8 +129,9 @@
         mPeerFallback =
                 new PeerFallback(
                         context, wire.headers(), group, mUpstreams, mRandom, new Requests());
-        mRetryBudgets = new RetryBudgets(settings);
-        mRequestLog = new RequestLog(mDirectory, mUpstreams, log, mClock);
+        mRetryRules = new RetryRules(settings, crashMonitor, () -> mDaemonCount);
+        mRequestLog =
+                new RequestLog(mDirectory, mUpstreams, log, mClock, wire.headers().signature());
         mCallerDeadlines = new CallerDeadlines(wire.headers().deadlineMillis(), mRequestLog);
         mUpstreams.registerGauges();
         mMetrics.registerGauge("requests.in_progress", mInProgress::size);
@@ -230,7 +228,7 @@
             if (exchange.hasKey()) {
                 mKeyedRequestStats.onRequest(exchange.service(), exchange.key());
             }
-            mRetryBudgets.of(exchange.service(), mDaemonCount).deposit();
+            mRetryRules.onRequest(exchange);
         }
         long nanosUntilDeadline = exchange.deadlineAtNanos() - exchange.arrivedAtNanos();
         exchange.setDeadlineTimer(
@@ -416,7 +414,9 @@
         if (exchange.isEnded()) {
             return;
         }
-        if ((failed || unsignedSuccess) && retryIfAllowed(exchange, now)) {
+        if ((failed || unsignedSuccess) && mRetryRules.tryRetry(exchange, now)) {
+            mRequestLog.logRetried(exchange, upstream, response);
+            sendOrQueue(exchange);
             return;
         }
         if (unsignedSuccess) {
@@ -431,7 +431,7 @@
 
     private void onRejected(Exchange exchange, Upstream upstream, UpstreamResponse response) {
         long now = mClock.getAsLong();
-        mRequestLog.logRejected(exchange, upstream, response.status());
+        mRequestLog.logRejected(exchange, upstream, response);
         if (exchange.isEnded()) {
             return;
         }
@@ -439,10 +439,7 @@
         if (upstream.load().isPaused(now) && failIfUnavailable(exchange, now)) {
             return;
         }
-        boolean retry =
-                exchange.sendCount() < MAX_SENDS
-                        && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
-        if (!retry) {
+        if (!mRetryRules.hasSendsLeft(exchange) || !mRetryRules.tryWithdraw(exchange)) {
             fail(exchange, exchange.waitReason(), WaitLimits.retryAfterSeconds(exchange, mRandom));
             return;
         }
@@ -467,7 +464,7 @@
 
     /** Sends a request again, without the retry budget, since it did not reach the server. */
     private void resendUnsent(Exchange exchange) {
-        if (exchange.sendCount() < MAX_SENDS) {
+        if (mRetryRules.hasSendsLeft(exchange)) {
             sendOrQueue(exchange);
         } else if (!exchange.isEnded()) {
             fail(exchange, exchange.waitReason(), WaitLimits.retryAfterSeconds(exchange, mRandom));
@@ -529,13 +526,7 @@
      * the request has been sent, queued or failed; after false the caller must end it.
      */
     private boolean retryIfAllowed(Exchange exchange, long now) {
-        boolean allowed =
-                exchange.route().kind().mayRepeat()
-                        && exchange.triedIncarnations().size() < exchange.route().attempts()
-                        && exchange.sendCount() < MAX_SENDS
-                        && !WaitLimits.hasWaitedTooLong(exchange, now)
-                        && mCrashMonitor.mayRetry(exchange)
-                        && mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
+        boolean allowed = mRetryRules.tryRetry(exchange, now);
         if (allowed) {
             sendOrQueue(exchange);
         }
@@ -673,7 +664,7 @@
 
         @Override
         public boolean tryReserveRetry(Exchange exchange) {
-            return mRetryBudgets.of(exchange.service(), mDaemonCount).tryWithdraw();
+            return mRetryRules.tryWithdraw(exchange);
         }
 
         @Override
--- a/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
@@ -115,18 +115,11 @@
                         mBuffers,
                         mHeaders.requestId(),
                         PREFACE,
-                        new ConnectionPool.Listener() {
-                            @Override
-                            public void onUnsolicitedBytes() {
-                                mContext.metrics().onUnsolicitedBytes();
-                            }
-
-                            @Override
-                            public void onSkippedResponse(
-                                    String requestId, String responseId, int status) {
-                                mContext.metrics().onSkippedResponse();
-                            }
-                        });
+                        new StrayResponses(
+                                mContext.log(),
+                                mContext.metrics(),
+                                StrayResponses.Sender.PEER,
+                                member.name()));
         return new PeerLink(member, connections);
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -23,12 +23,24 @@
     private final UpstreamSet mUpstreams;
     private final DecisionLog mLog;
     private final LongSupplier mClock;
+    private final String mSignatureHeader;
 
-    RequestLog(Directory directory, UpstreamSet upstreams, DecisionLog log, LongSupplier clock) {
+    /**
+     * Creates a log of requests.
+     *
+     * @param signatureHeader name of the header by which a server signs a response
+     */
+    RequestLog(
+            Directory directory,
+            UpstreamSet upstreams,
+            DecisionLog log,
+            LongSupplier clock,
+            String signatureHeader) {
         mDirectory = directory;
         mUpstreams = upstreams;
         mLog = log;
         mClock = clock;
+        mSignatureHeader = signatureHeader;
     }
 
     /**
@@ -39,8 +51,10 @@
     void logAnswered(
             Exchange exchange, Upstream upstream, UpstreamResponse response, long responseNanos) {
         long now = mClock.getAsLong();
+        // Answers to retried requests are few, and those that are to be traced.
+        boolean isRetried = exchange.sendCount() > 1 || !exchange.triedPeers().isEmpty();
         mLog.write(
-                Part.ANSWER,
+                isRetried ? Part.REQUEST : Part.ANSWER,
                 now <= exchange.goalAtNanos() ? "Answered in time" : "Answered late",
                 "id",
                 exchange.id(),
@@ -50,6 +64,10 @@
                 response.status(),
                 "server",
                 upstream.entry().incarnationId(),
+                "connection",
+                response.connection(),
+                "signature",
+                signatureOf(response),
                 "key",
                 exchange.key(),
                 "at_server_ms",
@@ -60,14 +78,40 @@
                 (exchange.arrivedAtNanos() - exchange.callerFirstSentAtNanos()) / NANOS_PER_MILLI,
                 "sends",
                 exchange.sendCount(),
+                "forwards",
+                exchange.triedPeers().size(),
                 "config_version",
                 configVersion(),
                 "table_revision",
                 tableRevision(exchange));
     }
 
+    private String signatureOf(UpstreamResponse response) {
+        String signature = response.header(mSignatureHeader);
+        return signature == null ? "" : signature;
+    }
+
+    /** Logs that a request is retried although a server that executed it has responded. */
+    void logRetried(Exchange exchange, Upstream upstream, UpstreamResponse response) {
+        mLog.write(
+                Part.REQUEST,
+                "Response is not used, request is retried",
+                "id",
+                exchange.id(),
+                "server",
+                upstream.entry().incarnationId(),
+                "status",
+                response.status(),
+                "connection",
+                response.connection(),
+                "signature",
+                signatureOf(response),
+                "sends",
+                exchange.sendCount());
+    }
+
     /** Logs that a server rejected the request without executing it. */
-    void logRejected(Exchange exchange, Upstream upstream, int status) {
+    void logRejected(Exchange exchange, Upstream upstream, UpstreamResponse response) {
         mLog.write(
                 Part.REQUEST,
                 "Server rejected the request without executing it",
@@ -76,7 +120,9 @@
                 "server",
                 upstream.entry().incarnationId(),
                 "status",
-                status,
+                response.status(),
+                "connection",
+                response.connection(),
                 "key",
                 exchange.key(),
                 "sends",
@@ -104,6 +150,10 @@
                 failure.limit().map(ResponseLimit::name).orElse(""),
                 "bytes",
                 failure.receivedBytes(),
+                "connection",
+                failure.connection(),
+                "sends",
+                exchange.sendCount(),
                 "age_ms",
                 ageNanos / NANOS_PER_MILLI);
     }
@@ -188,6 +238,10 @@
                 response.status(),
                 "peer",
                 peer,
+                "connection",
+                response.connection(),
+                "signature",
+                signatureOf(response),
                 "key",
                 exchange.key(),
                 "total_ms",
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -18,11 +18,13 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
+import org.agrona.collections.IntHashSet;
 import org.geraniumusher.http.KeepAliveProbes;
 import org.geraniumusher.http.LongBodyWriter;
 import org.geraniumusher.http.ReceiveLimiter;
 import org.geraniumusher.model.Address;
 
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -96,14 +98,10 @@
         void onIdle(UpstreamConnection connection);
 
         /** Called when the server sends bytes on an idle connection, which is then closed. */
-        void onUnsolicitedBytes();
+        void onUnsolicitedBytes(UpstreamConnection connection);
 
-        /**
-         * Called when a response is skipped, since it isn't that to the request in flight.
-         *
-         * @param responseId ID that the response carries, or null if it carries none
-         */
-        void onSkippedResponse(String requestId, String responseId, int status);
+        /** Called when a response is skipped, since it isn't that to the request in flight. */
+        void onSkippedResponse(SkippedResponse response);
 
         /** Called when the connection was closed or could not be opened. */
         void onClosed(UpstreamConnection connection);
@@ -134,6 +132,13 @@
     private String mRequestId;
     private long mConnectStartedAt;
 
+    /** Hash codes of the IDs of the requests that were sent. */
+    private final IntHashSet mCarriedIds = new IntHashSet();
+
+    private int mSentRequests;
+    private long mSentAtNanos;
+    private long mLastResponseAtNanos;
+
     /** The first request while it waits for the server to accept the connection, or null. */
     private OutgoingRequest mUnsentRequest;
 
@@ -271,6 +276,12 @@
     }
 
     private void write(OutgoingRequest request) {
+        mCarriedIds.add(request.id().hashCode());
+        mSentAtNanos = mClock.getAsLong();
+        if (mSentRequests == 0) {
+            mLastResponseAtNanos = mSentAtNanos;
+        }
+        mSentRequests++;
         mWriteMonitor.onRequest();
         mRequestWrite = mChannel.writeAndFlush(request.build());
     }
@@ -329,16 +340,42 @@
             fail("unsolicited response");
             return false;
         }
-        String id = head.headers().get(mRequestIdHeader);
+        String id = head.headers().get(mRequestIdHeader, "");
         mSkipResponse = !mRequestId.equals(id);
         if (mSkipResponse) {
-            mPool.onSkippedResponse(mRequestId, id, head.status().code());
+            mPool.onSkippedResponse(skipped(id, head.status().code()));
         }
         mResponseHead = head;
         mResponseBody = mBuffers.open(() -> failOverLimit(ResponseLimit.BUFFERED));
         return true;
     }
 
+    private SkippedResponse skipped(String id, int status) {
+        long now = mClock.getAsLong();
+        return new SkippedResponse(
+                mRequestId,
+                id,
+                status,
+                describe(),
+                hasCarried(id),
+                now - mSentAtNanos,
+                now - mLastResponseAtNanos);
+    }
+
+    /** Returns whether the connection carried a request with an ID, or one with the same hash. */
+    private boolean hasCarried(String id) {
+        return mCarriedIds.contains(id.hashCode());
+    }
+
+    /**
+     * Names the connection and its last request: the local port, by which the server knows it, and
+     * the number of requests that were sent.
+     */
+    String describe() {
+        InetSocketAddress local = mChannel == null ? null : mChannel.localAddress();
+        return (local == null ? 0 : local.getPort()) + "/" + mSentRequests;
+    }
+
     private void onResponseEnd() {
         HttpResponse head = mResponseHead;
         byte[] body = mResponseBody.toByteArray();
@@ -352,6 +389,8 @@
             return;
         }
         mLimiter.onResponseEnd();
+        mLastResponseAtNanos = mClock.getAsLong();
+        String connection = describe();
         updateIdleTimeout(head);
         boolean reusable = HttpUtil.isKeepAlive(head) && hasLength(head) && !mCloseAfterResponse;
         Listener listener = mListener;
@@ -362,7 +401,7 @@
             mChannel.close();
         }
         if (listener != null) {
-            listener.onResponse(new UpstreamResponse(head, body));
+            listener.onResponse(new UpstreamResponse(head, body, connection));
         }
     }
 
@@ -417,7 +456,7 @@
 
     private void onUnsolicitedBytes() {
         if (mChannel.isActive()) {
-            mPool.onUnsolicitedBytes();
+            mPool.onUnsolicitedBytes(this);
             mChannel.close();
         }
     }
@@ -449,7 +488,8 @@
         if (listener != null && unsent) {
             listener.onNotAccepted(cause);
         } else if (listener != null) {
-            listener.onNoResponse(new ResponseFailure(cause, limit, mLimiter.receivedBytes()));
+            listener.onNoResponse(
+                    new ResponseFailure(cause, limit, mLimiter.receivedBytes(), describe()));
         }
     }
 }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamResponse.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamResponse.java
@@ -11,11 +11,13 @@
  * changed.
  *
  * @param head status line and headers
+ * @param connection connection on which it came, as {@link UpstreamConnection#describe} names it
  */
-record UpstreamResponse(HttpResponse head, byte[] body) {
+record UpstreamResponse(HttpResponse head, byte[] body, String connection) {
     UpstreamResponse {
         checkNotNull(head);
         checkNotNull(body);
+        checkNotNull(connection);
     }
 
     int status() {
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -202,7 +202,11 @@
                         mClock,
                         mBuffers,
                         mRequestIdHeader,
-                        new StrayResponses(entry.incarnationId()),
+                        new StrayResponses(
+                                mLog,
+                                mMetrics,
+                                StrayResponses.Sender.SERVER,
+                                entry.incarnationId()),
                         createLoad(entry));
         mListener.onAdded(upstream);
         return upstream;
@@ -217,41 +221,6 @@
                 mNeedsHistory.onListed(entry.incarnationId(), mRandom.nextDouble()));
     }
 
-    /** Counts and logs what a server sends to no request. */
-    private final class StrayResponses implements ConnectionPool.Listener {
-        private final String mIncarnationId;
-
-        StrayResponses(String incarnationId) {
-            mIncarnationId = incarnationId;
-        }
-
-        @Override
-        public void onUnsolicitedBytes() {
-            mMetrics.onUnsolicitedBytes();
-            mLog.write(
-                    Part.SERVER,
-                    "Closed an idle connection on which bytes arrived",
-                    "server",
-                    mIncarnationId);
-        }
-
-        @Override
-        public void onSkippedResponse(String requestId, String responseId, int status) {
-            mMetrics.onSkippedResponse();
-            mLog.write(
-                    Part.SERVER,
-                    "Skipped a response without the id of the request",
-                    "server",
-                    mIncarnationId,
-                    "id",
-                    requestId,
-                    "response_id",
-                    responseId,
-                    "status",
-                    status);
-        }
-    }
-
     /** Returns the upstream of an incarnation, or null if there is none. */
     Upstream get(String incarnationId) {
         return mUpstreams.get(incarnationId);
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -46,7 +46,7 @@
                     "l",
                     "r");
     private static final ResponseFailure CLOSED =
-            new ResponseFailure("connection closed", Optional.empty(), 0);
+            new ResponseFailure("connection closed", Optional.empty(), 0, "1/1");
 
     private final DaemonContextFixture mFixture = new DaemonContextFixture();
     private final FakeEventThread mThread = mFixture.thread();
@@ -137,7 +137,7 @@
     private static UpstreamResponse response() {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         head.headers().set(SIGNATURE, "s");
-        return new UpstreamResponse(head, new byte[0]);
+        return new UpstreamResponse(head, new byte[0], "1/1");
     }
 
     private void answer(String caller) {
--- a/entry/src/test/java/org/geraniumusher/entry/LateNoticeTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/LateNoticeTest.java
@@ -65,7 +65,10 @@
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         head.headers().set(header, value);
         mNotices.onResponse(
-                mRemoved, new UpstreamResponse(head, new byte[0]), mThread.now(), mThread.now());
+                mRemoved,
+                new UpstreamResponse(head, new byte[0], "1/1"),
+                mThread.now(),
+                mThread.now());
     }
 
     @Test
--- a/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
@@ -50,10 +50,10 @@
                 }
 
                 @Override
-                public void onUnsolicitedBytes() {}
+                public void onUnsolicitedBytes(UpstreamConnection connection) {}
 
                 @Override
-                public void onSkippedResponse(String requestId, String responseId, int status) {}
+                public void onSkippedResponse(SkippedResponse response) {}
 
                 @Override
                 public void onClosed(UpstreamConnection connection) {}
@@ -163,10 +163,13 @@
         AtomicInteger calls = new AtomicInteger();
         LongSupplier clock =
                 () -> {
-                    if (calls.incrementAndGet() == 1) {
+                    int call = calls.incrementAndGet();
+                    if (call == 1) {
                         return 0;
                     }
-                    reset(accept());
+                    if (call == 2) {
+                        reset(accept());
+                    }
                     // The time to wait is over before the event loop reads again.
                     return -TimeUnit.SECONDS.toNanos(1);
                 };
