Send no request ID twice over one connection

What callers saw: a caller that repeated its request under the same ID got the second answer to its first request, a success, where the server had answered the repetition with a failure. A caller that happened to use the ID of another one got that one's answer.

Cause: connections were kept apart for the attempts of one request of a caller only (Exchange.mayUse). The ID is what tells whose answer it is, so a connection that carried it before cannot tell the second answer to the earlier request from the answer to the present one.

Change: a connection remembers the IDs that it carried, and the pool sends no request over an idle connection that carried its ID. A connection is closed after 1,000 requests, which limits what it remembers. The same rule holds on connections to peers. Exchange no longer keeps the connections it used.

That the users saw this fault is not shown: their record has no second request with the same ID.

--- a/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
@@ -10,7 +10,6 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 
 /**
  * The connections to one backend server or daemon, of which idle ones are used again. Confined to
@@ -61,18 +60,16 @@
     }
 
     /**
-     * Sends a request over an idle connection, the one used last first, or over a new one.
+     * Sends a request over an idle connection that has carried none with its ID, the one used last
+     * first, or over a new one.
      *
-     * @param mayCarry whether an idle connection may carry the request
      * @return the connection, by which the request can be cancelled
      */
     UpstreamConnection send(
-            Address address,
-            OutgoingRequest request,
-            UpstreamConnection.Listener listener,
-            Predicate<UpstreamConnection> mayCarry) {
+            Address address, OutgoingRequest request, UpstreamConnection.Listener listener) {
         closeExpired(mClock.getAsLong());
-        Optional<UpstreamConnection> idle = mIdleConnections.stream().filter(mayCarry).findFirst();
+        Optional<UpstreamConnection> idle =
+                mIdleConnections.stream().filter(c -> !c.hasCarried(request.id())).findFirst();
         if (idle.isPresent()) {
             mIdleConnections.remove(idle.get());
             idle.get().send(request, listener);
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -355,7 +355,7 @@
                     }
                 };
         UpstreamConnection connection =
-                upstream.send(outgoingRequest(exchange, upstream), listener, exchange::mayUse);
+                upstream.send(outgoingRequest(exchange, upstream), listener);
         if (!exchange.isEnded()) {
             exchange.beginAttempt(new Exchange.Attempt(upstream, connection, now));
         }
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -39,7 +39,6 @@
     private final RequestSource mSource;
     private final CallerResponder mResponder;
     private final Set<String> mTriedIncarnations = new HashSet<>();
-    private final Set<UpstreamConnection> mUsedConnections = new HashSet<>();
     private RequestIdentity mIdentity;
     private RouteRule mRoute;
     private String mService = "";
@@ -241,15 +240,6 @@
     /** Sets the attempt in progress, which {@link #recordSend} has counted. */
     void beginAttempt(Attempt attempt) {
         mAttempt = Optional.of(attempt);
-        mUsedConnections.add(attempt.connection());
-    }
-
-    /**
-     * Returns whether an idle connection may carry the request. A late response to an earlier
-     * attempt could be taken for its own, as all attempts have the same ID.
-     */
-    boolean mayUse(UpstreamConnection idle) {
-        return !mUsedConnections.contains(idle);
     }
 
     /** Counts a send to a server. */
@@ -346,7 +336,6 @@
     void beginForward(Forward forward) {
         mTriedPeers.add(forward.peer());
         mForward = Optional.of(forward);
-        mUsedConnections.add(forward.connection());
     }
 
     /** Records that no peer has the request any more. */
--- a/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
@@ -198,8 +198,7 @@
                         .send(
                                 peer.member().peerAddress(),
                                 outgoingRequest(exchange),
-                                new ForwardListener(exchange, peer),
-                                exchange::mayUse);
+                                new ForwardListener(exchange, peer));
         exchange.beginForward(new Exchange.Forward(peer, connection));
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -8,7 +8,6 @@
 
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 
 /**
  * Client side of one incarnation of a backend server: its latest entry, its estimated load and the
@@ -126,11 +125,8 @@
     }
 
     /** Sends a request to the server; see {@link ConnectionPool#send}. */
-    UpstreamConnection send(
-            OutgoingRequest request,
-            UpstreamConnection.Listener listener,
-            Predicate<UpstreamConnection> mayCarry) {
-        return mConnections.send(mEntry.address(), request, listener, mayCarry);
+    UpstreamConnection send(OutgoingRequest request, UpstreamConnection.Listener listener) {
+        return mConnections.send(mEntry.address(), request, listener);
     }
 
     /** Closes the idle connections that the server is about to close. */
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -39,10 +39,13 @@
  *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
  * the request in flight, which each request has. A response with another ID, an empty one or none
- * is skipped: the server sent it a second time, and that to the request in flight may follow. Since
- * all attempts of a request have the same ID, a connection carries one of them at most. The
+ * is skipped: the server sent it a second time, and that to the request in flight may follow. The
  * connection is closed after a response that is skipped, malformed, truncated, too long or
  * unsolicited.
+ *
+ * <p>The owner of the connection sends no ID on it twice, as the second response to the one request
+ * would be taken for that to the other. The attempts of a request have the same ID, a caller may
+ * repeat one, and two callers may use the same.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -62,6 +65,9 @@
     /** Limit of the bytes other than bodies that arrive until a response is complete. */
     private static final int MAX_FRAMING_BYTES = 256 << 10;
 
+    /** Number of requests after which a connection is closed, which limits the IDs in memory. */
+    private static final int MAX_REQUESTS = 1_000;
+
     /** Idle timeout of a server that sends none in its {@code Keep-Alive} header. */
     private static final long DEFAULT_IDLE_TIMEOUT_NANOS = 4_000_000_000L;
 
@@ -132,7 +138,7 @@
     private String mRequestId;
     private long mConnectStartedAt;
 
-    /** Hash codes of the IDs of the requests that were sent. */
+    /** Hash codes of the IDs of the requests that were sent; collisions cost a connection. */
     private final IntHashSet mCarriedIds = new IntHashSet();
 
     private int mSentRequests;
@@ -363,7 +369,7 @@
     }
 
     /** Returns whether the connection carried a request with an ID, or one with the same hash. */
-    private boolean hasCarried(String id) {
+    boolean hasCarried(String id) {
         return mCarriedIds.contains(id.hashCode());
     }
 
@@ -392,7 +398,11 @@
         mLastResponseAtNanos = mClock.getAsLong();
         String connection = describe();
         updateIdleTimeout(head);
-        boolean reusable = HttpUtil.isKeepAlive(head) && hasLength(head) && !mCloseAfterResponse;
+        boolean reusable =
+                HttpUtil.isKeepAlive(head)
+                        && hasLength(head)
+                        && !mCloseAfterResponse
+                        && mSentRequests < MAX_REQUESTS;
         Listener listener = mListener;
         mListener = null;
         if (reusable) {
