Keep what a connection carried in a class of its own

No change of behavior.

Result: CarriedRequestsTest, SecondAnswerTest, AnswerLogTest and UpstreamConnectionTest pass.

--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
-import org.agrona.collections.IntHashSet;
 import org.geraniumusher.http.KeepAliveProbes;
 import org.geraniumusher.http.LongBodyWriter;
 import org.geraniumusher.http.ReceiveLimiter;
@@ -65,9 +64,6 @@
     /** Limit of the bytes other than bodies that arrive until a response is complete. */
     private static final int MAX_FRAMING_BYTES = 256 << 10;
 
-    /** Number of requests after which a connection is closed, which limits the IDs in memory. */
-    private static final int MAX_REQUESTS = 1_000;
-
     /** Idle timeout of a server that sends none in its {@code Keep-Alive} header. */
     private static final long DEFAULT_IDLE_TIMEOUT_NANOS = 4_000_000_000L;
 
@@ -133,18 +129,12 @@
                         }
                     });
     private final WriteMonitor mWriteMonitor = new WriteMonitor();
+    private final CarriedRequests mCarried = new CarriedRequests();
     private SocketChannel mChannel;
     private Listener mListener;
     private String mRequestId;
     private long mConnectStartedAt;
 
-    /** Hash codes of the IDs of the requests that were sent; collisions cost a connection. */
-    private final IntHashSet mCarriedIds = new IntHashSet();
-
-    private int mSentRequests;
-    private long mSentAtNanos;
-    private long mLastResponseAtNanos;
-
     /** The first request while it waits for the server to accept the connection, or null. */
     private OutgoingRequest mUnsentRequest;
 
@@ -282,12 +272,7 @@
     }
 
     private void write(OutgoingRequest request) {
-        mCarriedIds.add(request.id().hashCode());
-        mSentAtNanos = mClock.getAsLong();
-        if (mSentRequests == 0) {
-            mLastResponseAtNanos = mSentAtNanos;
-        }
-        mSentRequests++;
+        mCarried.onSent(request.id(), mClock.getAsLong());
         mWriteMonitor.onRequest();
         mRequestWrite = mChannel.writeAndFlush(request.build());
     }
@@ -364,13 +349,13 @@
                 status,
                 describe(),
                 hasCarried(id),
-                now - mSentAtNanos,
-                now - mLastResponseAtNanos);
+                now - mCarried.lastSentAtNanos(),
+                now - mCarried.lastResponseAtNanos());
     }
 
     /** Returns whether the connection carried a request with an ID, or one with the same hash. */
     boolean hasCarried(String id) {
-        return mCarriedIds.contains(id.hashCode());
+        return mCarried.contains(id);
     }
 
     /**
@@ -379,7 +364,7 @@
      */
     String describe() {
         InetSocketAddress local = mChannel == null ? null : mChannel.localAddress();
-        return (local == null ? 0 : local.getPort()) + "/" + mSentRequests;
+        return (local == null ? 0 : local.getPort()) + "/" + mCarried.count();
     }
 
     private void onResponseEnd() {
@@ -395,14 +380,14 @@
             return;
         }
         mLimiter.onResponseEnd();
-        mLastResponseAtNanos = mClock.getAsLong();
+        mCarried.onResponse(mClock.getAsLong());
         String connection = describe();
         updateIdleTimeout(head);
         boolean reusable =
                 HttpUtil.isKeepAlive(head)
                         && hasLength(head)
                         && !mCloseAfterResponse
-                        && mSentRequests < MAX_REQUESTS;
+                        && mCarried.mayCarryMore();
         Listener listener = mListener;
         mListener = null;
         if (reusable) {
