Use no response after a failure that has no ID

What callers saw (in a test): a success where the server had answered 500, if the 500 had no ID and the server answered a second time, with the ID and 200.

Cause: a response without the ID of the request was skipped as one of an earlier request, and the next one with the ID was passed on. Without an ID nothing tells whether the failure was the request's own.

Change: after a failure without an ID that does not say that the request was not executed, the attempt has no usable response and the connection is closed. A success or a refusal without an ID is skipped as before: if it were the request's own, the success that follows would not contradict it. UpstreamConnection gets the header names instead of one of them.

--- a/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
@@ -21,7 +21,7 @@
     private final EventLoopGroup mGroup;
     private final LongSupplier mClock;
     private final ResponseBuffers mBuffers;
-    private final String mRequestIdHeader;
+    private final HeaderNames mHeaders;
     private final byte[] mPreface;
     private final Listener mListener;
     private final Deque<UpstreamConnection> mIdleConnections = new ArrayDeque<>();
@@ -41,20 +41,20 @@
      *
      * @param clock monotonic clock in nanoseconds
      * @param buffers buffers for the bodies of responses, which all pools share
-     * @param requestIdHeader name of the header that carries the request ID
+     * @param headers names of the headers of requests and responses
      * @param preface bytes that are sent first on each connection
      */
     ConnectionPool(
             EventLoopGroup group,
             LongSupplier clock,
             ResponseBuffers buffers,
-            String requestIdHeader,
+            HeaderNames headers,
             byte[] preface,
             Listener listener) {
         mGroup = group;
         mClock = clock;
         mBuffers = buffers;
-        mRequestIdHeader = requestIdHeader;
+        mHeaders = headers;
         mPreface = checkNotNull(preface);
         mListener = listener;
     }
@@ -76,7 +76,7 @@
             return idle.get();
         }
         UpstreamConnection created =
-                new UpstreamConnection(this, mClock, mBuffers, mRequestIdHeader, mPreface);
+                new UpstreamConnection(this, mClock, mBuffers, mHeaders, mPreface);
         created.connectAndSend(mGroup, address, request, listener);
         return created;
     }
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -97,14 +97,7 @@
         mRandom = new Random(settings.name().hashCode());
         mRouting = new RequestRouting(mDirectory, wire.headers().key(), mRandom);
         mUpstreams =
-                new UpstreamSet(
-                        mDirectory,
-                        group,
-                        mClock,
-                        log,
-                        mMetrics,
-                        wire.headers().requestId(),
-                        mRandom);
+                new UpstreamSet(mDirectory, group, mClock, log, mMetrics, wire.headers(), mRandom);
         ServerLimits serverLimits = new ServerLimits(log, mMetrics);
         mLimitPermits =
                 new LimitPermits(
--- a/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
@@ -113,7 +113,7 @@
                         mGroup,
                         mContext.clock(),
                         mBuffers,
-                        mHeaders.requestId(),
+                        mHeaders,
                         PREFACE,
                         new StrayResponses(
                                 mContext.log(),
--- a/entry/src/main/java/org/geraniumusher/entry/Upstream.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Upstream.java
@@ -34,7 +34,7 @@
      *
      * @param clock monotonic clock in nanoseconds
      * @param buffers buffers for the bodies of responses, which all upstreams share
-     * @param requestIdHeader name of the header that carries the request ID
+     * @param headers names of the headers of requests and responses
      * @param load load of this incarnation, without requests in flight
      */
     Upstream(
@@ -42,13 +42,12 @@
             EventLoopGroup group,
             LongSupplier clock,
             ResponseBuffers buffers,
-            String requestIdHeader,
+            HeaderNames headers,
             ConnectionPool.Listener listener,
             ServerLoad load) {
         mEntry = entry;
         mClock = clock;
-        mConnections =
-                new ConnectionPool(group, clock, buffers, requestIdHeader, NO_PREFACE, listener);
+        mConnections = new ConnectionPool(group, clock, buffers, headers, NO_PREFACE, listener);
         mLoad = load;
         updateColdTime(entry);
     }
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -38,9 +38,10 @@
  *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
  * the request in flight, which each request has. A response with another ID, an empty one or none
- * is skipped: the server sent it a second time, and that to the request in flight may follow. The
- * connection is closed after a response that is skipped, malformed, truncated, too long or
- * unsolicited.
+ * is skipped: the server sent it a second time, and that to the request in flight may follow. After
+ * a failure without an ID no response is used, since the failure may be that to the request, and a
+ * success a second one. The connection is closed after a response that is skipped, malformed,
+ * truncated, too long or unsolicited.
  *
  * <p>The owner of the connection sends no ID on it twice, as the second response to the one request
  * would be taken for that to the other. The attempts of a request have the same ID, a caller may
@@ -112,7 +113,7 @@
     private final Pool mPool;
     private final LongSupplier mClock;
     private final ResponseBuffers mBuffers;
-    private final String mRequestIdHeader;
+    private final HeaderNames mHeaders;
     private final byte[] mPreface;
     private final ReceiveLimiter mLimiter =
             new ReceiveLimiter(
@@ -158,13 +159,13 @@
             Pool pool,
             LongSupplier clock,
             ResponseBuffers buffers,
-            String requestIdHeader,
+            HeaderNames headers,
             byte[] preface) {
         mPreface = preface;
         mPool = pool;
         mClock = clock;
         mBuffers = buffers;
-        mRequestIdHeader = requestIdHeader;
+        mHeaders = headers;
     }
 
     /** Opens the connection and sends its first request. */
@@ -331,16 +332,25 @@
             fail("unsolicited response");
             return false;
         }
-        String id = head.headers().get(mRequestIdHeader, "");
+        String id = head.headers().get(mHeaders.requestId(), "");
         mSkipResponse = !mRequestId.equals(id);
         if (mSkipResponse) {
             mPool.onSkippedResponse(skipped(id, head.status().code()));
         }
+        if (id.isBlank() && isFailure(head)) {
+            fail("failure without an ID");
+            return false;
+        }
         mResponseHead = head;
         mResponseBody = mBuffers.open(() -> failOverLimit(ResponseLimit.BUFFERED));
         return true;
     }
 
+    /** Returns whether a server failed a request that it may have executed. */
+    private boolean isFailure(HttpResponse head) {
+        return head.status().code() >= 500 && !head.headers().contains(mHeaders.notExecuted());
+    }
+
     private SkippedResponse skipped(String id, int status) {
         long now = mClock.getAsLong();
         return new SkippedResponse(
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamSet.java
@@ -41,7 +41,7 @@
     private final LongSupplier mClock;
     private final DecisionLog mLog;
     private final EntryMetrics mMetrics;
-    private final String mRequestIdHeader;
+    private final HeaderNames mHeaders;
     private final Random mRandom;
     private final ResponseBuffers mBuffers = new ResponseBuffers();
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
@@ -75,14 +75,14 @@
             LongSupplier clock,
             DecisionLog log,
             EntryMetrics metrics,
-            String requestIdHeader,
+            HeaderNames headers,
             Random random) {
         mDirectory = directory;
         mGroup = group;
         mClock = clock;
         mLog = log;
         mMetrics = metrics;
-        mRequestIdHeader = requestIdHeader;
+        mHeaders = headers;
         mRandom = random;
     }
 
@@ -201,7 +201,7 @@
                         mGroup,
                         mClock,
                         mBuffers,
-                        mRequestIdHeader,
+                        mHeaders,
                         new StrayResponses(
                                 mLog,
                                 mMetrics,
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -124,7 +124,7 @@
                 null,
                 mThread::now,
                 new ResponseBuffers(),
-                "id",
+                HEADERS,
                 null,
                 ServerLoad.create(6, ServiceTimes.create(1), 0));
     }
--- a/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DaemonContextFixture.java
@@ -80,7 +80,7 @@
                 mThread::now,
                 context.log(),
                 context.metrics(),
-                "id",
+                new FakeWireFormat().headers(),
                 new Random(1));
     }
 
--- a/entry/src/test/java/org/geraniumusher/entry/ServerPausesTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/ServerPausesTest.java
@@ -27,7 +27,7 @@
                     null,
                     mThread::now,
                     new ResponseBuffers(),
-                    "request-id",
+                    new FakeWireFormat().headers(),
                     null,
                     ServerLoad.create(6, ServiceTimes.create(SECOND), 0));
 
--- a/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
@@ -33,8 +33,9 @@
  */
 final class UpstreamConnectionTest {
     private static final int LARGE_BODY_BYTES = 32 << 20;
+    private static final HeaderNames HEADERS = new FakeWireFormat().headers();
     private static final String RESPONSE =
-            "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 2\r\n\r\nok";
+            "HTTP/1.1 200 OK\r\nid: q\r\nContent-Length: 2\r\n\r\nok";
 
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -114,7 +115,7 @@
                             HttpMethod.POST,
                             "/x",
                             Unpooled.wrappedBuffer(new byte[bodyBytes]));
-            request.headers().set("Request-Id", "q").set("Content-Length", bodyBytes);
+            request.headers().set(HEADERS.requestId(), "q").set("Content-Length", bodyBytes);
             return request;
         }
     }
@@ -129,8 +130,7 @@
 
     private UpstreamConnection connect(LongSupplier clock, OutgoingRequest order) {
         UpstreamConnection connection =
-                new UpstreamConnection(
-                        mPool, clock, new ResponseBuffers(), "Request-Id", new byte[0]);
+                new UpstreamConnection(mPool, clock, new ResponseBuffers(), HEADERS, new byte[0]);
         Address address = Address.of("127.0.0.1:" + mServer.getLocalPort());
         mGroup.execute(() -> connection.connectAndSend(mGroup, address, order, reportTo(mResult)));
         return connection;
