Keep additional bytes of a server out of its next response

What callers saw (in a test): a success where the server had answered 500, with the ID, the signature and the body of the failure.

Cause: a server that sends a second answer cut short in its head, 'HTTP/1.1 200 O', behind a complete one, or before the next, left it in the HTTP decoder of the connection. The decoder read 'HTTP/1.1 200 OHTTP/1.1 500 Status' as one status line: the status of the one answer with the head and the body of the other. The ID matched, as it is the failure's own.

Change: ResponseDecoder replaces HttpClientCodec on connections to servers, peers and the store. It tells whether bytes are left at the end of a response, and then the connection is closed; and a head with the status line of another response in its reason phrase or a field is malformed.

That the users' servers cut their second answers is not shown.

--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -11,9 +11,10 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,6 +22,7 @@
 import org.geraniumusher.http.KeepAliveProbes;
 import org.geraniumusher.http.LongBodyWriter;
 import org.geraniumusher.http.ReceiveLimiter;
+import org.geraniumusher.http.ResponseDecoder;
 import org.geraniumusher.model.Address;
 
 import java.net.InetSocketAddress;
@@ -129,6 +131,7 @@
                             UpstreamConnection.this.onUnsolicitedBytes();
                         }
                     });
+    private final ResponseDecoder mDecoder = new ResponseDecoder();
     private final WriteMonitor mWriteMonitor = new WriteMonitor();
     private final CarriedRequests mCarried = new CarriedRequests();
     private SocketChannel mChannel;
@@ -192,7 +195,8 @@
                                         .addLast(mWriteMonitor)
                                         .addLast(mLimiter)
                                         .addLast(new LongBodyWriter())
-                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(mDecoder)
                                         .addLast(UpstreamConnection.this);
                             }
                         })
@@ -275,7 +279,9 @@
     private void write(OutgoingRequest request) {
         mCarried.onSent(request.id(), mClock.getAsLong());
         mWriteMonitor.onRequest();
-        mRequestWrite = mChannel.writeAndFlush(request.build());
+        FullHttpRequest message = request.build();
+        mDecoder.onRequest(message.method());
+        mRequestWrite = mChannel.writeAndFlush(message);
     }
 
     /** Cancels the request in flight by closing the connection, on which the server drops it. */
@@ -397,6 +403,7 @@
                 HttpUtil.isKeepAlive(head)
                         && hasLength(head)
                         && !mCloseAfterResponse
+                        && !mDecoder.hasUndecodedBytes()
                         && mCarried.mayCarryMore();
         Listener listener = mListener;
         mListener = null;
--- a/entry/src/main/java/org/geraniumusher/http/HttpClient.java
+++ b/entry/src/main/java/org/geraniumusher/http/HttpClient.java
@@ -21,10 +21,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -153,7 +153,8 @@
                         channel ->
                                 channel.pipeline()
                                         .addLast(connection.limiter())
-                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(connection.decoder())
                                         .addLast(aggregator)
                                         .addLast(connection));
         connecting.addListener(
@@ -262,6 +263,7 @@
             extends SimpleChannelInboundHandler<FullHttpResponse>
             implements ReceiveLimiter.Listener {
         private final ReceiveLimiter mLimiter;
+        private final ResponseDecoder mDecoder = new ResponseDecoder();
         private final PeerKind mPeerKind;
         private final BiConsumer<Address, ClientConnection> mOnIdle;
         private final Consumer<Address> mOnSilence;
@@ -285,6 +287,10 @@
             return mLimiter;
         }
 
+        ResponseDecoder decoder() {
+            return mDecoder;
+        }
+
         boolean isActive() {
             return mChannel.isActive();
         }
@@ -347,7 +353,9 @@
                 return;
             }
             mLimiter.onRequest();
-            mChannel.writeAndFlush(toRequest(address, call));
+            DefaultFullHttpRequest request = toRequest(address, call);
+            mDecoder.onRequest(request.method());
+            mChannel.writeAndFlush(request);
         }
 
         @Override
@@ -375,7 +383,9 @@
                             ByteBufUtil.getBytes(response.content()));
             CompletableFuture<HttpReply> future = mPendingReply;
             boolean reusable =
-                    HttpUtil.isKeepAlive(response) && mPeerKind.isReusableAfter(reply.status());
+                    HttpUtil.isKeepAlive(response)
+                            && !mDecoder.hasUndecodedBytes()
+                            && mPeerKind.isReusableAfter(reply.status());
             if (future == null || !reusable) {
                 context.close();
             }
