Accept no response before the request is sent

What callers saw (in a test): an answer to an attempt that had not left the daemon, with 'connection' ending in /0 in the log. The connection then became idle twice, and two requests could share it.

Cause: bytes counted as a response from the connect on, while the first request of a connection waits for the server to accept it. A server that writes a second answer to an earlier attempt on a new connection answered the retry in that time.

Change: until the request is written, bytes on the connection are unsolicited. The connection is closed and the request sent on another one, as none of it has left.

--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -36,7 +36,8 @@
  *
  * <p>The first request waits until a server that is over its limit of connections would have reset
  * the connection: a request that was sent on it might have been executed. It is sent only if it
- * still {@linkplain OutgoingRequest#maySend may} be by then.
+ * still {@linkplain OutgoingRequest#maySend may} be by then. A connection on which bytes arrive
+ * before is closed, since they belong to no request of it.
  *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
  * the request in flight, which each request has. A response with another ID, an empty one or none
@@ -176,7 +177,6 @@
             EventLoopGroup group, Address address, OutgoingRequest request, Listener listener) {
         mListener = listener;
         mRequestId = idOf(request);
-        mLimiter.onRequest();
         mConnectStartedAt = mClock.getAsLong();
         KeepAliveProbes.enable(new Bootstrap())
                 .group(group)
@@ -237,6 +237,7 @@
         OutgoingRequest request = mUnsentRequest;
         mUnsentRequest = null;
         if (request != null && request.maySend()) {
+            mLimiter.onRequest();
             write(request);
         } else if (request != null) {
             withdraw();
@@ -247,7 +248,6 @@
     private void withdraw() {
         Listener listener = mListener;
         mListener = null;
-        mLimiter.onResponseEnd();
         mPool.onIdle(this);
         listener.onWithdrawn();
     }
--- a/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/UpstreamConnectionTest.java
@@ -194,6 +194,30 @@
         assertThat(result()).isEqualTo("not accepted");
     }
 
+    /** It used to be taken for the response to the request, which was then sent all the same. */
+    @Test
+    void connectAndSend_responseComesBeforeRequestIsDue_isNotAccepted() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        connect(
+                () -> {
+                    if (calls.incrementAndGet() == 2) {
+                        respond(accept());
+                    }
+                    return 0;
+                },
+                2);
+
+        assertThat(result()).isEqualTo("not accepted");
+    }
+
+    private static void respond(Socket socket) {
+        try {
+            socket.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot respond", e);
+        }
+    }
+
     /** The reset of an idle connection is there when the next request is written, but not read. */
     @Test
     void send_idleConnectionIsResetBeforeWrite_isNotAccepted() throws Exception {
