Use no response that contradicts one without an ID

What callers saw (in tests and trials): a failure or 'not run' where the server had answered with a success that had no ID, and a response with two IDs, of which the first was theirs.

Cause: a success without the ID of the request was skipped, and whatever followed with the ID was passed on. The first of several fields was read.

Change: after a skipped response without an ID, which is no refusal, one with the ID is used only if it has the same status. A response with different IDs has none that can be used.

--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -26,6 +26,7 @@
 import org.geraniumusher.model.Address;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -41,10 +42,10 @@
  *
  * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
  * the request in flight, which each request has. A response with another ID, an empty one or none
- * is skipped: the server sent it a second time, and that to the request in flight may follow. After
- * a failure without an ID no response is used, since the failure may be that to the request, and a
- * success a second one. The connection is closed after a response that is skipped, malformed,
- * truncated, too long or unsolicited.
+ * is skipped: the server sent it a second time, and that to the request in flight may follow. One
+ * without an ID may also be that to the request, and what follows a second one. So none with
+ * another status is used after it, and none at all after a failure. The connection is closed after
+ * a response that is skipped, malformed, truncated, too long or unsolicited.
  *
  * <p>The owner of the connection sends no ID on it twice, as the second response to the one request
  * would be taken for that to the other. The attempts of a request have the same ID, a caller may
@@ -149,6 +150,10 @@
     private HttpResponse mResponseHead;
     private ResponseBuffers.Buffer mResponseBody;
     private boolean mSkipResponse;
+
+    /** Status of a response without an ID that was skipped, or 0 if there was none. */
+    private int mUnidentifiedStatus;
+
     private boolean mFailed;
     private boolean mCloseAfterResponse;
     private long mIdleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
@@ -338,15 +343,27 @@
             fail("unsolicited response");
             return false;
         }
-        String id = head.headers().get(mHeaders.requestId(), "");
+        int status = head.status().code();
+        List<String> ids = head.headers().getAll(mHeaders.requestId());
+        String id = ids.isEmpty() ? "" : ids.get(0);
         mSkipResponse = !mRequestId.equals(id);
         if (mSkipResponse) {
-            mPool.onSkippedResponse(skipped(id, head.status().code()));
+            mPool.onSkippedResponse(skipped(id, status));
+        }
+        if (ids.stream().distinct().count() > 1) {
+            fail("response with several IDs");
+            return false;
         }
         if (id.isBlank() && isFailure(head)) {
             fail("failure without an ID");
             return false;
         }
+        if (id.isBlank() && !isRefusal(head)) {
+            mUnidentifiedStatus = status;
+        } else if (!mSkipResponse && mUnidentifiedStatus != 0 && mUnidentifiedStatus != status) {
+            fail("response contradicts one without an ID");
+            return false;
+        }
         mResponseHead = head;
         mResponseBody = mBuffers.open(() -> failOverLimit(ResponseLimit.BUFFERED));
         return true;
@@ -354,7 +371,11 @@
 
     /** Returns whether a server failed a request that it may have executed. */
     private boolean isFailure(HttpResponse head) {
-        return head.status().code() >= 500 && !head.headers().contains(mHeaders.notExecuted());
+        return head.status().code() >= 500 && !isRefusal(head);
+    }
+
+    private boolean isRefusal(HttpResponse head) {
+        return head.headers().contains(mHeaders.notExecuted());
     }
 
     private SkippedResponse skipped(String id, int status) {
