Replace an idle connection that cannot carry a repeated ID

Change: if no idle connection may carry the request, the one that has been idle longest is closed before a new one is opened.

Result: SecondAnswerTest.connections_callerRepeatsIdOftenInRow_areFew failed before ('expected to be at most: 8 but was: 40') and passes. Found by the review.

--- a/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ConnectionPool.java
@@ -75,12 +75,24 @@
             idle.get().send(request, listener);
             return idle.get();
         }
+        closeLongestIdle();
         UpstreamConnection created =
                 new UpstreamConnection(this, mClock, mBuffers, mHeaders, mPreface);
         created.connectAndSend(mGroup, address, request, listener);
         return created;
     }
 
+    /**
+     * Makes room for a new connection. Without it, a caller that repeats one ID would leave an idle
+     * connection behind each time, and the server resets those over its limit.
+     */
+    private void closeLongestIdle() {
+        UpstreamConnection longestIdle = mIdleConnections.pollLast();
+        if (longestIdle != null) {
+            longestIdle.close();
+        }
+    }
+
     /** Closes the idle connections that the other end is about to close. */
     void closeExpired(long nowNanos) {
         mIdleConnections.removeIf(
