--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -41,6 +41,10 @@
     private final Set<String> mTriedIncarnations = new HashSet<>();
     private RequestIdentity mIdentity;
     private RouteRule mRoute;
+
+    /** Version of the configuration with the route, or -1 without one. */
+    private long mRoutedByVersion = -1;
+
     private String mService = "";
     private int mKey = NO_KEY;
     private long mCallerFirstSentAtNanos;
@@ -161,10 +165,20 @@
         return mResponder;
     }
 
-    /** Sets the route of the request and the service that was chosen from it. */
-    void setRoute(RouteRule route, String service) {
+    /**
+     * Sets the route of the request and the service that was chosen from it.
+     *
+     * @param version version of the configuration with that route
+     */
+    void setRoute(RouteRule route, String service, long version) {
         mRoute = route;
         mService = service;
+        mRoutedByVersion = version;
+    }
+
+    /** Returns the version of the configuration by which it has its route, or -1 without one. */
+    long routedByVersion() {
+        return mRoutedByVersion;
     }
 
     /** Reports whether a route has been set. */
--- a/entry/src/main/java/org/geraniumusher/entry/RequestRouting.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestRouting.java
@@ -56,7 +56,10 @@
         if (route.isEmpty()) {
             return failure(ResultCode.NO_ROUTE, 0);
         }
-        exchange.setRoute(route.get(), route.get().selectService(mRandom.nextDouble()));
+        exchange.setRoute(
+                route.get(),
+                route.get().selectService(mRandom.nextDouble()),
+                config.get().version());
         ServiceRule service = config.get().services().get(exchange.service());
         if (service == null) {
             return failure(ResultCode.NO_SERVICE, NO_SERVICE_RETRY_AFTER_SECONDS);
--- a/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CrashMonitorTest.java
@@ -113,7 +113,7 @@
                         mThread.now(),
                         RequestSource.CALLER,
                         null);
-        exchange.setRoute(null, "service");
+        exchange.setRoute(null, "service", 1);
         return exchange;
     }
 
