Handle a forwarded request by the configuration of the caller's daemon

What callers saw: a daemon had a version in force and answered by it, and a request that it got later was run by the service of an older version; or a request was run by the service of a newer version than the daemon had, whose next requests the older one ran. Requests of operators that test a change are sent to one daemon and see this as a change that came back older, or late.

Cause: a daemon that does not reach the servers of a request passes it on to a peer, and the peer matched the route and chose the service once more, by its own version. That is older at a peer that the store refuses, that stood still, or whose watch pauses for 0.3 s after a change, while revert_s is 0.25 s. The peer's time-out applied as well, and the peer's kind of the route decided whether the request may be repeated.

Change: the request carries the service that was chosen and the kind of the route (DecidedRoute). The peer uses this service, or says NO_ROUTE if its own route is of another kind or if it does not know route or service; then another peer is asked, as before. The time of the request is what the daemon of the caller has left for it. The headers count only on connections of peers.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerDeadlines.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerDeadlines.java
@@ -43,7 +43,11 @@
                 long maxNanos =
                         mMaxTimeoutNanosByRoute.merge(route.name(), remainingNanos, Math::max);
                 elapsedNanos = maxNanos - remainingNanos;
-                timeoutNanos = Math.min(timeoutNanos, remainingNanos);
+                // A peer has applied the time-out of its own version of the route already.
+                timeoutNanos =
+                        exchange.isFromPeer()
+                                ? remainingNanos
+                                : Math.min(timeoutNanos, remainingNanos);
             } catch (NumberFormatException e) {
                 mRequestLog.logInvalidDeadline(exchange, value);
             }
--- a/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ForwardedRequests.java
@@ -16,22 +16,32 @@
     private ForwardedRequests() {}
 
     /**
-     * Returns the request of a caller as it is sent to {@code server}: as for a peer, with the ID
-     * of the server that may execute it.
+     * Returns the request of a caller as it is sent to {@code server}: without hop-by-hop headers,
+     * with its ID, the time left until the deadline and the ID of the server that may execute it.
      */
     static FullHttpRequest build(
             Exchange exchange, ServerEntry server, HeaderNames names, long nowNanos) {
-        FullHttpRequest forwarded = buildForPeer(exchange, names, nowNanos);
+        FullHttpRequest forwarded = build(exchange, names, nowNanos);
+        if (exchange.isFromPeer()) {
+            DecidedRoute.remove(forwarded.headers());
+        }
         forwarded.headers().set(names.expectedServer(), server.id());
         return forwarded;
     }
 
     /**
      * Returns the request of a caller as it is passed on to a peer: without hop-by-hop headers,
-     * with its ID and the time left until the deadline. It keeps the body in memory until it is
-     * released.
+     * with its ID, the time left until the deadline, and what this daemon's version of the
+     * configuration says of it.
      */
     static FullHttpRequest buildForPeer(Exchange exchange, HeaderNames names, long nowNanos) {
+        FullHttpRequest forwarded = build(exchange, names, nowNanos);
+        DecidedRoute.of(exchange).write(forwarded.headers());
+        return forwarded;
+    }
+
+    /** Returns what servers and peers get. It keeps the body in memory until it is released. */
+    private static FullHttpRequest build(Exchange exchange, HeaderNames names, long nowNanos) {
         Exchange.Request request = exchange.request();
         FullHttpRequest forwarded =
                 new DefaultFullHttpRequest(
--- a/entry/src/main/java/org/geraniumusher/entry/RequestRouting.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestRouting.java
@@ -18,6 +18,10 @@
 /**
  * Finds the route, the service and the key of a request by the configuration in force. Confined to
  * the event loop.
+ *
+ * <p>Invariant: a request that a peer passed on gets the service that the peer has chosen, or no
+ * route, whichever of the two has the newer configuration. Otherwise the peer's callers would see
+ * it at a version that it does not have.
  */
 final class RequestRouting {
     /** The lists of the store are read within this time after a start. */
@@ -53,16 +57,21 @@
         String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
         String path = pathOf(exchange.request().uri());
         Optional<RouteRule> route = config.get().match(host, path);
-        if (route.isEmpty()) {
+        Optional<DecidedRoute> decided = DecidedRoute.ofPeer(exchange);
+        if (route.isEmpty() || decided.isPresent() && !decided.get().fits(route.get())) {
             return failure(ResultCode.NO_ROUTE, 0);
         }
         exchange.setRoute(
                 route.get(),
-                route.get().selectService(mRandom.nextDouble()),
+                decided.map(DecidedRoute::service)
+                        .orElseGet(() -> route.get().selectService(mRandom.nextDouble())),
                 config.get().version());
         ServiceRule service = config.get().services().get(exchange.service());
         if (service == null) {
-            return failure(ResultCode.NO_SERVICE, NO_SERVICE_RETRY_AFTER_SECONDS);
+            // To the peer, a service that is not known here is as good as a route that is not.
+            return decided.isPresent()
+                    ? failure(ResultCode.NO_ROUTE, 0)
+                    : failure(ResultCode.NO_SERVICE, NO_SERVICE_RETRY_AFTER_SECONDS);
         }
         if (service.keyed() && !parseKey(exchange)) {
             return failure(ResultCode.NO_KEY, 0);
