--- a/entry/src/main/java/org/geraniumusher/entry/StrayResponses.java
+++ b/entry/src/main/java/org/geraniumusher/entry/StrayResponses.java
@@ -46,7 +46,7 @@
         mMetrics.onUnsolicitedBytes();
         mLog.write(
                 mSender.mPart,
-                "Closed an idle connection on which bytes arrived",
+                "Closed a connection on which bytes arrived for no request",
                 mSender.mField,
                 mName,
                 "connection",
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -104,7 +104,10 @@
         /** Called when the connection can carry another request. */
         void onIdle(UpstreamConnection connection);
 
-        /** Called when the server sends bytes on an idle connection, which is then closed. */
+        /**
+         * Called when the server sends bytes on an idle connection, or behind a response. The
+         * connection is then closed.
+         */
         void onUnsolicitedBytes(UpstreamConnection connection);
 
         /** Called when a response is skipped, since it isn't that to the request in flight. */
@@ -420,11 +423,14 @@
         mCarried.onResponse(mClock.getAsLong());
         String connection = describe();
         updateIdleTimeout(head);
+        if (mDecoder.hasUndecodedBytes()) {
+            mCloseAfterResponse = true;
+            mPool.onUnsolicitedBytes(this);
+        }
         boolean reusable =
                 HttpUtil.isKeepAlive(head)
                         && hasLength(head)
                         && !mCloseAfterResponse
-                        && !mDecoder.hasUndecodedBytes()
                         && mCarried.mayCarryMore();
         Listener listener = mListener;
         mListener = null;
