--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -156,12 +156,12 @@
                 failure.limit().map(ResponseLimit::name).orElse(""),
                 "bytes",
                 failure.receivedBytes(),
+                "age_ms",
+                ageNanos / NANOS_PER_MILLI,
                 "connection",
                 failure.connection(),
                 "sends",
-                exchange.sendCount(),
-                "age_ms",
-                ageNanos / NANOS_PER_MILLI);
+                exchange.sendCount());
     }
 
     /** Logs that no connection to the server could be opened. */
