--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -99,42 +99,35 @@
 
     /** Logs that a request is retried although a server that executed it has responded. */
     void logRetried(Exchange exchange, Upstream upstream, UpstreamResponse response) {
-        mLog.write(
-                Part.REQUEST,
-                "Response is not used, request is retried",
-                "id",
-                exchange.id(),
-                "server",
-                upstream.entry().incarnationId(),
-                "status",
-                response.status(),
-                "connection",
-                response.connection(),
-                "signature",
-                signatureOf(response),
-                "sends",
-                exchange.sendCount());
+        logUnused("Response is not used, request is retried", exchange, upstream, response);
     }
 
     /** Logs that a server rejected the request without executing it. */
     void logRejected(Exchange exchange, Upstream upstream, UpstreamResponse response) {
+        logUnused("Server rejected the request without executing it", exchange, upstream, response);
+    }
+
+    private void logUnused(
+            String event, Exchange exchange, Upstream upstream, UpstreamResponse response) {
         mLog.write(
                 Part.REQUEST,
-                "Server rejected the request without executing it",
+                event,
                 "id",
                 exchange.id(),
                 "server",
                 upstream.entry().incarnationId(),
                 "status",
                 response.status(),
-                "connection",
-                response.connection(),
                 "key",
                 exchange.key(),
                 "sends",
                 exchange.sendCount(),
                 "table_revision",
-                tableRevision(exchange));
+                tableRevision(exchange),
+                "connection",
+                response.connection(),
+                "signature",
+                signatureOf(response));
     }
 
     /**
--- a/entry/src/main/java/org/geraniumusher/entry/RetryRules.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RetryRules.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.geraniumusher.retry.RetryBudget;
+
 import java.util.function.IntSupplier;
 
 /**
@@ -31,7 +33,7 @@
 
     /** Adds the share of a new request to the budget of its service. */
     void onRequest(Exchange exchange) {
-        mBudgets.of(exchange.service(), mDaemonCount.getAsInt()).deposit();
+        budgetOf(exchange).deposit();
     }
 
     /** Returns whether the request may be sent once more, as far as the number of sends goes. */
@@ -41,7 +43,11 @@
 
     /** Takes a retry of the request from the budget; returns whether there was one. */
     boolean tryWithdraw(Exchange exchange) {
-        return mBudgets.of(exchange.service(), mDaemonCount.getAsInt()).tryWithdraw();
+        return budgetOf(exchange).tryWithdraw();
+    }
+
+    private RetryBudget budgetOf(Exchange exchange) {
+        return mBudgets.of(exchange.service(), mDaemonCount.getAsInt());
     }
 
     /**
--- a/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/UpstreamConnection.java
@@ -26,7 +26,6 @@
 import org.geraniumusher.model.Address;
 
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -40,12 +39,10 @@
  * still {@linkplain OutgoingRequest#maySend may} be by then. A connection on which bytes arrive
  * before is closed, since they belong to no request of it.
  *
- * <p>Invariant: a response is passed to the listener only when it is complete and carries the ID of
- * the request in flight, which each request has. A response with another ID, an empty one or none
- * is skipped: the server sent it a second time, and that to the request in flight may follow. One
- * without an ID may also be that to the request, and what follows a second one. So none with
- * another status is used after it, and none at all after a failure. The connection is closed after
- * a response that is skipped, malformed, truncated, too long or unsolicited.
+ * <p>Invariant: a response is passed to the listener only when it is complete and {@linkplain
+ * ResponseMatcher matches} the request in flight. One to another request is skipped: the server
+ * sent it a second time, and that to the request in flight may follow. The connection is closed
+ * after a response that is skipped, ambiguous, malformed, truncated, too long or unsolicited.
  *
  * <p>The owner of the connection sends no ID on it twice, as the second response to the one request
  * would be taken for that to the other. The attempts of a request have the same ID, a caller may
@@ -120,7 +117,7 @@
     private final Pool mPool;
     private final LongSupplier mClock;
     private final ResponseBuffers mBuffers;
-    private final HeaderNames mHeaders;
+    private final ResponseMatcher mMatcher;
     private final byte[] mPreface;
     private final ReceiveLimiter mLimiter =
             new ReceiveLimiter(
@@ -141,7 +138,6 @@
     private final CarriedRequests mCarried = new CarriedRequests();
     private SocketChannel mChannel;
     private Listener mListener;
-    private String mRequestId;
     private long mConnectStartedAt;
 
     /** The first request while it waits for the server to accept the connection, or null. */
@@ -153,10 +149,6 @@
     private HttpResponse mResponseHead;
     private ResponseBuffers.Buffer mResponseBody;
     private boolean mSkipResponse;
-
-    /** Status of a response without an ID that was skipped, or 0 if there was none. */
-    private int mUnidentifiedStatus;
-
     private boolean mFailed;
     private boolean mCloseAfterResponse;
     private long mIdleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
@@ -177,14 +169,14 @@
         mPool = pool;
         mClock = clock;
         mBuffers = buffers;
-        mHeaders = headers;
+        mMatcher = new ResponseMatcher(headers);
     }
 
     /** Opens the connection and sends its first request. */
     void connectAndSend(
             EventLoopGroup group, Address address, OutgoingRequest request, Listener listener) {
         mListener = listener;
-        mRequestId = idOf(request);
+        mMatcher.onRequest(idOf(request));
         mConnectStartedAt = mClock.getAsLong();
         KeepAliveProbes.enable(new Bootstrap())
                 .group(group)
@@ -279,7 +271,7 @@
     /** Sends another request; the connection must be idle and {@linkplain #isUsable usable}. */
     void send(OutgoingRequest request, Listener listener) {
         mListener = listener;
-        mRequestId = idOf(request);
+        mMatcher.onRequest(idOf(request));
         mLimiter.onRequest();
         write(request);
     }
@@ -346,25 +338,13 @@
             fail("unsolicited response");
             return false;
         }
-        int status = head.status().code();
-        List<String> ids = head.headers().getAll(mHeaders.requestId());
-        String id = ids.isEmpty() ? "" : ids.get(0);
-        mSkipResponse = !mRequestId.equals(id);
-        if (mSkipResponse) {
-            mPool.onSkippedResponse(skipped(id, status));
-        }
-        if (ids.stream().distinct().count() > 1) {
-            fail("response with several IDs");
-            return false;
+        ResponseMatcher.Match match = mMatcher.match(head);
+        mSkipResponse = match == ResponseMatcher.Match.OTHER;
+        if (!mMatcher.hasOwnId(head)) {
+            mPool.onSkippedResponse(skipped(head));
         }
-        if (id.isBlank() && isFailure(head)) {
-            fail("failure without an ID");
-            return false;
-        }
-        if (id.isBlank() && !isRefusal(head)) {
-            mUnidentifiedStatus = status;
-        } else if (!mSkipResponse && mUnidentifiedStatus != 0 && mUnidentifiedStatus != status) {
-            fail("response contradicts one without an ID");
+        if (!match.ambiguity().isEmpty()) {
+            fail(match.ambiguity());
             return false;
         }
         mResponseHead = head;
@@ -372,21 +352,13 @@
         return true;
     }
 
-    /** Returns whether a server failed a request that it may have executed. */
-    private boolean isFailure(HttpResponse head) {
-        return head.status().code() >= 500 && !isRefusal(head);
-    }
-
-    private boolean isRefusal(HttpResponse head) {
-        return head.headers().contains(mHeaders.notExecuted());
-    }
-
-    private SkippedResponse skipped(String id, int status) {
+    private SkippedResponse skipped(HttpResponse head) {
         long now = mClock.getAsLong();
+        String id = mMatcher.idOf(head);
         return new SkippedResponse(
-                mRequestId,
+                mMatcher.requestId(),
                 id,
-                status,
+                head.status().code(),
                 describe(),
                 hasCarried(id),
                 now - mCarried.lastSentAtNanos(),
