Say which route was not found, by which copy, and how many lines are missing

NO_ROUTE shared its limit of 30 lines a second with all other failures, and the number of lines left out waited for the next line of the part. A copy from a peer did not say whose and how old it was.

Change: requests without a route have a part of their own, ROUTING, and name their target. A count of lines left out is written after a second without a line. Copied objects name the peer, the age and the revision before, and copies.asked counts what peers answered. No decision is changed; what a peer sends is a record, PeerCopy.

--- a/entry/src/main/java/org/geraniumusher/entry/DecisionLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/DecisionLog.java
@@ -21,7 +21,8 @@
  *
  * <p>Invariant: {@link #write} never waits for output. A line is dropped if its part has used up
  * its lines of the current second or if the queue is full. The next line of the part that is
- * written has the number of lines dropped since the last one.
+ * written has the number of lines dropped since the last one; if there is none within the second
+ * after that, a line of its own tells the number.
  */
 public final class DecisionLog implements AutoCloseable {
     /** Parts of the daemon, each with a rate limit of its own. The name is a field of each line. */
@@ -30,6 +31,8 @@
         DAEMON(100),
         /** Requests that failed, were rejected or retried, or whose connection closed. */
         REQUEST(30),
+        /** Requests without a route; separate, as changes of routes bring many at once. */
+        ROUTING(30),
         /** Requests that were answered; separate from failures so as not to use up their limit. */
         ANSWER(20),
         /** Backend servers. */
@@ -158,10 +161,22 @@
                     LockSupport.parkNanos(NANOS_PER_SECOND);
                 }
                 mWriterIdle = false;
+                queueCountsOfDroppedLines();
             }
         }
     }
 
+    /** Queues a line for each part whose dropped lines no later line has told. */
+    private void queueCountsOfDroppedLines() {
+        mLimiters.forEach(
+                (part, limiter) -> {
+                    int dropped = limiter.takeDroppedBefore(mNanoClock.getAsLong());
+                    if (dropped > 0) {
+                        mQueue.offer(format(part, "Lines were left out", dropped));
+                    }
+                });
+    }
+
     /** Writes the queued lines and stops the thread; waits at most a second for it. */
     @Override
     public void close() {
@@ -202,6 +217,18 @@
             return dropped;
         }
 
+        /**
+         * Returns and forgets the lines dropped in earlier seconds than that of {@code nowNanos}.
+         */
+        synchronized int takeDroppedBefore(long nowNanos) {
+            if (nowNanos / NANOS_PER_SECOND == mCurrentSecond) {
+                return 0;
+            }
+            int dropped = mDropped;
+            mDropped = 0;
+            return dropped;
+        }
+
         /** Counts a line that was dropped because the queue was full. */
         synchronized void countDropped() {
             mDropped++;
--- a/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/geraniumusher/entry/EntryMetrics.java
@@ -183,6 +183,15 @@
         mRegistry.counter("forwards." + result).inc();
     }
 
+    /**
+     * Counts a peer that was asked for newer copies of objects of the store, by its answer.
+     *
+     * @param result {@code newer}, {@code not_newer} or {@code failed}
+     */
+    void onCopyAsked(String result) {
+        mRegistry.counter("copies.asked." + result).inc();
+    }
+
     /** Counts a request of a peer that failed here; the peer counts it for its route. */
     void onFailedForPeer(ResultCode code) {
         mRegistry.counter("forwards.received_failed." + Ascii.toLowerCase(code.name())).inc();
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -291,36 +291,33 @@
      * Replaces the copy with that of a peer if the store is unreachable and the peer's is newer, or
      * is the same and settled for the first time. Until a first call to the store has failed, which
      * may take longer at a start than an answer, only a copy that is current will do.
-     *
-     * @param version version of the peer's copy
-     * @param settled whether the peer's copy is settled
-     * @param ageNanos time for which the peer has not known its copy to be current; empty if it did
-     *     not say so
-     * @param objects all objects of the kind at that version, by name
      */
-    void adoptPeerCopy(
-            StoreVersion version,
-            boolean settled,
-            OptionalLong ageNanos,
-            Map<String, StoreObject> objects) {
-        boolean settles = settled && !mCopySettled && version.equals(mVersion);
-        boolean isUsable = mFailures > 0 || ageNanos.orElse(Long.MAX_VALUE) <= MAX_START_AGE_NANOS;
-        if (!mReachable && isUsable && (version.isAfter(mVersion) || settles)) {
+    void adoptPeerCopy(PeerCopy copy) {
+        boolean settles = copy.settled() && !mCopySettled && copy.version().equals(mVersion);
+        boolean isUsable =
+                mFailures > 0 || copy.ageNanos().orElse(Long.MAX_VALUE) <= MAX_START_AGE_NANOS;
+        if (!mReachable && isUsable && (copy.version().isAfter(mVersion) || settles)) {
             mLog.write(
                     DecisionLog.Part.STORE,
                     "Copied objects from a peer",
                     "kind",
                     mKind,
                     "epoch",
-                    version.epoch(),
+                    copy.version().epoch(),
                     "revision",
-                    version.revision(),
+                    copy.version().revision(),
                     "settled",
-                    settled);
-            mVersion = version;
-            mCopySettled = settled;
-            mHistory.resetTo(version.revision());
-            setObjects(objects);
+                    copy.settled(),
+                    "previous_revision",
+                    mVersion.revision(),
+                    "peer",
+                    copy.peer(),
+                    "age_ms",
+                    TimeUnit.NANOSECONDS.toMillis(copy.ageNanos().orElse(-1)));
+            mVersion = copy.version();
+            mCopySettled = copy.settled();
+            mHistory.resetTo(mVersion.revision());
+            setObjects(copy.objects());
             mListedFromStore = false;
             mListener.onChange();
         }
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -26,10 +26,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -91,6 +89,7 @@
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
+    private final EntryMetrics mMetrics;
     private final HttpClient mClient;
     private final ImmutableMap<String, PeerCall> mCalls;
     private final HttpServer mServer;
@@ -140,6 +139,7 @@
         mThread = context.thread();
         mClock = context.clock();
         mLog = context.log();
+        mMetrics = context.metrics();
         mWire = wire;
         mCoordinator = coordinator;
         mDispatcher = dispatcher;
@@ -332,16 +332,24 @@
         mClient.call(peer, call, CALL_TIMEOUT)
                 .whenComplete(
                         (reply, error) -> {
+                            mMetrics.onCopyAsked(copyResult(reply, error));
                             if (error == null && reply.status() == 200) {
                                 mThread.execute(() -> onObjects(mirror, peer, reply));
                             }
                         });
     }
 
+    private static String copyResult(HttpReply reply, Throwable error) {
+        if (error != null) {
+            return "failed";
+        }
+        return reply.status() == 200 ? "newer" : "not_newer";
+    }
+
     private void onObjects(KindMirror mirror, Address peer, HttpReply reply) {
         try {
             JsonNode copy = MAPPER.readTree(reply.body());
-            Map<String, StoreObject> objects = new HashMap<>();
+            ImmutableMap.Builder<String, StoreObject> objects = ImmutableMap.builder();
             for (JsonNode content : copy.path("objects")) {
                 StoreObject object = mWire.decodeObject(content);
                 objects.put(object.name(), object);
@@ -350,7 +358,12 @@
                     new StoreVersion(copy.path("epoch").asLong(), copy.path("revision").asLong(-1));
             if (mStore.epoch().observe(version.epoch())) {
                 mirror.adoptPeerCopy(
-                        version, copy.path("settled").asBoolean(), decodeAge(copy), objects);
+                        new PeerCopy(
+                                peer,
+                                version,
+                                copy.path("settled").asBoolean(),
+                                decodeAge(copy),
+                                objects.buildKeepingLast()));
             }
         } catch (IOException | RuntimeException e) {
             mLog.write(
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -1,5 +1,9 @@
 package org.geraniumusher.entry;
 
+import com.google.common.base.Ascii;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.keyrange.Assignment;
 import org.geraniumusher.keyrange.RangeTable;
@@ -19,6 +23,9 @@
 final class RequestLog {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** Limit of the host and path in a line, which callers choose. */
+    private static final int MAX_TARGET_CHARS = 200;
+
     private final Directory mDirectory;
     private final UpstreamSet mUpstreams;
     private final DecisionLog mLog;
@@ -190,7 +197,7 @@
      */
     void logFailed(Exchange exchange, ResultCode result, int waiting) {
         mLog.write(
-                Part.REQUEST,
+                exchange.isRouted() ? Part.REQUEST : Part.ROUTING,
                 "Request failed",
                 "id",
                 exchange.id(),
@@ -223,7 +230,16 @@
                 "owner",
                 describeOwner(exchange),
                 "table_revision",
-                tableRevision(exchange));
+                tableRevision(exchange),
+                "target",
+                exchange.isRouted() ? "" : targetOf(exchange.request()));
+    }
+
+    /** Returns what routes are looked up by: method, host and path; cut off if it is long. */
+    private static String targetOf(Exchange.Request request) {
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        String target = request.method() + " " + host + RequestRouting.pathOf(request.uri());
+        return Ascii.truncate(target, MAX_TARGET_CHARS, "...");
     }
 
     /** Logs that a peer had a server answer the request. */
--- a/entry/src/main/java/org/geraniumusher/entry/RequestRouting.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestRouting.java
@@ -83,7 +83,8 @@
         return Optional.of(new Failure(code, retryAfterSeconds));
     }
 
-    private static String pathOf(String uri) {
+    /** Returns a request target without its query. */
+    static String pathOf(String uri) {
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
     }
--- a/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/DirectoryTest.java
@@ -295,10 +295,12 @@
         StoreVersion own = mirror.version();
 
         mirror.adoptPeerCopy(
-                new StoreVersion(own.epoch(), own.revision() + 1),
-                true,
-                OptionalLong.empty(),
-                mirror.objects());
+                new PeerCopy(
+                        FakeWireFormat.ADDRESS,
+                        new StoreVersion(own.epoch(), own.revision() + 1),
+                        true,
+                        OptionalLong.empty(),
+                        mirror.objects()));
 
         assertThat(mirror.version().revision()).isEqualTo(own.revision() + 1);
         assertThat(mDirectory.servers().get("a@1").leaving()).isTrue();
@@ -339,7 +341,13 @@
     private void adopt(StoreVersion version, boolean settled) {
         mDirectory
                 .mirror(StoreKind.SERVERS)
-                .adoptPeerCopy(version, settled, OptionalLong.empty(), ImmutableMap.of());
+                .adoptPeerCopy(
+                        new PeerCopy(
+                                FakeWireFormat.ADDRESS,
+                                version,
+                                settled,
+                                OptionalLong.empty(),
+                                ImmutableMap.of()));
     }
 
     /**
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -329,7 +329,13 @@
     }
 
     private void adoptPeerCopy(OptionalLong ageNanos) {
-        mMirror.adoptPeerCopy(new StoreVersion(1, 7), true, ageNanos, ImmutableMap.of());
+        mMirror.adoptPeerCopy(
+                new PeerCopy(
+                        FakeWireFormat.ADDRESS,
+                        new StoreVersion(1, 7),
+                        true,
+                        ageNanos,
+                        ImmutableMap.of()));
     }
 
     /** A daemon that started beside a peer that was behind refused requests on newer routes. */
