Take newer copies of peers as soon as a watch is in doubt

Cause: a copy of a peer was used only once the store counted as unreachable, which took the end of a second call, 2.2 s after the first watch was given up. What a peer has was acknowledged, and versions only go up, so nothing speaks against using it at once, but for two things that are now handled: the copy of a peer that has just reached the store again may lack entries that only expired, and the watch that still waits may bring back what the copy no longer has.

Change: CopyExchange, which takes this part from PeerService, asks a peer each 250 ms from the time a watch is given up until the store answers, in one call for all kinds that are in doubt or were not known to be current for 1.4 s. An equal copy of a peer tells as of when it is current. Peers of earlier releases are asked for each kind, and get answers, as before.

KindMirrorTest: 5 new cases pass, also DirectoryTest and CopyNoticesTest.

--- a/entry/src/main/java/org/geraniumusher/entry/Directory.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Directory.java
@@ -86,6 +86,7 @@
     private final Multiset<Reason> mWatchesGivenUp = EnumMultiset.create(Reason.class);
 
     private Consumer<StoreKind> mConfirmationListener = kind -> {};
+    private Runnable mDoubtListener = () -> {};
 
     private final LeavingIncarnations mLeaving =
             new LeavingIncarnations(incarnationId -> mServers.containsKey(incarnationId));
@@ -165,6 +166,7 @@
         @Override
         public void onGivenUp(Reason reason) {
             mWatchesGivenUp.add(reason);
+            mDoubtListener.run();
         }
 
         @Override
@@ -201,6 +203,23 @@
         mConfirmationListener = checkNotNull(listener);
     }
 
+    /** Sets a listener that is told when a watch no longer shows that its copy is current. */
+    void setDoubtListener(Runnable listener) {
+        mDoubtListener = checkNotNull(listener);
+    }
+
+    /**
+     * Returns the kinds of which newer copies of peers are wanted: none while no copy is in doubt,
+     * and else also those that were not known to be current lately.
+     */
+    ImmutableList<KindMirror> mirrorsToCopy() {
+        return mMirrors.values().stream().anyMatch(KindMirror::isInDoubt)
+                ? mMirrors.values().stream()
+                        .filter(m -> m.isInDoubt() || !m.isKnownCurrent())
+                        .collect(ImmutableList.toImmutableList())
+                : ImmutableList.of();
+    }
+
     /** Returns how many watches were given up for a reason. */
     int watchesGivenUp(Reason reason) {
         return mWatchesGivenUp.count(reason);
--- a/entry/src/main/java/org/geraniumusher/entry/GuardedWatch.java
+++ b/entry/src/main/java/org/geraniumusher/entry/GuardedWatch.java
@@ -234,6 +234,11 @@
         mGivenUp = false;
     }
 
+    /** Returns whether a watch was given up and the store has not answered since. */
+    boolean isGivenUp() {
+        return mGivenUp;
+    }
+
     /** Returns whether the answers to watches come from a feeder. */
     boolean isRelayed() {
         return mSource == Source.FEEDER;
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -22,11 +22,12 @@
  *
  * <p>Invariant: the copy shows each object as of one version, which never decreases, or later.
  * After a list of several pages some objects may be later; the changes since that version then
- * bring the others up to date. While the store does not answer, the copy of a peer can replace it
- * if its version is higher. When the store has been restored, the objects are listed again, and
- * results of earlier calls are ignored. A copy is settled if it was read when the store had been
- * reachable for {@link #SETTLING_NANOS}; an object that is missing in it was removed, and did not
- * only expire while its writer could not reach the store. Confined to the event loop.
+ * bring the others up to date. The copy of a peer can replace it if its version is higher, whether
+ * or not the store seems to answer: what a peer has was acknowledged. When the store has been
+ * restored, the objects are listed again, and results of earlier calls are ignored. A copy is
+ * settled if it was read when the store had been reachable for {@link #SETTLING_NANOS}; an object
+ * that is missing in it was removed, and did not only expire while its writer could not reach the
+ * store. Confined to the event loop.
  *
  * <p>The copy is known to be current as of an answer of the store, or as of the time for which a
  * peer says so of an equal copy; {@link GuardedWatch} sees to it that this is not long ago.
@@ -50,6 +51,12 @@
         long retryMillis();
     }
 
+    /**
+     * Time without an answer of the store after which copies of peers are wanted; a watch that
+     * ended is restarted sooner if the store is reachable.
+     */
+    private static final long OUTAGE_NANOS = 400_000_000L;
+
     /** Age of a peer's copy with which a daemon may start before its own list is answered. */
     private static final long MAX_START_AGE_NANOS = 2_000_000_000L;
 
@@ -205,16 +212,23 @@
         return mAge.nanos(nowNanos);
     }
 
+    /** Returns whether the store may have changes that it does not show to this daemon. */
+    boolean isInDoubt() {
+        return mReachable
+                ? mWatch.isGivenUp()
+                : mClock.getAsLong() - mUnreachableSinceNanos > OUTAGE_NANOS;
+    }
+
+    /** Returns whether the copy was known to be current lately, by the bound of prompt kinds. */
+    boolean isKnownCurrent() {
+        return mAge.isCurrentSince(mClock.getAsLong() - GuardedWatch.Timing.PROMPT.maxAgeNanos());
+    }
+
     /** Returns the changes after a revision, or empty if some of them are no longer kept. */
     Optional<ImmutableList<StoreResult.Change>> changesSince(long revision) {
         return mHistory.since(revision);
     }
 
-    /** Returns the clock time in ns since which the store is unreachable, if it is. */
-    long unreachableSinceNanos() {
-        return mUnreachableSinceNanos;
-    }
-
     /**
      * Returns whether the copy is settled, apart from restores of the store. A pending watch counts
      * as an answer without changes.
@@ -288,38 +302,66 @@
     }
 
     /**
-     * Replaces the copy with that of a peer if the store is unreachable and the peer's is newer, or
-     * is the same and settled for the first time. Until a first call to the store has failed, which
-     * may take longer at a start than an answer, only a copy that is current will do.
+     * Records that a peer has a copy that is not newer.
+     *
+     * @param digest value of {@link #digest} at the peer
+     * @param ageNanos time for which the peer has not known its copy to be current
+     */
+    void onEqualCopy(StoreVersion version, long digest, long ageNanos) {
+        if (hasState() && digest == mDigest && version.epoch() == mVersion.epoch()) {
+            confirm(mClock.getAsLong() - ageNanos);
+        }
+    }
+
+    /**
+     * Replaces the copy with that of a peer if the peer's is newer, or is the same and settled for
+     * the first time. Until a first call to the store has failed, which may take longer at a start
+     * than an answer, only a copy that is current will do.
      */
     void adoptPeerCopy(PeerCopy copy) {
         boolean settles = copy.settled() && !mCopySettled && copy.version().equals(mVersion);
         boolean isUsable =
-                mFailures > 0 || copy.ageNanos().orElse(Long.MAX_VALUE) <= MAX_START_AGE_NANOS;
-        if (!mReachable && isUsable && (copy.version().isAfter(mVersion) || settles)) {
-            mLog.write(
-                    DecisionLog.Part.STORE,
-                    "Copied objects from a peer",
-                    "kind",
-                    mKind,
-                    "epoch",
-                    copy.version().epoch(),
-                    "revision",
-                    copy.version().revision(),
-                    "settled",
-                    copy.settled(),
-                    "previous_revision",
-                    mVersion.revision(),
-                    "peer",
-                    copy.peer(),
-                    "age_ms",
-                    TimeUnit.NANOSECONDS.toMillis(copy.ageNanos().orElse(-1)));
-            mVersion = copy.version();
-            mCopySettled = copy.settled();
-            mHistory.resetTo(mVersion.revision());
-            setObjects(copy.objects());
-            mListedFromStore = false;
-            mListener.onChange();
+                mReachable
+                        || mFailures > 0
+                        || copy.ageNanos().orElse(Long.MAX_VALUE) <= MAX_START_AGE_NANOS;
+        if (!isUsable || !copy.version().isAfter(mVersion) && !settles) {
+            return;
+        }
+        mLog.write(
+                DecisionLog.Part.STORE,
+                "Copied objects from a peer",
+                "kind",
+                mKind,
+                "epoch",
+                copy.version().epoch(),
+                "revision",
+                copy.version().revision(),
+                "settled",
+                copy.settled(),
+                "previous_revision",
+                mVersion.revision(),
+                "peer",
+                copy.peer(),
+                "age_ms",
+                TimeUnit.NANOSECONDS.toMillis(copy.ageNanos().orElse(-1)));
+        long now = mClock.getAsLong();
+        mVersion = copy.version();
+        mCopySettled = copy.settled();
+        if (!copy.settled()) {
+            // The store was away for the peer; what is missing may only have expired meanwhile.
+            mReachableSinceNanos = now;
+        }
+        mHistory.resetTo(mVersion.revision());
+        setObjects(copy.objects());
+        mListedFromStore = false;
+        mListener.onChange();
+        copy.ageNanos().ifPresent(age -> confirm(now - age));
+    }
+
+    /** Records that the copy was current at a time, by a clock reading in ns. */
+    private void confirm(long asOfNanos) {
+        if (mAge.onCurrent(asOfNanos)) {
+            mListener.onConfirmed();
         }
     }
 
@@ -449,9 +491,7 @@
 
     /** Records that the last answer brought the copy up to date. */
     private void onCurrent() {
-        if (mAge.onCurrent(mLastAnswerNanos)) {
-            mListener.onConfirmed();
-        }
+        confirm(mLastAnswerNanos);
     }
 
     private void onCopyRead() {
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -1,9 +1,6 @@
 package org.geraniumusher.entry;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
@@ -20,7 +17,6 @@
 import org.geraniumusher.http.Responder;
 import org.geraniumusher.keyrange.CoordinatorRecord;
 import org.geraniumusher.model.Address;
-import org.geraniumusher.model.StoreVersion;
 import org.geraniumusher.relay.Feeders;
 
 import java.io.IOException;
@@ -29,7 +25,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -38,8 +33,8 @@
 /**
  * Communicates with the other daemons: registers this daemon in the store and lists the others,
  * reports the requests and the leaving servers of keyed services to the coordinator, answers the
- * calls of peers, and copies store objects from a peer while the store is unreachable. Confined to
- * the event loop.
+ * calls of peers, and has objects of the store copied from them while it is unreachable. Confined
+ * to the event loop.
  */
 final class PeerService implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -47,10 +42,6 @@
     /** Path to which daemons post the requests of keyed services. */
     private static final String WORK_PATH = "/work";
 
-    /** Prefix of the paths of copies; the kind of the objects follows. */
-    private static final String OBJECTS_PATH = "/objects/";
-
-    private static final String AGE_MILLIS = "age_ms";
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
     private static final long TICK_INTERVAL_MILLIS = 500;
     private static final long REPORT_INTERVAL_NANOS = 500_000_000L;
@@ -62,17 +53,10 @@
     /** Interval between lists of the daemons during {@link #STARTUP_NANOS}. */
     private static final long STARTUP_LIST_INTERVAL_NANOS = 1_000_000_000L;
 
-    /**
-     * Time without an answer of the store after which objects are copied from a peer; a watch that
-     * ended is restarted sooner if the store is reachable.
-     */
-    private static final long STORE_OUTAGE_NANOS = 400_000_000L;
-
     private final EntrySettings mSettings;
     private final long mIncarnation;
     private final Directory mDirectory;
     private final Store mStore;
-    private final WireFormat mWire;
     private final CoordinatorService mCoordinator;
     private final Dispatcher mDispatcher;
     private final KeyedRequestStats mKeyedRequestStats;
@@ -80,6 +64,7 @@
     private final RelayedStore mRelayedStore;
     private final RelayEndpoint mRelayEndpoint;
     private final TableExchange mTableExchange;
+    private final CopyExchange mCopyExchange;
     private final CopyNotices mCopyNotices;
     private final CrashReporter mCrashReporter;
     private final ProbationTrials mProbationTrials;
@@ -89,7 +74,6 @@
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
-    private final EntryMetrics mMetrics;
     private final HttpClient mClient;
     private final ImmutableMap<String, PeerCall> mCalls;
     private final HttpServer mServer;
@@ -139,8 +123,6 @@
         mThread = context.thread();
         mClock = context.clock();
         mLog = context.log();
-        mMetrics = context.metrics();
-        mWire = wire;
         mCoordinator = coordinator;
         mDispatcher = dispatcher;
         mKeyedRequestStats = keyedRequestStats;
@@ -155,6 +137,7 @@
         mKnownAddresses.addAll(mSettings.seedAddresses());
         mTableExchange = new TableExchange(context, this::peerAddresses, client);
         coordinator.setPublisher(mTableExchange);
+        mCopyExchange = new CopyExchange(context, wire, client, this::peerAddresses, mRandom);
         mCopyNotices = new CopyNotices(context, coordinator, client, dispatcher.limitPermits());
         context.metrics()
                 .registerGauge(
@@ -212,12 +195,7 @@
         if (!mDirectory.tables().isLoaded()) {
             randomPeer().ifPresent(mTableExchange::fetchTables);
         }
-        for (KindMirror mirror : mDirectory.mirrors()) {
-            if (!mirror.isReachable()
-                    && now - mirror.unreachableSinceNanos() > STORE_OUTAGE_NANOS) {
-                copyFromRandomPeer(mirror);
-            }
-        }
+        mCopyExchange.wake();
         mThread.schedule(this::tick, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -313,76 +291,6 @@
                 : Optional.of(peerAddresses.get(mRandom.nextInt(peerAddresses.size())));
     }
 
-    private void copyFromRandomPeer(KindMirror mirror) {
-        randomPeer().ifPresent(peer -> copyFrom(peer, mirror));
-    }
-
-    private void copyFrom(Address peer, KindMirror mirror) {
-        HttpCall call =
-                HttpCall.of(
-                        "GET",
-                        OBJECTS_PATH
-                                + mirror.kind()
-                                + "?newer_than="
-                                + mirror.version().revision()
-                                + "&epoch="
-                                + mirror.version().epoch()
-                                + "&settled="
-                                + mirror.isCopySettled());
-        mClient.call(peer, call, CALL_TIMEOUT)
-                .whenComplete(
-                        (reply, error) -> {
-                            mMetrics.onCopyAsked(copyResult(reply, error));
-                            if (error == null && reply.status() == 200) {
-                                mThread.execute(() -> onObjects(mirror, peer, reply));
-                            }
-                        });
-    }
-
-    private static String copyResult(HttpReply reply, Throwable error) {
-        if (error != null) {
-            return "failed";
-        }
-        return reply.status() == 200 ? "newer" : "not_newer";
-    }
-
-    private void onObjects(KindMirror mirror, Address peer, HttpReply reply) {
-        try {
-            JsonNode copy = MAPPER.readTree(reply.body());
-            ImmutableMap.Builder<String, StoreObject> objects = ImmutableMap.builder();
-            for (JsonNode content : copy.path("objects")) {
-                StoreObject object = mWire.decodeObject(content);
-                objects.put(object.name(), object);
-            }
-            StoreVersion version =
-                    new StoreVersion(copy.path("epoch").asLong(), copy.path("revision").asLong(-1));
-            if (mStore.epoch().observe(version.epoch())) {
-                mirror.adoptPeerCopy(
-                        new PeerCopy(
-                                peer,
-                                version,
-                                copy.path("settled").asBoolean(),
-                                decodeAge(copy),
-                                objects.buildKeepingLast()));
-            }
-        } catch (IOException | RuntimeException e) {
-            mLog.write(
-                    Part.PEER,
-                    "Cannot decode objects copied from a peer",
-                    "peer",
-                    peer,
-                    "reason",
-                    e.getMessage());
-        }
-    }
-
-    /** Returns the age of a copy, or empty if its sender does not know it or does not say so. */
-    private static OptionalLong decodeAge(JsonNode copy) {
-        return copy.has(AGE_MILLIS)
-                ? OptionalLong.of(TimeUnit.MILLISECONDS.toNanos(copy.path(AGE_MILLIS).asLong()))
-                : OptionalLong.empty();
-    }
-
     private void sendReports() {
         ImmutableMap<String, KeyedRequestStats.Report> reports = mKeyedRequestStats.takeReports();
         if (mCoordinator.isActing()) {
@@ -439,7 +347,8 @@
                 .put(
                         "GET " + TableExchange.TABLES_PATH,
                         query(call -> mTableExchange.tablesReply()))
-                .put("GET " + OBJECTS_PATH, query(this::copyReply))
+                .put("GET " + CopyExchange.PATH, query(mCopyExchange::copiesReply))
+                .put("GET " + CopyExchange.KIND_PATH, query(mCopyExchange::copyReply))
                 .buildOrThrow();
     }
 
@@ -456,7 +365,8 @@
     }
 
     private void handle(HttpCall call, Responder responder) {
-        String path = call.path().startsWith(OBJECTS_PATH) ? OBJECTS_PATH : call.path();
+        boolean asksForKind = call.path().startsWith(CopyExchange.KIND_PATH);
+        String path = asksForKind ? CopyExchange.KIND_PATH : call.path();
         PeerCall peerCall = mCalls.get(call.method() + " " + path);
         if (peerCall == null) {
             responder.reply(HttpReply.of(404, "{}"));
@@ -480,36 +390,6 @@
         return HttpReply.of(accepted ? 200 : 503, "{}");
     }
 
-    private HttpReply copyReply(HttpCall call) throws JsonProcessingException {
-        StoreKind kind = StoreKind.valueOf(call.path().substring(OBJECTS_PATH.length()));
-        KindMirror mirror = mDirectory.mirror(kind);
-        StoreVersion known =
-                new StoreVersion(
-                        Long.parseLong(call.query("epoch").orElse("0")),
-                        Long.parseLong(call.query("newer_than").orElse("-1")));
-        mStore.epoch().observe(known.epoch());
-        if (mirror == null) {
-            return HttpReply.of(204, "");
-        }
-        boolean settled = mirror.isCopySettled() && !mDirectory.isSoonAfterRestore();
-        boolean settles =
-                settled
-                        && !Boolean.parseBoolean(call.query("settled").orElse("true"))
-                        && mirror.version().equals(known);
-        if (!mirror.version().isAfter(known) && !settles) {
-            return HttpReply.of(204, "");
-        }
-        ObjectNode copy = JsonNodeFactory.instance.objectNode();
-        copy.put("epoch", mirror.version().epoch());
-        copy.put("revision", mirror.version().revision());
-        copy.put("settled", settled);
-        mirror.copyAgeNanos(mClock.getAsLong())
-                .ifPresent(age -> copy.put(AGE_MILLIS, TimeUnit.NANOSECONDS.toMillis(age)));
-        ArrayNode objects = copy.putArray("objects");
-        mirror.objects().values().forEach(object -> objects.add(object.content()));
-        return new HttpReply(200, MAPPER.writeValueAsBytes(copy));
-    }
-
     @Override
     public void close() {
         mServer.close();
--- a/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/KindMirrorTest.java
@@ -329,13 +329,90 @@
     }
 
     private void adoptPeerCopy(OptionalLong ageNanos) {
+        adoptPeerCopy(new StoreVersion(1, 7), true, ageNanos);
+    }
+
+    /** Gets a copy without objects from a peer. */
+    private void adoptPeerCopy(StoreVersion version, boolean settled, OptionalLong ageNanos) {
         mMirror.adoptPeerCopy(
                 new PeerCopy(
-                        FakeWireFormat.ADDRESS,
-                        new StoreVersion(1, 7),
-                        true,
-                        ageNanos,
-                        ImmutableMap.of()));
+                        FakeWireFormat.ADDRESS, version, settled, ageNanos, ImmutableMap.of()));
+    }
+
+    /** Until its own call had timed out, a daemon kept its copy, though a peer had a newer one. */
+    @Test
+    void adoptPeerCopy_watchStillWaits_newerCopyIsUsed() {
+        startWithCopy();
+        StoreVersion newer = versionOfMissedChange();
+        mThread.advance(500 * MILLI);
+
+        adoptPeerCopy(newer, true, OptionalLong.of(100 * MILLI));
+
+        assertThat(mMirror.version()).isEqualTo(newer);
+        assertThat(mMirror.objects()).isEmpty();
+        assertThat(mMirror.copyAgeNanos(mThread.now())).hasValue(100 * MILLI);
+    }
+
+    /** The watch still reports changes that the copy has, also of objects that are gone in it. */
+    @Test
+    void adoptPeerCopy_watchIsAnsweredLater_removedObjectDoesNotComeBack() {
+        startWithCopy();
+        StoreObject removed = mStore.object(StoreKind.CONFIGURATION, "a");
+        adoptPeerCopy(
+                new StoreVersion(mMirror.version().epoch(), mMirror.revision() + 5),
+                true,
+                OptionalLong.empty());
+
+        mStore.answerWatches(
+                new StoreResult.Changes(
+                        ImmutableList.of(new StoreResult.Change(removed, false)),
+                        removed.revision() + 1));
+
+        assertThat(mMirror.objects()).isEmpty();
+    }
+
+    /**
+     * The peer has just reached the store again, so entries may only have expired. To this daemon
+     * the store seems to have answered all the while, and it would take them for removed.
+     */
+    @Test
+    void adoptPeerCopy_copyIsNotSettledAndStoreSeemsReachable_isNotSettledYet() {
+        startWithCopy();
+        mThread.advance(1_000 * MILLI + KindMirror.SETTLING_NANOS);
+        assertThat(mMirror.isSettled(mThread.now())).isTrue();
+
+        adoptPeerCopy(versionOfMissedChange(), false, OptionalLong.of(0));
+        assertThat(mMirror.isSettled(mThread.now())).isFalse();
+
+        mThread.advance(KindMirror.SETTLING_NANOS);
+        assertThat(mMirror.isSettled(mThread.now())).isTrue();
+    }
+
+    /** A daemon asks peers from then on; before, it waited for the end of a second call. */
+    @Test
+    void isInDoubt_watchIsGivenUp_isTrueUntilTheStoreAnswers() {
+        startWithCopy();
+        mThread.advance(500 * MILLI);
+        assertThat(mMirror.isInDoubt()).isFalse();
+
+        mThread.advance(800 * MILLI);
+        assertThat(mMirror.isInDoubt()).isTrue();
+
+        answerWithoutChanges();
+        assertThat(mMirror.isInDoubt()).isFalse();
+    }
+
+    /** A daemon without the store knows from peers that its copy is current. */
+    @Test
+    void onEqualCopy_objectsAreEqual_ageIsThatOfThePeer() {
+        startWithCopy();
+        mThread.advance(3_000 * MILLI);
+
+        mMirror.onEqualCopy(versionOfMissedChange(), mMirror.digest() + 1, 200 * MILLI);
+        assertThat(mMirror.copyAgeNanos(mThread.now())).hasValue(3_000 * MILLI);
+
+        mMirror.onEqualCopy(mMirror.version(), mMirror.digest(), 200 * MILLI);
+        assertThat(mMirror.copyAgeNanos(mThread.now())).hasValue(200 * MILLI);
     }
 
     /** A daemon that started beside a peer that was behind refused requests on newer routes. */
