Ask three peers at once for newer copies, an informed one first

Cause: a round of copying asked one random peer, which most often was as far behind, and forgot which peer had known more.

Change: a round asks three peers. The first one is that which last told something new, or sent a notice of its copies, as the coordinator does. Notices name their sender; those of earlier releases do not and are used as before.

--- a/entry/src/main/java/org/geraniumusher/entry/CopyExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyExchange.java
@@ -12,12 +12,13 @@
 
 import org.geraniumusher.entry.DecisionLog.Part;
 import org.geraniumusher.http.HttpCall;
-import org.geraniumusher.http.HttpClient;
 import org.geraniumusher.http.HttpReply;
 import org.geraniumusher.model.Address;
 import org.geraniumusher.model.StoreVersion;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -34,9 +36,8 @@
  * Copies objects of the store from peers while the store may not answer this daemon, and answers
  * the peers that copy from it. Confined to the event loop.
  *
- * <p>Invariants: nothing is sent while the store shows that all copies are current. At most one
- * call is in flight to each peer, so one that is lost or stands still costs a call in {@link
- * #CALL_TIMEOUT}.
+ * <p>Invariants: nothing is sent while the store shows that all copies are current. A peer that has
+ * not answered is not asked again before its call has failed, and holds up no other.
  */
 final class CopyExchange {
     /** Path at which peers ask for all kinds at once, each with the version that they have. */
@@ -45,7 +46,14 @@
     /** Prefix of the paths at which peers of earlier releases ask for one kind, which follows. */
     static final String KIND_PATH = PATH + "/";
 
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+    /** Time after which a call to a peer counts as failed. */
+    static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+
+    /**
+     * Number of peers that are asked in a round. Where most daemons are without the store, most
+     * peers are as far behind.
+     */
+    static final int PEERS_PER_ROUND = 3;
 
     /** Pause between two rounds of calls while a copy is in doubt. */
     private static final long ROUND_INTERVAL_MILLIS = 250;
@@ -62,7 +70,7 @@
     private final Directory mDirectory;
     private final StoreEpoch mEpoch;
     private final WireFormat mWire;
-    private final HttpClient mClient;
+    private final PeerClient mClient;
     private final EventThread mThread;
     private final LongSupplier mClock;
     private final DecisionLog mLog;
@@ -73,8 +81,16 @@
     /** Peers with a call in flight. */
     private final Set<Address> mAsked = new HashSet<>();
 
+    /** The peer that last told something new, unless it has failed since. */
+    private Optional<Address> mInformedPeer = Optional.empty();
+
     private boolean mRoundScheduled;
 
+    /** Sends a call to a peer, which fails after {@link #CALL_TIMEOUT}. */
+    interface PeerClient {
+        CompletableFuture<HttpReply> call(Address peer, HttpCall call);
+    }
+
     /** The version of a copy that a peer has, and whether that copy is settled. */
     private record KnownCopy(StoreVersion version, boolean settled) {
         private static final Splitter FIELDS = Splitter.on('.').limit(3);
@@ -105,7 +121,7 @@
     CopyExchange(
             DaemonContext context,
             WireFormat wire,
-            HttpClient client,
+            PeerClient client,
             Supplier<ImmutableList<Address>> peerAddresses,
             Random random) {
         mDirectory = context.directory();
@@ -141,10 +157,18 @@
         mThread.schedule(this::round, ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the peer that last told something new, and random ones. */
     private List<Address> pickPeers() {
-        List<Address> idle =
-                mPeerAddresses.get().stream().filter(p -> !mAsked.contains(p)).toList();
-        return idle.isEmpty() ? idle : List.of(idle.get(mRandom.nextInt(idle.size())));
+        List<Address> idle = new ArrayList<>(mPeerAddresses.get());
+        idle.removeAll(mAsked);
+        Collections.shuffle(idle, mRandom);
+        mInformedPeer.filter(idle::remove).ifPresent(peer -> idle.add(0, peer));
+        return idle.subList(0, Math.min(PEERS_PER_ROUND, idle.size()));
+    }
+
+    /** Records that a peer says that its copies are current, and so can be asked first. */
+    void onInformedPeer(Address peer) {
+        mInformedPeer = Optional.of(peer);
     }
 
     private void ask(Address peer, List<KindMirror> mirrors) {
@@ -193,7 +217,7 @@
     private void call(Address peer, String uri, ReplyListener listener) {
         long sentNanos = mClock.getAsLong();
         mAsked.add(peer);
-        mClient.call(peer, HttpCall.of("GET", uri), CALL_TIMEOUT)
+        mClient.call(peer, HttpCall.of("GET", uri))
                 .whenComplete(
                         (reply, error) ->
                                 mThread.execute(
@@ -209,6 +233,7 @@
         mAsked.remove(peer);
         if (error != null) {
             mMetrics.onCopyAsked("failed");
+            mInformedPeer = mInformedPeer.filter(p -> !p.equals(peer));
             return;
         }
         try {
@@ -240,16 +265,24 @@
         boolean isNewer = copy.has(OBJECTS);
         mMetrics.onCopyAsked(isNewer ? "newer" : "not_newer");
         OptionalLong ageNanos = decodeAge(copy, sentNanos);
+        boolean isNews;
         if (isNewer) {
-            mirror.adoptPeerCopy(
-                    new PeerCopy(
-                            peer,
-                            version,
-                            copy.path(SETTLED).asBoolean(),
-                            ageNanos,
-                            decodeObjects(copy)));
-        } else if (ageNanos.isPresent()) {
-            mirror.onEqualCopy(version, copy.path(DIGEST).asLong(), ageNanos.getAsLong());
+            isNews =
+                    mirror.adoptPeerCopy(
+                            new PeerCopy(
+                                    peer,
+                                    version,
+                                    copy.path(SETTLED).asBoolean(),
+                                    ageNanos,
+                                    decodeObjects(copy)));
+        } else {
+            isNews =
+                    ageNanos.isPresent()
+                            && mirror.onEqualCopy(
+                                    version, copy.path(DIGEST).asLong(), ageNanos.getAsLong());
+        }
+        if (isNews) {
+            onInformedPeer(peer);
         }
     }
 
--- a/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyNotices.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -35,6 +36,9 @@
     /** Shortest time between two notices; several kinds are often confirmed at the same time. */
     private static final long MIN_INTERVAL_NANOS = 200_000_000L;
 
+    /** Field with the address of the sender; peers of earlier releases leave it out. */
+    private static final String SENDER = "sender";
+
     private static final String EPOCH = "epoch";
     private static final String CONFIGURATION_VERSION = "configuration_version";
 
@@ -52,6 +56,7 @@
     private final LongSupplier mClock;
     private final PeerNotices mNotices;
     private final LimitPermits mLimitPermits;
+    private final Consumer<Address> mSenderListener;
     private boolean mUsesFeeders;
 
     /** The daemons that this one tells, as the coordinator and otherwise. */
@@ -62,11 +67,17 @@
     private long mNextSendNanos;
     private long mPeerConfigurationVersion = -1;
 
+    /**
+     * Creates notices that are sent once there are members.
+     *
+     * @param senderListener gets the address of each daemon that sends a notice
+     */
     CopyNotices(
             DaemonContext context,
             CoordinatorService coordinator,
             HttpClient client,
-            LimitPermits limitPermits) {
+            LimitPermits limitPermits,
+            Consumer<Address> senderListener) {
         mSettings = context.settings();
         mDirectory = context.directory();
         mEpoch = context.store().epoch();
@@ -76,6 +87,7 @@
         mNotices = new PeerNotices(client, mThread, mClock, context.metrics());
         mNextSendNanos = mClock.getAsLong();
         mLimitPermits = checkNotNull(limitPermits);
+        mSenderListener = checkNotNull(senderListener);
         mDirectory.setConfirmationListener(this::onConfirmed);
         mLimitPermits.setBegunListener(this::sendSoon);
     }
@@ -133,6 +145,7 @@
 
     private HttpCall encode() {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put(SENDER, mSettings.peerAddress().toString());
         body.put(EPOCH, mEpoch.current());
         body.put(CONFIGURATION_VERSION, configurationVersion());
         ObjectNode copies = body.putObject(COPIES);
@@ -160,6 +173,9 @@
         if (!mEpoch.observe(epoch) || mCoordinator.isActing()) {
             return;
         }
+        if (body.has(SENDER)) {
+            mSenderListener.accept(Address.of(body.path(SENDER).asText()));
+        }
         mPeerConfigurationVersion = body.path(CONFIGURATION_VERSION).asLong(-1);
         for (KindMirror mirror : mDirectory.mirrors()) {
             JsonNode copy = body.path(COPIES).path(mirror.kind().name());
--- a/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
+++ b/entry/src/main/java/org/geraniumusher/entry/KindMirror.java
@@ -277,7 +277,7 @@
             return;
         }
         long now = mClock.getAsLong();
-        if (digest == mDigest && version.epoch() == mVersion.epoch()) {
+        if (isEqual(version, digest)) {
             if (mAge.onVouchedFor(now - ageNanos)) {
                 mListener.onConfirmed();
             }
@@ -302,30 +302,34 @@
     }
 
     /**
-     * Records that a peer has a copy that is not newer.
+     * Records that a peer has a copy that is not newer. Returns whether it shows that the copy of
+     * this daemon was current later than was known.
      *
      * @param digest value of {@link #digest} at the peer
      * @param ageNanos time for which the peer has not known its copy to be current
      */
-    void onEqualCopy(StoreVersion version, long digest, long ageNanos) {
-        if (hasState() && digest == mDigest && version.epoch() == mVersion.epoch()) {
-            confirm(mClock.getAsLong() - ageNanos);
-        }
+    boolean onEqualCopy(StoreVersion version, long digest, long ageNanos) {
+        return isEqual(version, digest) && confirm(mClock.getAsLong() - ageNanos);
+    }
+
+    /** Returns whether the copy has the objects of a copy that a peer describes. */
+    private boolean isEqual(StoreVersion version, long digest) {
+        return hasState() && digest == mDigest && version.epoch() == mVersion.epoch();
     }
 
     /**
      * Replaces the copy with that of a peer if the peer's is newer, or is the same and settled for
      * the first time. Until a first call to the store has failed, which may take longer at a start
-     * than an answer, only a copy that is current will do.
+     * than an answer, only a copy that is current will do. Returns whether the copy was replaced.
      */
-    void adoptPeerCopy(PeerCopy copy) {
+    boolean adoptPeerCopy(PeerCopy copy) {
         boolean settles = copy.settled() && !mCopySettled && copy.version().equals(mVersion);
         boolean isUsable =
                 mReachable
                         || mFailures > 0
                         || copy.ageNanos().orElse(Long.MAX_VALUE) <= MAX_START_AGE_NANOS;
         if (!isUsable || !copy.version().isAfter(mVersion) && !settles) {
-            return;
+            return false;
         }
         mLog.write(
                 DecisionLog.Part.STORE,
@@ -356,13 +360,19 @@
         mListedFromStore = false;
         mListener.onChange();
         copy.ageNanos().ifPresent(age -> confirm(now - age));
+        return true;
     }
 
-    /** Records that the copy was current at a time, by a clock reading in ns. */
-    private void confirm(long asOfNanos) {
-        if (mAge.onCurrent(asOfNanos)) {
+    /**
+     * Records that the copy was current at a time, by a clock reading in ns. Returns whether that
+     * was not known before.
+     */
+    private boolean confirm(long asOfNanos) {
+        boolean isNews = mAge.onCurrent(asOfNanos);
+        if (isNews) {
             mListener.onConfirmed();
         }
+        return isNews;
     }
 
     private void runIfCurrent(long generation, Runnable task) {
--- a/entry/src/main/java/org/geraniumusher/entry/PeerService.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerService.java
@@ -137,8 +137,20 @@
         mKnownAddresses.addAll(mSettings.seedAddresses());
         mTableExchange = new TableExchange(context, this::peerAddresses, client);
         coordinator.setPublisher(mTableExchange);
-        mCopyExchange = new CopyExchange(context, wire, client, this::peerAddresses, mRandom);
-        mCopyNotices = new CopyNotices(context, coordinator, client, dispatcher.limitPermits());
+        mCopyExchange =
+                new CopyExchange(
+                        context,
+                        wire,
+                        (peer, call) -> client.call(peer, call, CopyExchange.CALL_TIMEOUT),
+                        this::peerAddresses,
+                        mRandom);
+        mCopyNotices =
+                new CopyNotices(
+                        context,
+                        coordinator,
+                        client,
+                        dispatcher.limitPermits(),
+                        mCopyExchange::onInformedPeer);
         context.metrics()
                 .registerGauge(
                         "configuration.version_at_peer",
--- a/entry/src/test/java/org/geraniumusher/entry/CopyNoticesTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CopyNoticesTest.java
@@ -55,7 +55,8 @@
                             new ServerLimits(mContext.log(), mContext.metrics()),
                             null,
                             () -> 0,
-                            () -> {}));
+                            () -> {}),
+                    sender -> {});
 
     @BeforeEach
     void readStore() {
--- a/entry/src/test/java/org/geraniumusher/entry/FakeEventThread.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeEventThread.java
@@ -1,8 +1,8 @@
 package org.geraniumusher.entry;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.concurrent.Delayed;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.ScheduledFuture;
@@ -10,8 +10,9 @@
 
 /** Runs tasks on the thread of the test, on a clock that the test advances. Not thread-safe. */
 final class FakeEventThread implements EventThread {
-    private final List<Task> mTasks = new ArrayList<>();
+    private final Queue<Task> mTasks = new PriorityQueue<>();
     private long mNowNanos;
+    private long mLastSequence;
 
     /** Returns the time of the clock in nanoseconds. */
     long now() {
@@ -25,22 +26,22 @@
 
     @Override
     public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-        Task scheduled = new Task(task, mNowNanos + unit.toNanos(delay));
+        Task scheduled = new Task(task, mNowNanos + unit.toNanos(delay), ++mLastSequence);
         mTasks.add(scheduled);
         return scheduled;
     }
 
+    /** Forgets the tasks that are not due yet. */
+    void clear() {
+        mTasks.clear();
+    }
+
     /** Advances the clock, running each task when it is due. */
     void advance(long nanos) {
         long endNanos = mNowNanos + nanos;
-        while (true) {
-            Task next =
-                    mTasks.stream().min(Comparator.comparingLong(t -> t.mDueNanos)).orElse(null);
-            if (next == null || next.mDueNanos > endNanos) {
-                break;
-            }
-            mTasks.remove(next);
-            mNowNanos = next.mDueNanos;
+        while (!mTasks.isEmpty() && mTasks.peek().mDueNanos <= endNanos) {
+            Task next = mTasks.remove();
+            mNowNanos = Math.max(mNowNanos, next.mDueNanos);
             next.run();
         }
         mNowNanos = endNanos;
@@ -48,11 +49,19 @@
 
     /** A scheduled task and the time, in nanoseconds, at which it is due. */
     private static final class Task extends FutureTask<Void> implements ScheduledFuture<Void> {
+        private static final Comparator<Task> ORDER =
+                Comparator.comparingLong((Task t) -> t.mDueNanos)
+                        .thenComparingLong(t -> t.mSequence);
+
         private final long mDueNanos;
 
-        Task(Runnable task, long dueNanos) {
+        /** Tasks that are due at the same time run in the order in which they were scheduled. */
+        private final long mSequence;
+
+        Task(Runnable task, long dueNanos, long sequence) {
             super(task, null);
             mDueNanos = dueNanos;
+            mSequence = sequence;
         }
 
         @Override
@@ -62,7 +71,7 @@
 
         @Override
         public int compareTo(Delayed other) {
-            return Long.compare(mDueNanos, ((Task) other).mDueNanos);
+            return ORDER.compare(this, (Task) other);
         }
     }
 }
--- a/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
+++ b/entry/src/test/java/org/geraniumusher/entry/FakeWireFormat.java
@@ -19,7 +19,7 @@
 
 /**
  * Decodes server entries, by default of {@link #SERVICE}, and configurations that have no routes
- * and name services and keyed services in an array each; rejects objects.
+ * and name services and keyed services in an array each; rejects objects without a name.
  */
 final class FakeWireFormat implements WireFormat {
     static final String SERVICE = "keyed";
@@ -42,7 +42,9 @@
 
     @Override
     public StoreObject decodeObject(JsonNode content) {
-        throw new IllegalArgumentException("unexpected store object: " + content);
+        checkArgument(content.has("name"), "unexpected store object: %s", content);
+        return new StoreObject(
+                content.path("name").asText(), content.path("revision").asLong(), content, content);
     }
 
     @Override
