Act on the word of a leaving server that came through a peer

Cause: a daemon that reaches no server passes requests on, and looked at what servers say of themselves only in the answers that it got from them itself.

Change: an answer from a peer names the incarnation that gave it, in a header that goes to daemons only, and the daemon of the caller remembers that this one is leaving. The line 'Answered through a peer' names it as well.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -351,6 +351,11 @@
             HopByHopHeaders.remove(forwarded.headers());
             forwarded.headers().set(mHeaders.requestId(), mId);
             forwarded.headers().remove(PeerForwarder.RESULT_HEADER);
+            if (mSource == RequestSource.PEER) {
+                forwarded.headers().set(PeerForwarder.SERVER_HEADER, mExchange.lastServer());
+            } else {
+                forwarded.headers().remove(PeerForwarder.SERVER_HEADER);
+            }
             forwarded.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
             complete(forwarded);
         }
--- a/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Dispatcher.java
@@ -646,6 +646,7 @@
         @Override
         public void answer(Exchange exchange, String peer, UpstreamResponse response) {
             end(exchange);
+            mServerNotices.onPassedOn(response);
             mRequestLog.logForwarded(exchange, peer, response);
             exchange.responder().respond(response);
         }
--- a/entry/src/main/java/org/geraniumusher/entry/Exchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/Exchange.java
@@ -50,6 +50,7 @@
     private long mCallerFirstSentAtNanos;
     private long mDeadlineAtNanos;
     private int mSendCount;
+    private String mLastServer = "";
     private boolean mMayHaveRun;
     private long mTrialUntilNanos = Long.MIN_VALUE;
     private boolean mEnded;
@@ -260,6 +261,12 @@
     void recordSend(String incarnationId) {
         mSendCount++;
         mTriedIncarnations.add(incarnationId);
+        mLastServer = incarnationId;
+    }
+
+    /** Returns the incarnation to which the request was sent last, or an empty string. */
+    String lastServer() {
+        return mLastServer;
     }
 
     /** Ends the attempt in progress, if any, and cancels its timer. */
--- a/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
+++ b/entry/src/main/java/org/geraniumusher/entry/PeerForwarder.java
@@ -35,6 +35,9 @@
     /** Header of an answer that the peer gave itself, with the number of its result code. */
     static final String RESULT_HEADER = "Geraniumusher-Result";
 
+    /** Header of an answer of a server, with the incarnation of the server. */
+    static final String SERVER_HEADER = "Geraniumusher-Server";
+
     /** Number of peers that one request is passed on to at most, one after the other. */
     private static final int MAX_FORWARDS = 6;
 
--- a/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
+++ b/entry/src/main/java/org/geraniumusher/entry/RequestLog.java
@@ -1,6 +1,7 @@
 package org.geraniumusher.entry;
 
 import com.google.common.base.Ascii;
+import com.google.common.base.Strings;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 
@@ -100,8 +101,7 @@
     }
 
     private String signatureOf(UpstreamResponse response) {
-        String signature = response.header(mSignatureHeader);
-        return signature == null ? "" : signature;
+        return Strings.nullToEmpty(response.header(mSignatureHeader));
     }
 
     /** Logs that a request is retried although a server that executed it has responded. */
@@ -270,7 +270,9 @@
                 "sends",
                 exchange.sendCount(),
                 "forwards",
-                exchange.triedPeers().size());
+                exchange.triedPeers().size(),
+                "server",
+                Strings.nullToEmpty(response.header(PeerForwarder.SERVER_HEADER)));
     }
 
     /** Logs that the connection closed before the response could be sent. */
--- a/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
+++ b/entry/src/main/java/org/geraniumusher/entry/ServerNotices.java
@@ -76,13 +76,29 @@
         }
     }
 
+    /** Processes a response that a peer got from a server and that goes on to a caller. */
+    void onPassedOn(UpstreamResponse response) {
+        String incarnationId = response.header(PeerForwarder.SERVER_HEADER);
+        if (incarnationId != null && response.header(mWire.headers().serverLeaving()) != null) {
+            Upstream upstream = mUpstreams.get(incarnationId);
+            if (upstream == null) {
+                rememberLeaving(incarnationId);
+            } else {
+                onSaidLeaving(upstream);
+            }
+        }
+    }
+
     private void onSaidLeaving(Upstream upstream) {
         if (!upstream.isLeaving()) {
             mMetrics.onSaidLeaving();
             mUpstreams.markLeaving(upstream, Leaving.SAID);
         }
         // An upstream whose entry was removed is leaving too, but its entry may come back.
-        String incarnationId = upstream.entry().incarnationId();
+        rememberLeaving(upstream.entry().incarnationId());
+    }
+
+    private void rememberLeaving(String incarnationId) {
         if (!mDirectory.isLeaving(incarnationId)) {
             // The listeners of the directory send waiting requests, which must not happen within
             // the processing of a response.
