Apply a changed limit of bodies to open connections

What callers saw: nothing known.

Cause: a connection took the limit when it was opened and kept it for its life, which for kept connections has no end.

Change: the limit is read with the head of each request. That of heads is still the decoder's, as of the opening of the connection.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerEndpoint.java
@@ -122,12 +122,12 @@
     }
 
     private void addHandlers(SocketChannel channel, RequestSource source) {
-        TrafficLimits limits = limits();
         mConnections.add(channel);
         channel.pipeline()
-                .addLast(new StrictRequestDecoder(MAX_INITIAL_LINE_BYTES, limits.maxHeaderBytes()))
+                .addLast(
+                        new StrictRequestDecoder(MAX_INITIAL_LINE_BYTES, limits().maxHeaderBytes()))
                 .addLast(new HttpResponseEncoder())
-                .addLast(new RequestAggregator(limits.maxBodyBytes(), mBodies))
+                .addLast(new RequestAggregator(() -> limits().maxBodyBytes(), mBodies))
                 .addLast(
                         new CallerConnection(
                                 source,
--- a/entry/src/main/java/org/geraniumusher/http/RequestAggregator.java
+++ b/entry/src/main/java/org/geraniumusher/http/RequestAggregator.java
@@ -24,6 +24,7 @@
 import org.geraniumusher.traffic.BodyBudget;
 
 import java.util.Arrays;
+import java.util.function.IntSupplier;
 
 /**
  * Aggregates requests, with their bodies on the heap. One that is not accepted is passed on without
@@ -39,9 +40,12 @@
     private static final int MIN_CAPACITY = 1_024;
     private static final byte[] NO_BYTES = new byte[0];
 
-    private final int mMaxBodyBytes;
+    private final IntSupplier mMaxBodyBytesSupplier;
     private final BodyBudget mBudget;
 
+    /** Largest body of the request that is being received, as of its head. */
+    private int mMaxBodyBytes;
+
     /** Head of the request whose body is being received, or null if there is none. */
     private HttpRequest mHead;
 
@@ -51,11 +55,11 @@
     /**
      * Creates an aggregator.
      *
-     * @param maxBodyBytes largest body that is accepted
+     * @param maxBodyBytes returns the size of the largest body that is accepted now
      * @param budget memory for the bodies of all connections of the event loop
      */
-    public RequestAggregator(int maxBodyBytes, BodyBudget budget) {
-        mMaxBodyBytes = maxBodyBytes;
+    public RequestAggregator(IntSupplier maxBodyBytes, BodyBudget budget) {
+        mMaxBodyBytesSupplier = checkNotNull(maxBodyBytes);
         mBudget = checkNotNull(budget);
     }
 
@@ -72,6 +76,7 @@
 
     private void begin(ChannelHandlerContext context, HttpRequest head) {
         mHead = head;
+        mMaxBodyBytes = mMaxBodyBytesSupplier.getAsInt();
         if (head.decoderResult().isFailure()) {
             reject(context, head.decoderResult().cause());
             return;
--- a/entry/src/test/java/org/geraniumusher/http/RequestAggregatorTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/RequestAggregatorTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.Test;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntSupplier;
 
 /** Guards the memory of the bodies of requests, and the requests that follow a rejected one. */
 final class RequestAggregatorTest {
@@ -25,6 +27,10 @@
     private final EmbeddedChannel mChannel = createChannel(MAX_BODY_BYTES);
 
     private EmbeddedChannel createChannel(int maxBodyBytes) {
+        return createChannel(() -> maxBodyBytes);
+    }
+
+    private EmbeddedChannel createChannel(IntSupplier maxBodyBytes) {
         return new EmbeddedChannel(
                 new StrictRequestDecoder(4_096, 4_096),
                 new RequestAggregator(maxBodyBytes, mBudget));
@@ -180,4 +186,22 @@
         assertThat(channel.inboundMessages()).isEmpty();
         channel.finishAndReleaseAll();
     }
+
+    /** An open connection kept the limit that was in force when it was opened, for good. */
+    @Test
+    void body_limitIsRaisedBetweenRequests_newLimitApplies() {
+        AtomicInteger limit = new AtomicInteger(100);
+        EmbeddedChannel channel = createChannel(limit::get);
+        receive(channel, post(200, "") + "b".repeat(200));
+        FullHttpRequest rejected = channel.readInbound();
+        assertThat(failure(rejected)).isInstanceOf(TooLongHttpContentException.class);
+
+        limit.set(300);
+        receive(channel, post(200, "") + "b".repeat(200));
+
+        FullHttpRequest accepted = channel.readInbound();
+        assertThat(accepted.content().readableBytes()).isEqualTo(200);
+        accepted.release();
+        channel.finishAndReleaseAll();
+    }
 }
