Log requests that are rejected for HTTP or a size limit

Change: one line with the ID, the result and the reason, cut off at 200 characters.

Result: CallerConnectionTest.channelRead_requestBreaksLimit_isLogged (new) and the six others pass.

--- a/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CallerConnection.java
@@ -1,5 +1,7 @@
 package org.geraniumusher.entry;
 
+import com.google.common.base.Ascii;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -47,6 +49,9 @@
     /** Delay after which a caller may send a request again whose body had no room. */
     private static final double BODY_RETRY_AFTER_SECONDS = 1;
 
+    /** Limit of a reason in a line, which may quote what the caller sent. */
+    private static final int MAX_LOGGED_CHARS = 200;
+
     private final RequestSource mSource;
     private final Dispatcher mDispatcher;
     private final HeaderNames mHeaders;
@@ -190,7 +195,17 @@
         }
         pending.mKeepAlive = false;
         boolean tooLarge = cause instanceof TooLongHttpContentException;
-        pending.fail(tooLarge ? ResultCode.BODY_TOO_LARGE : ResultCode.BAD_REQUEST, 0);
+        ResultCode result = tooLarge ? ResultCode.BODY_TOO_LARGE : ResultCode.BAD_REQUEST;
+        mLog.write(
+                Part.REQUEST,
+                "Request rejected, it breaks HTTP or a size limit",
+                "id",
+                pending.mId,
+                "result",
+                result,
+                "reason",
+                Ascii.truncate(String.valueOf(cause.getMessage()), MAX_LOGGED_CHARS, "..."));
+        pending.fail(result, 0);
     }
 
     /** Returns the ID that the caller sent, or a new one if it sent none or an empty one. */
--- a/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CallerConnectionTest.java
@@ -6,11 +6,13 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -159,4 +161,20 @@
 
         assertThat(mChannel.isActive()).isFalse();
     }
+
+    /** A caller's complaint of a 400 or 413 could not be found in the log. */
+    @Test
+    void channelRead_requestBreaksLimit_isLogged() {
+        FullHttpRequest rejected = request();
+        rejected.headers().set("id", "q1");
+        rejected.setDecoderResult(
+                DecoderResult.failure(new TooLongHttpContentException("body is too long")));
+
+        mChannel.writeInbound(rejected);
+
+        assertThat(mFixture.closeAndReadLog())
+                .contains(
+                        "\"Request rejected, it breaks HTTP or a size limit\",\"id\":\"q1\","
+                                + "\"result\":\"BODY_TOO_LARGE\",\"reason\":\"body is too long\"");
+    }
 }
