Read the exchange of copies as a newcomer

A filter removed from a list as a side effect, and a result was set in two branches. No behavior is changed.

Result: CopyExchangeTest, KindMirrorTest and CopyNoticesTest pass.

--- a/entry/src/main/java/org/geraniumusher/entry/CopyExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyExchange.java
@@ -157,12 +157,14 @@
         mThread.schedule(this::round, ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Returns the peer that last told something new, and random ones. */
+    /** Returns the peer that last told something new, and random ones, of those without a call. */
     private List<Address> pickPeers() {
         List<Address> idle = new ArrayList<>(mPeerAddresses.get());
         idle.removeAll(mAsked);
         Collections.shuffle(idle, mRandom);
-        mInformedPeer.filter(idle::remove).ifPresent(peer -> idle.add(0, peer));
+        if (mInformedPeer.isPresent() && idle.remove(mInformedPeer.get())) {
+            idle.add(0, mInformedPeer.get());
+        }
         return idle.subList(0, Math.min(PEERS_PER_ROUND, idle.size()));
     }
 
@@ -265,22 +267,18 @@
         boolean isNewer = copy.has(OBJECTS);
         mMetrics.onCopyAsked(isNewer ? "newer" : "not_newer");
         OptionalLong ageNanos = decodeAge(copy, sentNanos);
-        boolean isNews;
-        if (isNewer) {
-            isNews =
-                    mirror.adoptPeerCopy(
-                            new PeerCopy(
-                                    peer,
-                                    version,
-                                    copy.path(SETTLED).asBoolean(),
-                                    ageNanos,
-                                    decodeObjects(copy)));
-        } else {
-            isNews =
-                    ageNanos.isPresent()
-                            && mirror.onEqualCopy(
-                                    version, copy.path(DIGEST).asLong(), ageNanos.getAsLong());
-        }
+        boolean isNews =
+                isNewer
+                        ? mirror.adoptPeerCopy(
+                                new PeerCopy(
+                                        peer,
+                                        version,
+                                        copy.path(SETTLED).asBoolean(),
+                                        ageNanos,
+                                        decodeObjects(copy)))
+                        : ageNanos.isPresent()
+                                && mirror.onEqualCopy(
+                                        version, copy.path(DIGEST).asLong(), ageNanos.getAsLong());
         if (isNews) {
             onInformedPeer(peer);
         }
