Ask peers less often while none knows more

Cause: while the store is away for all, each daemon asked three peers each 0.25 s in vain, 14 KB a second of both ways (worked out; the target for control is 2 KB).

Change: after eight rounds without news the pause is 1 s, until a peer tells something new or no copy is in doubt.

--- a/entry/src/main/java/org/geraniumusher/entry/CopyExchange.java
+++ b/entry/src/main/java/org/geraniumusher/entry/CopyExchange.java
@@ -58,6 +58,12 @@
     /** Pause between two rounds of calls while a copy is in doubt. */
     private static final long ROUND_INTERVAL_MILLIS = 250;
 
+    /** Number of rounds in a row without news after which the pauses are longer. */
+    private static final int MAX_BRISK_ROUNDS = 8;
+
+    /** Pause after these: the store is probably away for all, and each call costs its peers. */
+    private static final long QUIET_INTERVAL_MILLIS = 1_000;
+
     private static final int NOT_FOUND = 404;
 
     private static final String EPOCH = "epoch";
@@ -86,6 +92,9 @@
 
     private boolean mRoundScheduled;
 
+    /** Number of rounds since a peer told something new, or since the first copy was in doubt. */
+    private int mRoundsWithoutNews;
+
     /** Sends a call to a peer, which fails after {@link #CALL_TIMEOUT}. */
     interface PeerClient {
         CompletableFuture<HttpReply> call(Address peer, HttpCall call);
@@ -148,13 +157,18 @@
         mRoundScheduled = false;
         ImmutableList<KindMirror> mirrors = mDirectory.mirrorsToCopy();
         if (mirrors.isEmpty()) {
+            mRoundsWithoutNews = 0;
             return;
         }
         for (Address peer : pickPeers()) {
             ask(peer, mirrors);
         }
         mRoundScheduled = true;
-        mThread.schedule(this::round, ROUND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        boolean isBrisk = ++mRoundsWithoutNews <= MAX_BRISK_ROUNDS;
+        mThread.schedule(
+                this::round,
+                isBrisk ? ROUND_INTERVAL_MILLIS : QUIET_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Returns the peer that last told something new, and random ones, of those without a call. */
@@ -280,6 +294,7 @@
                                 && mirror.onEqualCopy(
                                         version, copy.path(DIGEST).asLong(), ageNanos.getAsLong());
         if (isNews) {
+            mRoundsWithoutNews = 0;
             onInformedPeer(peer);
         }
     }
--- a/entry/src/test/java/org/geraniumusher/entry/CopyExchangeTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CopyExchangeTest.java
@@ -246,4 +246,28 @@
 
         assertThat(mDaemons.get(1).version()).isEqualTo(2);
     }
+
+    /**
+     * While the store is away for all, daemons would ask one another in vain, many times a second.
+     */
+    @Test
+    void wake_noPeerKnowsMore_callsBecomeFewerAndChangeStillArrivesInTime() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            start(11, seed);
+            mThread.advance(5 * SECOND);
+            Daemon daemon = mDaemons.get(1);
+            int before = daemon.mAsked.size();
+
+            mThread.advance(10 * SECOND);
+
+            assertThat(daemon.mAsked.size() - before).isAtMost(11 * CopyExchange.PEERS_PER_ROUND);
+            mDaemons.get(0).reachStoreWithChange(2);
+            mThread.advance(APPLY_WITH_SKEW_NANOS);
+            for (Daemon each : mDaemons) {
+                assertWithMessage("seed %s, %s", seed, each.mAddress)
+                        .that(each.version())
+                        .isEqualTo(2);
+            }
+        }
+    }
 }
