Open the silent connections of HttpClientTest before the first reply

Cause: the setup makes three calls in a row to have three connections. If the first reply comes before the next call, that call uses the first connection, which is silent from its first reply on, and waits for 60 s.

Evidence: with a pause of 50 ms between the calls both cases that use the setup fail each time, in the same line; with the change both pass with that pause.

Change: the server replies to the first requests once all connections are open. What the tests check is the same.

--- a/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
+++ b/entry/src/test/java/org/geraniumusher/http/HttpClientTest.java
@@ -58,6 +58,11 @@
     private final AtomicLong mBytesSent = new AtomicLong();
     private TcpListener mListener;
 
+    /** Connections whose first request has no reply yet, and how many were opened in all. */
+    private final List<ChannelHandlerContext> mUnanswered = new ArrayList<>();
+
+    private int mOpened;
+
     /** Replies without end. */
     enum Endless {
         CONTROL_CHARACTERS("", Strings.repeat("\r\n", 500)),
@@ -219,6 +224,24 @@
         assertThat(get(get(CALL_TIMEOUT))).isEqualTo("ok");
     }
 
+    /**
+     * Replies to the first request of a connection once all silent connections are open. A reply
+     * before that would have the next call use the connection, which is silent from then on.
+     */
+    private synchronized void replyOnceAllAreOpen(ChannelHandlerContext context) {
+        mUnanswered.add(context);
+        if (++mOpened < SILENT_CONNECTIONS) {
+            return;
+        }
+        for (ChannelHandlerContext unanswered : mUnanswered) {
+            unanswered.writeAndFlush(
+                    Unpooled.copiedBuffer(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                            StandardCharsets.ISO_8859_1));
+        }
+        mUnanswered.clear();
+    }
+
     /** Replies to the first request of a connection and to no other. */
     private final class SilentAfterFirstReply extends ChannelInboundHandlerAdapter {
         private boolean mReplied;
@@ -228,10 +251,7 @@
             ReferenceCountUtil.release(message);
             if (!mReplied) {
                 mReplied = true;
-                context.writeAndFlush(
-                        Unpooled.copiedBuffer(
-                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-                                StandardCharsets.ISO_8859_1));
+                replyOnceAllAreOpen(context);
             }
         }
 
