--- a/entry/src/test/java/org/geraniumusher/entry/CopyExchangeTest.java
+++ b/entry/src/test/java/org/geraniumusher/entry/CopyExchangeTest.java
@@ -166,6 +166,14 @@
         }
     }
 
+    private void assertChangeIsAtAllDaemons(long seed) {
+        for (Daemon daemon : mDaemons) {
+            assertWithMessage("seed %s, %s", seed, daemon.mAddress)
+                    .that(daemon.version())
+                    .isEqualTo(2);
+        }
+    }
+
     @AfterEach
     void close() {
         mLog.close();
@@ -181,11 +189,7 @@
 
             mThread.advance(APPLY_WITH_SKEW_NANOS);
 
-            for (Daemon daemon : mDaemons) {
-                assertWithMessage("seed %s, %s", seed, daemon.mAddress)
-                        .that(daemon.version())
-                        .isEqualTo(2);
-            }
+            assertChangeIsAtAllDaemons(seed);
         }
     }
 
@@ -263,11 +267,7 @@
             assertThat(daemon.mAsked.size() - before).isAtMost(11 * CopyExchange.PEERS_PER_ROUND);
             mDaemons.get(0).reachStoreWithChange(2);
             mThread.advance(APPLY_WITH_SKEW_NANOS);
-            for (Daemon each : mDaemons) {
-                assertWithMessage("seed %s, %s", seed, each.mAddress)
-                        .that(each.version())
-                        .isEqualTo(2);
-            }
+            assertChangeIsAtAllDaemons(seed);
         }
     }
 }
